all: thin whole path in one process

Cause: there was no code. Change: root entities and interfaces, object API client, configuration log and relay tree, weight distribution, gate, routing, limits, non-idempotent calls, rollout by lease, stand-ins, and a stage that runs all roles in memory in virtual time.

--- /dev/null
+++ b/imitator/objects.go
@@ -0,0 +1,307 @@
+// Package imitator holds small stand-ins for the outside systems that the
+// product meets, for tests and the demo: each speaks the outside protocol over
+// HTTP, keeps a journal of what truly happened, and can be made to fail.
+package imitator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/responder"
+)
+
+// maxObjectBytes is the platform's limit on a value.
+const maxObjectBytes = 1 << 20
+
+// ObjectFaults says how the object API misbehaves.
+type ObjectFaults struct {
+	// Down drops every call without effect.
+	Down bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseReplies is the number of writes whose reply is dropped after the
+	// write took effect.
+	LoseReplies int
+	// LagRevisions hides the newest revisions from reads and watches.
+	LagRevisions uint64
+}
+
+// ObjectAPI is a stand-in for the platform's object API.
+type ObjectAPI struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]filbertstile.Object
+	changed  chan struct{}
+	faults   ObjectFaults
+	reads    int64
+	writes   int64
+	watches  int64
+}
+
+// NewObjectAPI returns an empty object API.
+func NewObjectAPI() *ObjectAPI {
+	return &ObjectAPI{objects: make(map[string]filbertstile.Object), changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (o *ObjectAPI) SetFaults(f ObjectFaults) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults = f
+	o.wake()
+}
+
+// ObjectCalls counts the calls so far.
+type ObjectCalls struct {
+	Reads   int64
+	Writes  int64
+	Watches int64
+}
+
+// Calls returns the number of calls so far.
+func (o *ObjectAPI) Calls() ObjectCalls {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return ObjectCalls{Reads: o.reads, Writes: o.writes, Watches: o.watches}
+}
+
+func (o *ObjectAPI) wake() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Serve answers until the context ends.
+func (o *ObjectAPI) Serve(ctx context.Context, l net.Listener) error {
+	// Watches must end before the server can.
+	handler := func(rc *fasthttp.RequestCtx) { o.handle(ctx, rc) }
+	return responder.Serve(ctx, l, responder.Config{Name: "objects", Handler: handler, MaxBodyBytes: maxObjectBytes})
+}
+
+func (o *ObjectAPI) handle(ctx context.Context, rc *fasthttp.RequestCtx) {
+	o.mu.Lock()
+	f := o.faults
+	o.mu.Unlock()
+	if f.Delay > 0 {
+		time.Sleep(f.Delay)
+	}
+	if f.Down {
+		dropReply(rc)
+		return
+	}
+	path := string(rc.Path())
+	key, _ := url.PathUnescape(strings.TrimPrefix(path, "/objects/"))
+	switch {
+	case path == "/watch":
+		o.watch(ctx, rc)
+	case path == "/objects":
+		o.list(rc)
+	case rc.IsGet():
+		o.get(rc, key)
+	case rc.IsPut():
+		o.put(rc, key)
+	case rc.IsDelete():
+		o.remove(rc, key)
+	default:
+		rc.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+	}
+}
+
+// dropReply closes the connection without an answer.
+func dropReply(rc *fasthttp.RequestCtx) {
+	rc.HijackSetNoResponse(true)
+	rc.Hijack(func(net.Conn) {})
+}
+
+func (o *ObjectAPI) get(rc *fasthttp.RequestCtx, key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads++
+	obj, ok := o.objects[key]
+	if !ok || !o.visible(obj) {
+		rc.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	responder.WriteJSON(rc, fasthttp.StatusOK, obj)
+}
+
+func (o *ObjectAPI) visible(obj filbertstile.Object) bool {
+	return obj.Version+o.faults.LagRevisions <= o.revision
+}
+
+func (o *ObjectAPI) list(rc *fasthttp.RequestCtx) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads++
+	prefix := string(rc.QueryArgs().Peek("prefix"))
+	after := string(rc.QueryArgs().Peek("after"))
+	b := filbertstile.Batch{Revision: o.revision - min(o.faults.LagRevisions, o.revision)}
+	for _, obj := range o.objects {
+		if strings.HasPrefix(obj.Key, prefix) && obj.Key > after && o.visible(obj) {
+			b.Objects = append(b.Objects, obj)
+		}
+	}
+	slices.SortFunc(b.Objects, func(a, b filbertstile.Object) int { return strings.Compare(a.Key, b.Key) })
+	responder.WriteJSON(rc, fasthttp.StatusOK, b)
+}
+
+func (o *ObjectAPI) watch(ctx context.Context, rc *fasthttp.RequestCtx) {
+	args := rc.QueryArgs()
+	prefix := string(args.Peek("prefix"))
+	after, _ := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+	wait, _ := time.ParseDuration(string(args.Peek("wait")))
+	expired := time.NewTimer(wait)
+	defer expired.Stop()
+	o.mu.Lock()
+	o.watches++
+	o.mu.Unlock()
+	for {
+		o.mu.Lock()
+		b := o.since(prefix, after)
+		changed := o.changed
+		down := o.faults.Down
+		o.mu.Unlock()
+		if down {
+			dropReply(rc)
+			return
+		}
+		if len(b.Objects) > 0 {
+			responder.WriteJSON(rc, fasthttp.StatusOK, b)
+			return
+		}
+		select {
+		case <-changed:
+		case <-expired.C:
+			responder.WriteJSON(rc, fasthttp.StatusOK, b)
+			return
+		case <-ctx.Done():
+			dropReply(rc)
+			return
+		}
+	}
+}
+
+func (o *ObjectAPI) since(prefix string, after uint64) filbertstile.Batch {
+	b := filbertstile.Batch{Revision: max(after, o.revision-min(o.faults.LagRevisions, o.revision))}
+	for _, obj := range o.objects {
+		if strings.HasPrefix(obj.Key, prefix) && obj.Version > after && o.visible(obj) {
+			b.Objects = append(b.Objects, obj)
+		}
+	}
+	slices.SortFunc(b.Objects, func(a, b filbertstile.Object) int { return int(a.Version) - int(b.Version) })
+	return b
+}
+
+// storeFound is the body of a refused conditional update.
+type storeFound struct {
+	Version uint64
+}
+
+func (o *ObjectAPI) put(rc *fasthttp.RequestCtx, key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes++
+	want, err := strconv.ParseUint(string(rc.QueryArgs().Peek("version")), 10, 64)
+	if err != nil {
+		rc.Error("version: not a number", fasthttp.StatusBadRequest)
+		return
+	}
+	have := o.objects[key].Version
+	if have != want {
+		responder.WriteJSON(rc, fasthttp.StatusConflict, storeFound{Version: have})
+		return
+	}
+	o.revision++
+	obj := filbertstile.Object{Key: key, Version: o.revision, Value: append([]byte(nil), rc.PostBody()...)}
+	o.objects[key] = obj
+	o.wake()
+	if o.faults.LoseReplies > 0 {
+		o.faults.LoseReplies--
+		dropReply(rc)
+		return
+	}
+	responder.WriteJSON(rc, fasthttp.StatusOK, filbertstile.Object{Key: key, Version: obj.Version})
+}
+
+func (o *ObjectAPI) remove(rc *fasthttp.RequestCtx, key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes++
+	want, _ := strconv.ParseUint(string(rc.QueryArgs().Peek("version")), 10, 64)
+	obj, ok := o.objects[key]
+	if !ok {
+		rc.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if obj.Version != want {
+		responder.WriteJSON(rc, fasthttp.StatusConflict, storeFound{Version: obj.Version})
+		return
+	}
+	o.revision++
+	delete(o.objects, key)
+	rc.SetStatusCode(fasthttp.StatusOK)
+}
+
+// HostList is a stand-in for the platform's lagging list of processes.
+type HostList struct {
+	mu      sync.Mutex
+	members filbertstile.Table[filbertstile.Member]
+	shown   filbertstile.Table[filbertstile.Member]
+	lag     time.Duration
+}
+
+// NewHostList returns an empty list whose readers see it with the lag.
+func NewHostList(lag time.Duration) *HostList { return &HostList{lag: lag} }
+
+// Remove takes a process off the list, as the platform does with dead hosts.
+func (h *HostList) Remove(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members = h.members.Without(name)
+}
+
+// Serve answers until the context ends.
+func (h *HostList) Serve(ctx context.Context, l net.Listener) error {
+	go h.show(ctx)
+	return responder.Serve(ctx, l, responder.Config{Name: "hosts", Handler: h.handle})
+}
+
+func (h *HostList) show(ctx context.Context) {
+	t := time.NewTicker(max(h.lag, time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			h.mu.Lock()
+			h.shown = h.members
+			h.mu.Unlock()
+		}
+	}
+}
+
+func (h *HostList) handle(rc *fasthttp.RequestCtx) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if rc.IsGet() {
+		responder.WriteJSON(rc, fasthttp.StatusOK, h.shown)
+		return
+	}
+	var m filbertstile.Member
+	if err := json.Unmarshal(rc.PostBody(), &m); err != nil {
+		rc.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	h.members = h.members.With(m)
+	rc.SetStatusCode(fasthttp.StatusOK)
+}
--- /dev/null
+++ b/stager/stager_test.go
@@ -0,0 +1,84 @@
+package stager_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"filbertstile.example/filbertstile/caller"
+	"filbertstile.example/filbertstile/checker"
+	"filbertstile.example/filbertstile/imitator"
+	"filbertstile.example/filbertstile/shaper"
+	"filbertstile.example/filbertstile/stager"
+)
+
+func TestThinWholePath(t *testing.T) {
+	is := is.New(t)
+	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	is.NoErr(err)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		if testing.Verbose() {
+			log.SetOutput(t.Output())
+		}
+		s := stager.New(stager.Config{Deployment: d, Base: shaper.NewMemory(), Logger: log})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+		defer cancel()
+		is.NoErr(s.Start(ctx))
+		defer time.Sleep(5 * time.Minute)
+		defer s.Close()
+		is.NoErr(s.AwaitReady(ctx))
+		is.NoErr(s.Install(ctx))
+		begin := time.Now()
+		m, err := s.AddRelease(ctx, "filbert-models", imitator.ReleaseConfig{Name: "filbert-1", Seed: 1, ChunkBytes: 65536, Chunks: 160})
+		is.NoErr(err)
+		is.NoErr(s.AwaitRelease(ctx, "filbert-models", "filbert-1", 14))
+		t.Logf("spread in %v, origin bytes %d of %d", time.Since(begin), s.Weights.Bytes(), m.Size)
+		for _, l := range s.Fabric.RegionTraffic() {
+			t.Logf("%+v", l)
+		}
+		var seeds []string
+		for _, e := range s.Entries {
+			seeds = append(seeds, e.Settings.HTTPAddress)
+		}
+		client := s.HTTPClient(stager.CallerSite())
+		c := caller.New(caller.Config{Client: client, Seeds: seeds, Token: "filing-desk"})
+		var ev checker.Evidence
+		ev.Releases = []checker.Release{{Name: "filbert-1", Whole: m.Whole}}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				r := c.Complete(ctx, "filbert-models", fmt.Sprint("prompt ", i), 16, i%2 == 0)
+				if i%5 == 0 {
+					r = c.Order(ctx, "royalty-ledger", fmt.Sprint("key-", i), fmt.Sprint("body ", i))
+				}
+				mu.Lock()
+				ev.Results = append(ev.Results, r)
+				mu.Unlock()
+			})
+		}
+		wg.Wait()
+		for _, h := range s.Hosts {
+			if h.Engine != nil {
+				ev.Executions = append(ev.Executions, h.Engine.Journal()...)
+				ev.Overborne += h.Engine.Overborne()
+			} else {
+				ev.Executions = append(ev.Executions, h.Plain.Journal()...)
+			}
+		}
+		v := checker.Check(ev)
+		t.Logf("%+v", v)
+		is.Equal(v.Broken(), 0)
+		is.Equal(v.Answered, 100)
+	})
+}
--- /dev/null
+++ b/transferer/transferer.go
@@ -0,0 +1,421 @@
+package transferer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/distributor"
+	"filbertstile.example/filbertstile/messenger"
+	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/ticker"
+	"filbertstile.example/filbertstile/wire"
+)
+
+const (
+	idleTick       = 5 * time.Millisecond
+	pieceBytes     = 16 << 10
+	followPause    = 200 * time.Millisecond
+	manifestWait   = 5 * time.Second
+	holdingPause   = 2 * time.Millisecond
+	manifestPoll   = 20 * time.Millisecond
+	codeBusy       = "Busy"
+	codeNotHeld    = "NotHeld"
+	defaultUploads = 4
+	fetchPool      = 64
+)
+
+// Config puts a transferer together.
+type Config struct {
+	Self   filbertstile.Member
+	Core   distributor.Config
+	Client *messenger.Client
+	Source filbertstile.WeightSource
+	Log    *reporter.Log
+	// MemoryBytes bounds the chunks held.
+	MemoryBytes int64
+	// Uploads bounds the chunks that are sent at the same time.
+	Uploads int
+	Metrics metrics.Registry
+	// Completed is told when a release is whole; it must not block.
+	Completed func(distributor.Completed)
+}
+
+// Transferer carries out the distributor's commands.
+type Transferer struct {
+	config  Config
+	shelf   *Shelf
+	loop    *ticker.Loop[distributor.Event, distributor.Command]
+	core    *distributor.Core
+	pool    *ants.Pool
+	uploads chan struct{}
+	ctx     context.Context
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	follows map[followKey]context.CancelFunc
+
+	fetched  metrics.Counter
+	imported metrics.Counter
+	sourced  metrics.Counter
+}
+
+type followKey struct {
+	manifest filbertstile.Digest
+	peer     string
+}
+
+// New returns a transferer that does not run yet.
+func New(c Config) (*Transferer, error) {
+	if c.Uploads == 0 {
+		c.Uploads = defaultUploads
+	}
+	pool, err := ants.NewPool(fetchPool, ants.WithDisablePurge(true))
+	if err != nil {
+		return nil, fmt.Errorf("create fetch pool: %w", err)
+	}
+	t := &Transferer{
+		config:   c,
+		shelf:    NewShelf(c.MemoryBytes),
+		core:     distributor.New(c.Core),
+		pool:     pool,
+		uploads:  make(chan struct{}, c.Uploads),
+		follows:  make(map[followKey]context.CancelFunc),
+		fetched:  metrics.NewRegisteredCounter("Weights.PeerBytes", c.Metrics),
+		imported: metrics.NewRegisteredCounter("Weights.ImportedBytes", c.Metrics),
+		sourced:  metrics.NewRegisteredCounter("Weights.SourceBytes", c.Metrics),
+	}
+	t.loop = ticker.New(ticker.Config[distributor.Event, distributor.Command]{Core: t.core, Execute: t.execute, Idle: idleTick})
+	return t, nil
+}
+
+// Shelf returns the weights that the host holds.
+func (t *Transferer) Shelf() *Shelf { return t.shelf }
+
+// Run carries out transfers until the context ends.
+func (t *Transferer) Run(ctx context.Context) {
+	t.ctx = ctx
+	t.loop.Run(ctx)
+	t.wg.Wait()
+	t.pool.Release()
+}
+
+// SetWanted says which releases the host should hold, most urgent first.
+func (t *Transferer) SetWanted(wants []distributor.Want) {
+	t.loop.Post(distributor.Wanted{Wants: wants})
+}
+
+// SetMembers says which hosts run the same service.
+func (t *Transferer) SetMembers(members []filbertstile.Member) {
+	t.loop.Post(distributor.MembersSeen{Members: members})
+}
+
+// Progress returns the state of all transfers.
+func (t *Transferer) Progress() []distributor.Progress {
+	var out []distributor.Progress
+	t.loop.Inspect(func() { out = t.core.Progress() })
+	return out
+}
+
+func (t *Transferer) execute(cmd distributor.Command) {
+	switch cmd := cmd.(type) {
+	case distributor.FetchManifest:
+		t.config.Log.Event(reporter.TransferStarted, reporter.Fields{"Manifest": cmd.Digest, "Peer": cmd.Peer.Name})
+		t.submit(func() { t.fetchManifest(cmd) }, distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
+	case distributor.FetchChunk:
+		lost := distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name, Failure: distributor.FailedLost}
+		t.submit(func() { t.fetchChunk(cmd) }, lost)
+	case distributor.Follow:
+		t.follow(cmd)
+	case distributor.Unfollow:
+		t.unfollow(followKey{manifest: cmd.Manifest, peer: cmd.Peer})
+	case distributor.Completed:
+		t.config.Log.Event(reporter.TransferDone, reporter.Fields{"Release": cmd.Release})
+		t.config.Completed(cmd)
+	case distributor.Drop:
+		t.shelf.Drop(cmd.Manifest)
+	}
+}
+
+// submit runs the task on the pool; where the pool is gone, the task failed.
+func (t *Transferer) submit(task func(), failed distributor.Event) {
+	t.wg.Add(1)
+	err := t.pool.Submit(func() {
+		defer t.wg.Done()
+		task()
+	})
+	if err != nil {
+		t.wg.Done()
+		t.wg.Go(func() { t.loop.Post(failed) })
+	}
+}
+
+func (t *Transferer) fetchManifest(cmd distributor.FetchManifest) {
+	ctx, cancel := context.WithTimeout(t.ctx, manifestWait)
+	defer cancel()
+	raw, err := t.manifestFrom(ctx, cmd)
+	var m filbertstile.Manifest
+	if err == nil {
+		m, err = filbertstile.ParseManifest(cmd.Digest, raw)
+	}
+	if err != nil {
+		t.config.Log.Event(reporter.SourceFailed, reporter.Fields{"Manifest": cmd.Digest, "Peer": cmd.Peer.Name, "Error": err})
+		t.loop.Post(distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
+		return
+	}
+	held := t.shelf.AddManifest(cmd.Digest, raw, m)
+	t.loop.Post(distributor.ManifestArrived{Digest: cmd.Digest, Manifest: m, Held: held})
+}
+
+func (t *Transferer) manifestFrom(ctx context.Context, cmd distributor.FetchManifest) ([]byte, error) {
+	if cmd.Peer.Name == "" {
+		return t.config.Source.Manifest(ctx, cmd.Digest)
+	}
+	return t.ask(ctx, cmd.Peer, cmd.Digest)
+}
+
+func (t *Transferer) fetchChunk(cmd distributor.FetchChunk) {
+	ctx, cancel := context.WithTimeout(t.ctx, cmd.Timeout)
+	defer cancel()
+	data, err := t.chunkFrom(ctx, cmd)
+	if err == nil {
+		err = t.shelf.AddChunk(cmd.Ref, data, cmd.Peer.Name)
+	}
+	if err != nil {
+		t.loop.Post(t.failure(cmd, err))
+		return
+	}
+	t.count(cmd, len(data))
+	t.loop.Post(distributor.ChunkArrived{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name})
+}
+
+func (t *Transferer) chunkFrom(ctx context.Context, cmd distributor.FetchChunk) ([]byte, error) {
+	if cmd.Peer.Name == "" {
+		return t.config.Source.Chunk(ctx, cmd.Ref.Digest)
+	}
+	return t.ask(ctx, cmd.Peer, cmd.Ref.Digest)
+}
+
+func (t *Transferer) count(cmd distributor.FetchChunk, n int) {
+	switch {
+	case cmd.Peer.Name == "":
+		t.sourced.Inc(int64(n))
+	case cmd.Peer.Region != t.config.Self.Region:
+		t.imported.Inc(int64(n))
+	default:
+		t.fetched.Inc(int64(n))
+	}
+}
+
+func (t *Transferer) failure(cmd distributor.FetchChunk, err error) distributor.ChunkFailed {
+	out := distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name, Failure: distributor.FailedLost}
+	var refused errRefused
+	var bad filbertstile.ErrDigest
+	switch {
+	case errors.As(err, &refused) && refused.code == codeBusy:
+		out.Failure = distributor.FailedBusy
+	case errors.As(err, &bad):
+		out.Failure = distributor.FailedCorrupt
+		t.config.Log.Event(reporter.ChunkRefused, reporter.Fields{"Peer": cmd.Peer.Name, "Error": err})
+		if cmd.Peer.Name != "" {
+			t.config.Log.Event(reporter.PeerSetAside, reporter.Fields{"Peer": cmd.Peer.Name})
+		}
+	}
+	return out
+}
+
+// errRefused is a peer's refusal to send content.
+type errRefused struct {
+	peer string
+	code string
+}
+
+// Error names the peer's reason.
+func (e errRefused) Error() string {
+	return fmt.Sprintf("ask for content: peer %s: %s", e.peer, e.code)
+}
+
+// ask gets content by digest from a peer.
+func (t *Transferer) ask(ctx context.Context, peer filbertstile.Member, digest filbertstile.Digest) ([]byte, error) {
+	s, err := t.config.Client.Open(ctx, peer.Address, &wire.Request{
+		Id:   uuid.NewString(),
+		Kind: &wire.Request_Chunk{Chunk: &wire.Chunk{Digest: string(digest), AcrossRegions: peer.Region != t.config.Self.Region}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	var data []byte
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			return nil, err
+		}
+		switch k := f.GetKind().(type) {
+		case *wire.Frame_Data:
+			data = append(data, k.Data.GetPiece()...)
+		case *wire.Frame_End:
+			return data, nil
+		case *wire.Frame_Refusal:
+			return nil, errRefused{peer: peer.Name, code: k.Refusal.GetCode()}
+		}
+	}
+}
+
+// HandleChunk sends a chunk or a manifest, if a slot is free.
+func (t *Transferer) HandleChunk(req *wire.Request, s *messenger.Stream) {
+	digest := filbertstile.Digest(req.GetChunk().GetDigest())
+	data := t.shelf.Chunk(digest)
+	if data == nil {
+		data = t.shelf.Manifest(digest)
+	}
+	if data == nil {
+		_ = s.Send(refusal(codeNotHeld))
+		return
+	}
+	select {
+	case t.uploads <- struct{}{}:
+		defer func() { <-t.uploads }()
+	default:
+		_ = s.Send(refusal(codeBusy))
+		return
+	}
+	for off := 0; off < len(data); off += pieceBytes {
+		piece := data[off:min(off+pieceBytes, len(data))]
+		if s.Send(&wire.Frame{Kind: &wire.Frame_Data{Data: &wire.Data{Offset: int64(off), Piece: piece}}}) != nil {
+			return
+		}
+	}
+	_ = s.Send(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Length: int64(len(data))}}})
+}
+
+func refusal(code string) *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{Code: code, Run: string(filbertstile.NotRun)}}}
+}
+
+// HandleHoldings tells a peer which chunks are held, now and as more come.
+func (t *Transferer) HandleHoldings(ctx context.Context, req *wire.Request, s *messenger.Stream) {
+	digest := filbertstile.Digest(req.GetHoldings().GetManifest())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.wg.Go(func() {
+		// The peer sends nothing: this ends when it goes away.
+		_, _ = s.Receive()
+		cancel()
+	})
+	var told []bool
+	for {
+		held, changed := t.shelf.Held(digest)
+		if held == nil {
+			if sleeper.Sleep(ctx, manifestPoll) != nil {
+				return
+			}
+			continue
+		}
+		if s.Send(&wire.Frame{Kind: &wire.Frame_Holding{Holding: news(told, held)}}) != nil {
+			return
+		}
+		told = held
+		// Chunks that come together are told together.
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		if sleeper.Sleep(ctx, holdingPause) != nil {
+			return
+		}
+	}
+}
+
+// news returns the chunks that were not told yet; the first time, all as a
+// bitmap.
+func news(told, held []bool) *wire.Holding {
+	if told == nil {
+		bitmap := make([]byte, (len(held)+7)/8)
+		for i, h := range held {
+			if h {
+				bitmap[i/8] |= 1 << (i % 8)
+			}
+		}
+		return &wire.Holding{Bitmap: bitmap}
+	}
+	var added []uint32
+	for i, h := range held {
+		if h && !told[i] {
+			added = append(added, uint32(i))
+		}
+	}
+	return &wire.Holding{Added: added}
+}
+
+func (t *Transferer) follow(cmd distributor.Follow) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	key := followKey{manifest: cmd.Manifest, peer: cmd.Peer.Name}
+	t.mu.Lock()
+	t.follows[key] = cancel
+	t.mu.Unlock()
+	t.wg.Go(func() {
+		for ctx.Err() == nil {
+			_ = t.followOnce(ctx, cmd)
+			t.loop.Post(distributor.PeerLost{Peer: cmd.Peer.Name, Manifest: cmd.Manifest})
+			_ = sleeper.Sleep(ctx, followPause)
+		}
+	})
+}
+
+func (t *Transferer) unfollow(key followKey) {
+	t.mu.Lock()
+	cancel := t.follows[key]
+	delete(t.follows, key)
+	t.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (t *Transferer) followOnce(ctx context.Context, cmd distributor.Follow) error {
+	s, err := t.config.Client.Open(ctx, cmd.Peer.Address, &wire.Request{
+		Id: uuid.NewString(), Kind: &wire.Request_Holdings{Holdings: &wire.Holdings{Manifest: string(cmd.Manifest)}},
+	})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			return err
+		}
+		h := f.GetHolding()
+		if h == nil {
+			continue
+		}
+		t.loop.Post(distributor.HoldingSeen{
+			Peer: cmd.Peer.Name, Manifest: cmd.Manifest, Whole: len(h.GetBitmap()) > 0, Chunks: chunksOf(h),
+		})
+	}
+}
+
+func chunksOf(h *wire.Holding) []int {
+	var out []int
+	for i, b := range h.GetBitmap() {
+		for bit := range 8 {
+			if b&(1<<bit) != 0 {
+				out = append(out, 8*i+bit)
+			}
+		}
+	}
+	for _, a := range h.GetAdded() {
+		out = append(out, int(a))
+	}
+	return out
+}
