--- /dev/null
+++ b/Makefile
@@ -0,0 +1,4 @@
+.PHONY: build test lint demo measure docs
+
+build test lint demo measure docs:
+	@go run _scripts/make.go $@
--- /dev/null
+++ b/_scripts/make.go
@@ -0,0 +1,166 @@
+// Command make builds, tests and documents the workspace. The Makefile calls it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+const (
+	linter        = "github.com/golangci/golangci-lint/v2/cmd/golangci-lint"
+	linterVersion = "v2.15.0"
+	binDir        = "bin"
+)
+
+// target is one word that make knows.
+type target struct {
+	name string
+	help string
+	run  func() error
+}
+
+func targets() []target {
+	return []target{
+		{"build", "build all programs into bin/", build},
+		{"test", "run the tests of every module", test},
+		{"lint", "check format and style", lint},
+		{"demo", "run a deployment and judge it (DEPLOYMENT=examples/...)", demo},
+		{"measure", "print every measure as a line of JSON", measure},
+		{"docs", "generate the pages that come from code and figures", docs},
+	}
+}
+
+func main() {
+	if len(os.Args) == 2 {
+		for _, t := range targets() {
+			if t.name == os.Args[1] {
+				if err := t.run(); err != nil {
+					fmt.Fprintln(os.Stderr, err)
+					os.Exit(1)
+				}
+				return
+			}
+		}
+	}
+	fmt.Fprintln(os.Stderr, "targets:")
+	for _, t := range targets() {
+		fmt.Fprintf(os.Stderr, "  %-8s %s\n", t.name, t.help)
+	}
+	os.Exit(2)
+}
+
+// command runs a program in a folder, its output passed through.
+func command(dir, name string, args ...string) error {
+	c := exec.Command(name, args...)
+	c.Dir = dir
+	c.Stdout = os.Stdout
+	c.Stderr = os.Stderr
+	if err := c.Run(); err != nil {
+		return fmt.Errorf("%s %s in %s: %w", name, strings.Join(args, " "), dir, err)
+	}
+	return nil
+}
+
+// modules returns the folders of the workspace's modules.
+func modules() []string {
+	programs, err := filepath.Glob("cmd/*/go.mod")
+	if err != nil {
+		panic(err) // the pattern is constant
+	}
+	out := []string{"."}
+	for _, p := range programs {
+		out = append(out, filepath.Dir(p))
+	}
+	return out
+}
+
+func build() error {
+	bin, err := filepath.Abs(binDir)
+	if err != nil {
+		return err
+	}
+	for _, m := range modules()[1:] {
+		if err := command(m, "go", "build", "-o", filepath.Join(bin, filepath.Base(m)), "."); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func test() error {
+	for _, m := range modules() {
+		if err := command(m, "go", "test", "-timeout", "9m", "./..."); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func lint() error {
+	out, err := exec.Command("gofmt", "-l", ".").Output()
+	if err != nil {
+		return fmt.Errorf("gofmt: %w", err)
+	}
+	if len(out) > 0 {
+		return fmt.Errorf("not formatted:\n%s", out)
+	}
+	bin, err := filepath.Abs(binDir)
+	if err != nil {
+		return err
+	}
+	tool := filepath.Join(bin, "golangci-lint")
+	if _, err := os.Stat(tool); err != nil {
+		install := exec.Command("go", "install", linter+"@"+linterVersion)
+		install.Env = append(os.Environ(), "GOBIN="+bin, "GOWORK=off")
+		install.Stdout, install.Stderr = os.Stdout, os.Stderr
+		if err := install.Run(); err != nil {
+			return fmt.Errorf("install linter: %w", err)
+		}
+	}
+	config, err := filepath.Abs(".golangci.yml")
+	if err != nil {
+		return err
+	}
+	for _, m := range modules() {
+		if err := command(m, tool, "run", "--config", config, "./..."); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func demo() error {
+	deployment := os.Getenv("DEPLOYMENT")
+	if deployment == "" {
+		deployment = "examples/royalty-office"
+	}
+	if !strings.HasSuffix(deployment, ".jsonc") {
+		deployment = filepath.Join(deployment, "deployment.jsonc")
+	}
+	path, err := filepath.Abs(deployment)
+	if err != nil {
+		return err
+	}
+	args := []string{"run", ".", "demo", "--deployment", path}
+	if os.Getenv("JSON") != "" {
+		args = append(args, "--json")
+	}
+	return command("cmd/filbertstile-standin", "go", args...)
+}
+
+func measure() error {
+	args := []string{"run", "./measurer/measure"}
+	if only := os.Getenv("ONLY"); only != "" {
+		args = append(args, "-only", only)
+	}
+	return command(".", "go", args...)
+}
+
+func docs() error {
+	args := []string{"run", "./documenter/document"}
+	return command(".", "go", slices.Concat(args, os.Args[2:])...)
+}
--- /dev/null
+++ b/cmd/filbertstile-entry/main.go
@@ -0,0 +1,32 @@
+// Command filbertstile-entry runs the process that callers and operators talk
+// to.
+package main
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"filbertstile.example/filbertstile/configurer"
+	"filbertstile.example/filbertstile/connector"
+	"filbertstile.example/filbertstile/entryrunner"
+	"filbertstile.example/filbertstile/launcher"
+	"filbertstile.example/filbertstile/recorder"
+	"filbertstile.example/filbertstile/relayer"
+	"filbertstile.example/filbertstile/voucher"
+)
+
+func main() {
+	os.Exit(launcher.Main(launcher.Program{
+		Name:     "filbertstile-entry",
+		Usage:    "answer callers and operators",
+		Settings: func() configurer.Checker { return configurer.DefaultEntry() },
+		Level:    func(s configurer.Checker) string { return s.(*configurer.Entry).Log.Level },
+		New: func(s configurer.Checker, log *logrus.Logger) (launcher.Role, error) {
+			return entryrunner.New(entryrunner.Config{
+				Settings: s.(*configurer.Entry), Network: connector.NewTCP(), Logger: log,
+				Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(), Records: recorder.DefaultConfig(),
+			})
+		},
+	}, os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/filbertstile-host/main.go
@@ -0,0 +1,30 @@
+// Command filbertstile-host runs the process in front of one backend server.
+package main
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"filbertstile.example/filbertstile/configurer"
+	"filbertstile.example/filbertstile/connector"
+	"filbertstile.example/filbertstile/hostrunner"
+	"filbertstile.example/filbertstile/launcher"
+	"filbertstile.example/filbertstile/relayer"
+	"filbertstile.example/filbertstile/voucher"
+)
+
+func main() {
+	os.Exit(launcher.Main(launcher.Program{
+		Name:     "filbertstile-host",
+		Usage:    "guard one backend server",
+		Settings: func() configurer.Checker { return configurer.DefaultHost() },
+		Level:    func(s configurer.Checker) string { return s.(*configurer.Host).Log.Level },
+		New: func(s configurer.Checker, log *logrus.Logger) (launcher.Role, error) {
+			return hostrunner.New(hostrunner.Config{
+				Settings: s.(*configurer.Host), Network: connector.NewTCP(), Logger: log,
+				Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(),
+			})
+		},
+	}, os.Args, os.Stdout, os.Stderr))
+}
--- a/transferer/transferer.go
+++ b/fetcher/fetcher.go
@@ -1,4 +1,4 @@
-package transferer
+package fetcher
 
 import (
 	"context"
@@ -33,7 +33,7 @@
 	fetchPool      = 64
 )
 
-// Config puts a transferer together.
+// Config puts a fetcher together.
 type Config struct {
 	Self   filbertstile.Member
 	Core   distributor.Config
@@ -49,8 +49,8 @@
 	Completed func(distributor.Completed)
 }
 
-// Transferer carries out the distributor's commands.
-type Transferer struct {
+// Fetcher carries out the distributor's commands.
+type Fetcher struct {
 	config  Config
 	shelf   *Shelf
 	loop    *ticker.Loop[distributor.Event, distributor.Command]
@@ -73,8 +73,8 @@
 	peer     string
 }
 
-// New returns a transferer that does not run yet.
-func New(c Config) (*Transferer, error) {
+// New returns a fetcher that does not run yet.
+func New(c Config) (*Fetcher, error) {
 	if c.Uploads == 0 {
 		c.Uploads = defaultUploads
 	}
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create fetch pool: %w", err)
 	}
-	t := &Transferer{
+	t := &Fetcher{
 		config:   c,
 		shelf:    NewShelf(c.MemoryBytes),
 		core:     distributor.New(c.Core),
@@ -98,10 +98,10 @@
 }
 
 // Shelf returns the weights that the host holds.
-func (t *Transferer) Shelf() *Shelf { return t.shelf }
+func (t *Fetcher) Shelf() *Shelf { return t.shelf }
 
 // Run carries out transfers until the context ends.
-func (t *Transferer) Run(ctx context.Context) {
+func (t *Fetcher) Run(ctx context.Context) {
 	t.ctx = ctx
 	t.loop.Run(ctx)
 	t.wg.Wait()
@@ -109,23 +109,23 @@
 }
 
 // SetWanted says which releases the host should hold, most urgent first.
-func (t *Transferer) SetWanted(wants []distributor.Want) {
+func (t *Fetcher) SetWanted(wants []distributor.Want) {
 	t.loop.Post(distributor.Wanted{Wants: wants})
 }
 
 // SetMembers says which hosts run the same service.
-func (t *Transferer) SetMembers(members []filbertstile.Member) {
+func (t *Fetcher) SetMembers(members []filbertstile.Member) {
 	t.loop.Post(distributor.MembersSeen{Members: members})
 }
 
 // Progress returns the state of all transfers.
-func (t *Transferer) Progress() []distributor.Progress {
+func (t *Fetcher) Progress() []distributor.Progress {
 	var out []distributor.Progress
 	t.loop.Inspect(func() { out = t.core.Progress() })
 	return out
 }
 
-func (t *Transferer) execute(cmd distributor.Command) {
+func (t *Fetcher) execute(cmd distributor.Command) {
 	switch cmd := cmd.(type) {
 	case distributor.FetchManifest:
 		t.config.Log.Event(reporter.TransferStarted, reporter.Fields{"Manifest": cmd.Digest, "Peer": cmd.Peer.Name})
@@ -146,7 +146,7 @@
 }
 
 // submit runs the task on the pool; where the pool is gone, the task failed.
-func (t *Transferer) submit(task func(), failed distributor.Event) {
+func (t *Fetcher) submit(task func(), failed distributor.Event) {
 	t.wg.Add(1)
 	err := t.pool.Submit(func() {
 		defer t.wg.Done()
@@ -158,7 +158,7 @@
 	}
 }
 
-func (t *Transferer) fetchManifest(cmd distributor.FetchManifest) {
+func (t *Fetcher) fetchManifest(cmd distributor.FetchManifest) {
 	ctx, cancel := context.WithTimeout(t.ctx, manifestWait)
 	defer cancel()
 	raw, err := t.manifestFrom(ctx, cmd)
@@ -175,14 +175,14 @@
 	t.loop.Post(distributor.ManifestArrived{Digest: cmd.Digest, Manifest: m, Held: held})
 }
 
-func (t *Transferer) manifestFrom(ctx context.Context, cmd distributor.FetchManifest) ([]byte, error) {
+func (t *Fetcher) manifestFrom(ctx context.Context, cmd distributor.FetchManifest) ([]byte, error) {
 	if cmd.Peer.Name == "" {
 		return t.config.Source.Manifest(ctx, cmd.Digest)
 	}
 	return t.ask(ctx, cmd.Peer, cmd.Digest)
 }
 
-func (t *Transferer) fetchChunk(cmd distributor.FetchChunk) {
+func (t *Fetcher) fetchChunk(cmd distributor.FetchChunk) {
 	ctx, cancel := context.WithTimeout(t.ctx, cmd.Timeout)
 	defer cancel()
 	data, err := t.chunkFrom(ctx, cmd)
@@ -197,14 +197,14 @@
 	t.loop.Post(distributor.ChunkArrived{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name})
 }
 
-func (t *Transferer) chunkFrom(ctx context.Context, cmd distributor.FetchChunk) ([]byte, error) {
+func (t *Fetcher) chunkFrom(ctx context.Context, cmd distributor.FetchChunk) ([]byte, error) {
 	if cmd.Peer.Name == "" {
 		return t.config.Source.Chunk(ctx, cmd.Ref.Digest)
 	}
 	return t.ask(ctx, cmd.Peer, cmd.Ref.Digest)
 }
 
-func (t *Transferer) count(cmd distributor.FetchChunk, n int) {
+func (t *Fetcher) count(cmd distributor.FetchChunk, n int) {
 	switch {
 	case cmd.Peer.Name == "":
 		t.sourced.Inc(int64(n))
@@ -215,7 +215,7 @@
 	}
 }
 
-func (t *Transferer) failure(cmd distributor.FetchChunk, err error) distributor.ChunkFailed {
+func (t *Fetcher) failure(cmd distributor.FetchChunk, err error) distributor.ChunkFailed {
 	out := distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name, Failure: distributor.FailedLost}
 	var refused errRefused
 	var bad filbertstile.ErrDigest
@@ -244,7 +244,7 @@
 }
 
 // ask gets content by digest from a peer.
-func (t *Transferer) ask(ctx context.Context, peer filbertstile.Member, digest filbertstile.Digest) ([]byte, error) {
+func (t *Fetcher) ask(ctx context.Context, peer filbertstile.Member, digest filbertstile.Digest) ([]byte, error) {
 	s, err := t.config.Client.Open(ctx, peer.Address, &wire.Request{
 		Id:   uuid.NewString(),
 		Kind: &wire.Request_Chunk{Chunk: &wire.Chunk{Digest: string(digest), AcrossRegions: peer.Region != t.config.Self.Region}},
@@ -271,7 +271,7 @@
 }
 
 // HandleChunk sends a chunk or a manifest, if a slot is free.
-func (t *Transferer) HandleChunk(req *wire.Request, s *messenger.Stream) {
+func (t *Fetcher) HandleChunk(req *wire.Request, s *messenger.Stream) {
 	digest := filbertstile.Digest(req.GetChunk().GetDigest())
 	data := t.shelf.Chunk(digest)
 	if data == nil {
@@ -302,7 +302,7 @@
 }
 
 // HandleHoldings tells a peer which chunks are held, now and as more come.
-func (t *Transferer) HandleHoldings(ctx context.Context, req *wire.Request, s *messenger.Stream) {
+func (t *Fetcher) HandleHoldings(ctx context.Context, req *wire.Request, s *messenger.Stream) {
 	digest := filbertstile.Digest(req.GetHoldings().GetManifest())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -357,7 +357,7 @@
 	return &wire.Holding{Added: added}
 }
 
-func (t *Transferer) follow(cmd distributor.Follow) {
+func (t *Fetcher) follow(cmd distributor.Follow) {
 	ctx, cancel := context.WithCancel(t.ctx)
 	key := followKey{manifest: cmd.Manifest, peer: cmd.Peer.Name}
 	t.mu.Lock()
@@ -372,7 +372,7 @@
 	})
 }
 
-func (t *Transferer) unfollow(key followKey) {
+func (t *Fetcher) unfollow(key followKey) {
 	t.mu.Lock()
 	cancel := t.follows[key]
 	delete(t.follows, key)
@@ -382,7 +382,7 @@
 	}
 }
 
-func (t *Transferer) followOnce(ctx context.Context, cmd distributor.Follow) error {
+func (t *Fetcher) followOnce(ctx context.Context, cmd distributor.Follow) error {
 	s, err := t.config.Client.Open(ctx, cmd.Peer.Address, &wire.Request{
 		Id: uuid.NewString(), Kind: &wire.Request_Holdings{Holdings: &wire.Holdings{Manifest: string(cmd.Manifest)}},
 	})
--- a/transferer/shelf.go
+++ b/fetcher/shelf.go
@@ -1,6 +1,6 @@
-// Package transferer moves manifests and chunks between hosts, as the
+// Package fetcher moves manifests and chunks between hosts, as the
 // distributor decides, and keeps them in bounded memory.
-package transferer
+package fetcher
 
 import (
 	"crypto/sha256"
--- a/hostrunner/hostrunner.go
+++ b/hostrunner/hostrunner.go
@@ -16,6 +16,7 @@
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/configurer"
 	"filbertstile.example/filbertstile/distributor"
+	"filbertstile.example/filbertstile/fetcher"
 	"filbertstile.example/filbertstile/gatekeeper"
 	"filbertstile.example/filbertstile/invoker"
 	"filbertstile.example/filbertstile/joiner"
@@ -26,7 +27,6 @@
 	"filbertstile.example/filbertstile/sleeper"
 	"filbertstile.example/filbertstile/sourcer"
 	"filbertstile.example/filbertstile/ticker"
-	"filbertstile.example/filbertstile/transferer"
 	"filbertstile.example/filbertstile/voucher"
 	"filbertstile.example/filbertstile/wire"
 )
@@ -65,7 +65,7 @@
 	kind        filbertstile.ServiceKind
 	backend     *invoker.Client
 	source      *sourcer.Client
-	weights     *transferer.Transferer
+	weights     *fetcher.Fetcher
 	gate        *gatekeeper.Core
 	loop        *ticker.Loop[gatekeeper.Event, gatekeeper.Command]
 
@@ -126,7 +126,7 @@
 		h.source = sourcer.New(sourcer.Config{Addresses: s.WeightSources, Network: h.config.Network})
 		source = h.source
 	}
-	weights, err := transferer.New(transferer.Config{
+	weights, err := fetcher.New(fetcher.Config{
 		Self: self,
 		Core: distributor.Config{
 			Self: self, SourceRegion: s.SourceRegion, RegionBytesPerSecond: s.RegionBytesPerSecond, Limits: h.config.Distribution, Seed: 1,
@@ -145,7 +145,7 @@
 func (h *Host) Node() *joiner.Node { return h.node }
 
 // Weights returns the process's transfers; nil for a plain service.
-func (h *Host) Weights() *transferer.Transferer { return h.weights }
+func (h *Host) Weights() *fetcher.Fetcher { return h.weights }
 
 // Tick lets the gate decide, and notes what changed for reports.
 func (h *Host) Tick(now time.Time, inbox []gatekeeper.Event) []gatekeeper.Command {
--- /dev/null
+++ b/launcher/launcher_test.go
@@ -0,0 +1,201 @@
+package launcher_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// programs are the modules that the test builds and starts.
+var programs = []string{"filbertstile", "filbertstile-entry", "filbertstile-host", "filbertstile-standin"}
+
+// withPrograms builds the programs and copies the example settings with free
+// ports, and hands over their folder.
+func withPrograms(t *testing.T, f func(dir string)) {
+	t.Helper()
+	dir := t.TempDir()
+	for _, p := range programs {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, p), ".")
+		cmd.Dir = filepath.Join("..", "cmd", p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", p, err, out)
+		}
+	}
+	files, err := filepath.Glob("../examples/separate/*")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no example settings: %v", err)
+	}
+	ports := make(map[string]string)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, filepath.Base(file)), movePorts(t, data, ports), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f(dir)
+}
+
+// movePorts replaces each port of the examples with a free one, the same in
+// all files.
+func movePorts(t *testing.T, data []byte, ports map[string]string) []byte {
+	t.Helper()
+	const host = "127.0.0.1:"
+	text := string(data)
+	for _, part := range strings.Split(text, host)[1:] {
+		port, _, _ := strings.Cut(part, "\"")
+		if ports[port] == "" {
+			l, err := net.Listen("tcp", host+"0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			_, ports[port], _ = net.SplitHostPort(l.Addr().String())
+		}
+	}
+	for old, next := range ports {
+		text = strings.ReplaceAll(text, host+old+"\"", host+next+"\"")
+	}
+	return []byte(text)
+}
+
+func settingsValue(t *testing.T, path, key string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, ok := strings.Cut(string(data), "\""+key+"\": \"")
+	if !ok {
+		t.Fatalf("%s has no %s", path, key)
+	}
+	value, _, _ := strings.Cut(rest, "\"")
+	return value
+}
+
+type running struct {
+	cmd *exec.Cmd
+	log *bytes.Buffer
+}
+
+func start(t *testing.T, dir, program, verb, settings string) *running {
+	t.Helper()
+	r := &running{log: new(bytes.Buffer)}
+	r.cmd = exec.Command(filepath.Join(dir, program), verb, "--settings", filepath.Join(dir, settings))
+	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
+	if err := r.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = r.cmd.Process.Kill() })
+	return r
+}
+
+// stop sends SIGTERM and waits for the planned end.
+func (r *running) stop(t *testing.T) {
+	t.Helper()
+	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.cmd.Wait(); err != nil {
+		t.Fatalf("stop: %v\n%s", err, r.log.String())
+	}
+}
+
+// eventually tries until the function succeeds; the limit only bounds a hang.
+func eventually(t *testing.T, what string, f func() error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s: %v", what, err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func TestSeparateProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds and starts real processes")
+	}
+	withPrograms(t, func(dir string) {
+		is := is.New(t)
+		standins := start(t, dir, "filbertstile-standin", "serve", "standins.jsonc")
+		entry := start(t, dir, "filbertstile-entry", "run", "entry-1.jsonc")
+		model := start(t, dir, "filbertstile-host", "run", "host-1.jsonc")
+		plain := start(t, dir, "filbertstile-host", "run", "host-2.jsonc")
+		public := settingsValue(t, filepath.Join(dir, "entry-1.jsonc"), "HTTPAddress")
+		admin := settingsValue(t, filepath.Join(dir, "entry-1.jsonc"), "AdminAddress")
+		operate := func(args ...string) ([]byte, error) {
+			args = append([]string{"--admin", admin, "--token-file", filepath.Join(dir, "operator.token")}, args...)
+			return exec.Command(filepath.Join(dir, "filbertstile"), args...).CombinedOutput()
+		}
+		eventually(t, "apply", func() error {
+			_, err := operate("apply", filepath.Join(dir, "notes.jsonc"))
+			return err
+		})
+		post := func(path, body string) (*http.Response, error) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+public+path, strings.NewReader(body))
+			if err != nil {
+				return nil, err
+			}
+			req.Header.Set("Authorization", "Bearer clerk-token")
+			req.Header.Set("Idempotency-Key", "payout-1")
+			return http.DefaultClient.Do(req)
+		}
+		var text string
+		eventually(t, "streamed request", func() error {
+			resp, err := post("/v1/chat/completions", `{"model": "filbert-models", "stream": true, "messages": [{"role": "user", "content": "hello"}]}`)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			data, err := io.ReadAll(resp.Body)
+			text = string(data)
+			if err == nil && resp.StatusCode != http.StatusOK {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		})
+		is.True(strings.HasSuffix(strings.TrimSpace(text), "data: [DONE]"))
+		answers := make([]map[string]any, 2)
+		for i := range answers {
+			resp, err := post("/services/royalty-ledger/orders", `{"Amount": 1}`)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.NoErr(json.NewDecoder(resp.Body).Decode(&answers[i]))
+			_ = resp.Body.Close()
+		}
+		// The same key twice is the same run.
+		is.Equal(answers[0]["RequestID"], answers[1]["RequestID"])
+		out, err := operate("dump", "royalty-ledger-1")
+		is.NoErr(err)
+		is.True(json.Valid(out))
+		out, err = operate("host", "out", "royalty-ledger-1")
+		is.NoErr(err)
+		is.True(strings.Contains(string(out), "accepted as revision 2"))
+		plain.stop(t)
+		model.stop(t)
+		entry.stop(t)
+		standins.stop(t)
+	})
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -255,6 +255,7 @@
 	b := Batch{Writer: r.config.Self, Nonce: uuid.NewString()}
 	var writing []task
 	keys := make(map[string]bool)
+	arriving := outcomesOf(tasks)
 	now := time.Now()
 	for _, t := range tasks {
 		if t.outcome != nil {
@@ -266,6 +267,10 @@
 		if v == VerdictNew && keys[t.intent.Key] {
 			v = VerdictInProgress
 		}
+		if o, ok := arriving[t.intent.Key]; ok && v == VerdictInProgress && o.RequestID == rec.Intent.RequestID && o.Run == filbertstile.Ran {
+			// The outcome is known, though not committed yet.
+			v, rec.Outcome = VerdictReplay, o
+		}
 		if v != VerdictNew {
 			t.answer <- reply{answer: Answer{Verdict: v, Record: rec}}
 			continue
@@ -277,6 +282,17 @@
 	return b, writing
 }
 
+// outcomesOf returns the outcomes among the tasks, by key.
+func outcomesOf(tasks []task) map[string]Outcome {
+	out := make(map[string]Outcome)
+	for _, t := range tasks {
+		if t.outcome != nil {
+			out[t.outcome.Key] = *t.outcome
+		}
+	}
+	return out
+}
+
 // stale makes the next commit read the log first.
 func (s *shard) stale() {
 	if s.ledger != nil {
