measurer: distribution in virtual time; fetcher: slots for importers

Cause: two hosts of the source region sat without a manifest for seconds, as manifests queued for the chunks' upload slots, and importers were refused while the source region served itself: the thin link idled at 1.6 of 2.5 MB/s. Change: manifests need no slot and are asked for again after 200 ms; three upload slots a host are kept for other regions; import window 4 to 8.

--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"os"
 	"os/exec"
@@ -152,12 +153,31 @@
 	return command("cmd/filbertstile-standin", "go", args...)
 }
 
+// measure runs the measurements, which need the test runner for its virtual
+// time, and prints only their lines.
 func measure() error {
-	args := []string{"run", "./measurer/measure"}
-	if only := os.Getenv("ONLY"); only != "" {
-		args = append(args, "-only", only)
+	tool := filepath.Join(binDir, "measure.test")
+	if err := command(".", "go", "test", "-c", "-o", tool, "./measurer"); err != nil {
+		return err
+	}
+	c := exec.Command(tool, "-test.run", "^TestMeasure$", "-test.timeout", "60m", "-measure", "-only", os.Getenv("ONLY"))
+	c.Stderr = os.Stderr
+	out, err := c.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		to := os.Stderr
+		if strings.HasPrefix(lines.Text(), "{") {
+			to = os.Stdout
+		}
+		fmt.Fprintln(to, lines.Text())
 	}
-	return command(".", "go", args...)
+	return c.Wait()
 }
 
 func docs() error {
--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -57,7 +57,7 @@
 // manifests asks for the manifest until it is there: the first reader of the
 // source's region asks the source, everyone else a peer that has it.
 func (c *Core) manifests(now time.Time, t *transfer) []Command {
-	if t.known || now.Sub(t.asked) < c.config.Limits.TakeOver && !t.asked.IsZero() {
+	if t.known || now.Sub(t.asked) < c.config.Limits.ManifestRetry && !t.asked.IsZero() {
 		return nil
 	}
 	for _, p := range t.peers {
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -48,6 +48,8 @@
 	SetAside time.Duration
 	// BusyPause is how long a peer that had no slot is not asked.
 	BusyPause time.Duration
+	// ManifestRetry is the time between two requests for a manifest.
+	ManifestRetry time.Duration
 	// Importers is the number of hosts in order that follow other regions.
 	Importers int
 }
@@ -55,18 +57,19 @@
 // DefaultLimits are the limits that docs/design/weights.md weighs.
 func DefaultLimits() Limits {
 	return Limits{
-		PeersEachWay: 4,
-		SourcePeers:  4,
-		Outstanding:  4,
-		PerPeer:      2,
-		OriginWindow: 2,
-		ImportWindow: 4,
-		ImportShare:  0.96,
-		TakeOver:     time.Second,
-		ChunkTimeout: 4 * time.Second,
-		SetAside:     30 * time.Second,
-		BusyPause:    10 * time.Millisecond,
-		Importers:    2,
+		PeersEachWay:  4,
+		SourcePeers:   4,
+		Outstanding:   4,
+		PerPeer:       2,
+		OriginWindow:  2,
+		ImportWindow:  8,
+		ImportShare:   0.97,
+		TakeOver:      time.Second,
+		ChunkTimeout:  4 * time.Second,
+		SetAside:      30 * time.Second,
+		BusyPause:     10 * time.Millisecond,
+		ManifestRetry: 200 * time.Millisecond,
+		Importers:     2,
 	}
 }
 
@@ -296,7 +299,7 @@
 	case ManifestArrived:
 		return c.manifestArrived(now, e)
 	case ManifestFailed:
-		c.busyUntil[e.Peer] = now.Add(c.config.Limits.TakeOver)
+		c.busyUntil[e.Peer] = now.Add(c.config.Limits.ManifestRetry)
 	case ChunkArrived:
 		return c.chunkArrived(now, e)
 	case ChunkFailed:
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -29,8 +29,11 @@
 	manifestPoll   = 20 * time.Millisecond
 	codeBusy       = "Busy"
 	codeNotHeld    = "NotHeld"
-	defaultUploads = 4
-	fetchPool      = 64
+	defaultUploads = 3
+	// abroadUploads are kept for importers of other regions, whose link must
+	// not idle while the region itself is being served.
+	abroadUploads = 3
+	fetchPool     = 64
 )
 
 // Config puts a fetcher together.
@@ -57,6 +60,7 @@
 	core    *distributor.Core
 	pool    *ants.Pool
 	uploads chan struct{}
+	abroad  chan struct{}
 	ctx     context.Context
 	wg      sync.WaitGroup
 
@@ -88,6 +92,7 @@
 		core:     distributor.New(c.Core),
 		pool:     pool,
 		uploads:  make(chan struct{}, c.Uploads),
+		abroad:   make(chan struct{}, abroadUploads),
 		follows:  make(map[followKey]context.CancelFunc),
 		fetched:  metrics.NewRegisteredCounter("Weights.PeerBytes", c.Metrics),
 		imported: metrics.NewRegisteredCounter("Weights.ImportedBytes", c.Metrics),
@@ -273,21 +278,31 @@
 // HandleChunk sends a chunk or a manifest, if a slot is free.
 func (t *Fetcher) HandleChunk(req *wire.Request, s *messenger.Stream) {
 	digest := filbertstile.Digest(req.GetChunk().GetDigest())
-	data := t.shelf.Chunk(digest)
-	if data == nil {
-		data = t.shelf.Manifest(digest)
+	if doc := t.shelf.Manifest(digest); doc != nil {
+		send(s, doc)
+		return
 	}
+	data := t.shelf.Chunk(digest)
 	if data == nil {
 		_ = s.Send(refusal(codeNotHeld))
 		return
 	}
+	slots := t.uploads
+	if req.GetChunk().GetAcrossRegions() {
+		slots = t.abroad
+	}
 	select {
-	case t.uploads <- struct{}{}:
-		defer func() { <-t.uploads }()
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
 	default:
 		_ = s.Send(refusal(codeBusy))
 		return
 	}
+	send(s, data)
+}
+
+// send passes on content in pieces, so that other streams get their turn.
+func send(s *messenger.Stream, data []byte) {
 	for off := 0; off < len(data); off += pieceBytes {
 		piece := data[off:min(off+pieceBytes, len(data))]
 		if s.Send(&wire.Frame{Kind: &wire.Frame_Data{Data: &wire.Data{Offset: int64(off), Piece: piece}}}) != nil {
