dispatcher: late binding for the highest tier and non-idempotent calls

Change: a host offers a slot (Accepted) and waits for Go where it is asked to. Requests of the highest tier are offered at three gates at once, the first slot wins, an unused slot costs the tier nothing; non-idempotent calls always wait for Go, so a host that never offered has surely not run them. A failing server is left alone for a doubling time. Floors count as least weights.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,6 +26,8 @@
 	Client *http.Client
 	// Seeds are addresses of entries that the caller knows from its settings.
 	Seeds []string
+	// Fixed makes the caller use one entry only, whatever the list says.
+	Fixed string
 	Token string
 	Seed  uint64
 }
@@ -87,6 +89,9 @@
 
 // entry returns an entry to use.
 func (c *Caller) entry(ctx context.Context) (string, error) {
+	if c.config.Fixed != "" {
+		return c.config.Fixed, nil
+	}
 	c.lock <- struct{}{}
 	defer func() { <-c.lock }()
 	if time.Now().Before(c.until) && len(c.known) > 0 {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -58,8 +59,10 @@
 	request Request
 	arrived time.Time
 	tier    filbertstile.Tier
-	// host is where the request is; empty while it waits.
-	host  string
+	// weight is the tier's share, with its floor.
+	weight float64
+	// hosts are where the request is; none while it waits.
+	hosts []string
 	tried []string
 	// whole pins the request once the caller has a part of the answer.
 	whole   filbertstile.Digest
@@ -141,8 +144,12 @@
 		return c.refused(now, e)
 	case Broke:
 		return c.broke(now, e)
+	case Declined:
+		if x := c.requests[e.ID]; x != nil {
+			c.leave(x, e.Host, nil)
+		}
 	case Ended:
-		c.ended(now, e)
+		c.ended(e)
 	case CallerGone:
 		c.callerGone(e.ID)
 	case LoadSeen:
@@ -226,7 +233,7 @@
 	if !r.Deadline.After(now) {
 		return refuse(CodeDeadline, 0, "the deadline had passed on arrival")
 	}
-	x := &row{request: r, arrived: now, tier: tier}
+	x := &row{request: r, arrived: now, tier: tier, weight: c.weight(tier)}
 	l := c.lineOf(service.Name, now)
 	if expected := c.expectedWait(l, tier); expected > min(c.config.MaxWait, r.Deadline.Sub(now)) {
 		return refuse(CodeOverloaded, c.drainTime(l), fmt.Sprintf("tier %s would wait for %v", tier.Name, expected.Round(time.Millisecond)))
@@ -343,7 +350,7 @@
 		return 0
 	}
 	ahead := 0
-	weights := max(1, tier.Weight)
+	weights := c.weight(tier)
 	var counted []string
 	for _, x := range l.waiting {
 		switch {
@@ -351,10 +358,10 @@
 			ahead++
 		case !slices.Contains(counted, x.tier.Name):
 			counted = append(counted, x.tier.Name)
-			weights += max(1, x.tier.Weight)
+			weights += x.weight
 		}
 	}
-	share := l.perSecond * float64(max(1, tier.Weight)) / float64(weights)
+	share := l.perSecond * c.weight(tier) / weights
 	return time.Duration(float64(ahead) / share * float64(time.Second))
 }
 
@@ -409,11 +416,20 @@
 	return CodeNoReplica
 }
 
+// topRank is the highest rank of all tiers.
+func (c *Core) topRank() int {
+	top := math.MinInt
+	for _, t := range c.view.Config.Tiers.All() {
+		top = max(top, t.Rank)
+	}
+	return top
+}
+
 func (c *Core) query(now time.Time, l *line, x *row) router.Query {
 	s, _ := c.view.Config.Services.Get(l.service)
 	return router.Query{
 		Now: now, Service: l.service, Whole: x.whole, Plain: s.Kind == filbertstile.ServicePlain,
-		Affinity: x.request.Affinity, Tried: x.tried,
+		Affinity: x.request.Affinity, Tried: x.tried, First: x.tier.Rank == c.topRank(),
 		Domain: c.config.Self.Domain, Region: c.config.Self.Region, Config: c.view.Config,
 	}
 }
@@ -428,13 +444,13 @@
 		if x == nil {
 			return out
 		}
-		r, ok := router.Choose(c.query(now, l, x), c.replicas.All(), c.rng)
-		if !ok {
+		to := router.Choose(c.query(now, l, x), c.replicas.All(), c.rng)
+		if len(to) == 0 {
 			blocked[x] = true
 			misses++
 			continue
 		}
-		out = append(out, c.send(l, x, r))
+		out = append(out, c.send(l, x, to))
 	}
 	return out
 }
@@ -466,27 +482,46 @@
 	return a.tier.Rank > b.tier.Rank
 }
 
-func (c *Core) send(l *line, x *row, r router.Replica) Command {
+// weight is a tier's share of the capacity while all tiers have work: its
+// weight, or its floor where that is more.
+func (c *Core) weight(t filbertstile.Tier) float64 {
+	sum := 0
+	for _, other := range c.view.Config.Tiers.All() {
+		sum += other.Weight
+	}
+	return max(1, float64(t.Weight), float64(sum*t.FloorPercent)/100)
+}
+
+func (c *Core) send(l *line, x *row, to []router.Replica) Command {
 	l.waiting = slices.DeleteFunc(l.waiting, func(o *row) bool { return o == x })
 	l.drained++
 	l.clock = max(l.clock, l.pass(x.tier.Name))
-	l.passes[x.tier.Name] = l.pass(x.tier.Name) + 1/float64(max(1, x.tier.Weight))
-	x.host = r.Host.Name
-	c.replicas = c.replicas.With(r.WithSent())
-	return Send{
-		ID: x.request.ID, Host: r.Host, Whole: r.Load.Whole, Release: r.Load.Release,
-		Tier: x.tier.Name, Rank: x.tier.Rank, Weight: x.tier.Weight, Resumed: x.resumed,
+	l.passes[x.tier.Name] = l.pass(x.tier.Name) + 1/x.weight
+	cmd := Send{ID: x.request.ID, Tier: x.tier.Name, Rank: x.tier.Rank, Weight: int(math.Round(x.weight)), Resumed: x.resumed}
+	for _, r := range to {
+		x.hosts = append(x.hosts, r.Host.Name)
+		c.replicas = c.replicas.With(r.WithSent())
+		cmd.Targets = append(cmd.Targets, Target{Host: r.Host, Whole: r.Load.Whole, Release: r.Load.Release})
 	}
+	return cmd
 }
 
-// leave takes a request off its host.
-func (c *Core) leave(x *row, change func(router.Replica) router.Replica) {
-	r, ok := c.replicas.Get(x.host)
-	x.host = ""
+// leave takes a request off a host.
+func (c *Core) leave(x *row, host string, change func(router.Replica) router.Replica) {
+	i := slices.Index(x.hosts, host)
+	if i < 0 {
+		return
+	}
+	x.hosts = slices.Delete(x.hosts, i, i+1)
+	r, ok := c.replicas.Get(host)
 	if !ok {
 		return
 	}
-	c.replicas = c.replicas.With(change(r.WithEnded()))
+	r = r.WithEnded()
+	if change != nil {
+		r = change(r)
+	}
+	c.replicas = c.replicas.With(r)
 }
 
 func (c *Core) callerGone(id string) {
@@ -495,12 +530,12 @@
 	}
 }
 
-func (c *Core) ended(now time.Time, e Ended) {
+func (c *Core) ended(e Ended) {
 	x := c.requests[e.ID]
 	if x == nil {
 		return
 	}
-	c.leave(x, func(r router.Replica) router.Replica {
+	c.leave(x, e.Host, func(r router.Replica) router.Replica {
 		if e.OK {
 			return r.WithSuccess()
 		}
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -74,6 +74,12 @@
 	NotRun bool
 }
 
+// Declined tells that a host's slot was not needed: another was first.
+type Declined struct {
+	ID   string
+	Host string
+}
+
 // Ended tells that the request has its whole answer, or that the shell ended it.
 type Ended struct {
 	ID   string
@@ -111,6 +117,7 @@
 func (Arrived) event()    {}
 func (Refused) event()    {}
 func (Broke) event()      {}
+func (Declined) event()   {}
 func (Ended) event()      {}
 func (CallerGone) event() {}
 func (LoadSeen) event()   {}
@@ -121,14 +128,20 @@
 // Command is something that the shell carries out.
 type Command interface{ command() }
 
-// Send passes the request to a host.
-type Send struct {
-	ID   string
+// Target is a host that a request is sent to.
+type Target struct {
 	Host filbertstile.Member
 	// Whole is the digest of the weights that the host is believed to run.
 	Whole   filbertstile.Digest
 	Release string
-	// Class is the request's paid priority.
+}
+
+// Send passes the request to a host. With several targets, the first that
+// offers a slot gets it.
+type Send struct {
+	ID      string
+	Targets []Target
+	// Tier, Rank and Weight are the request's paid priority.
 	Tier   string
 	Rank   int
 	Weight int
--- a/dispatcher/retrier.go
+++ b/dispatcher/retrier.go
@@ -16,13 +16,17 @@
 		return nil
 	}
 	x.last = filbertstile.ErrRequest{Code: e.Code, Step: "send", Peer: e.Host, Detail: e.Host + " refused: " + e.Code}
-	c.leave(x, func(r router.Replica) router.Replica { return refusedBy(now, r, e) })
+	c.leave(x, e.Host, func(r router.Replica) router.Replica { return refusedBy(now, r, e) })
 	switch e.Code {
 	case gatekeeper.CodeBusy, gatekeeper.CodeDisplaced, gatekeeper.CodeCold:
 		// There may be room later.
 	default:
 		x.tried = append(x.tried, e.Host)
 	}
+	if len(x.hosts) > 0 {
+		// Another host may still offer a slot.
+		return nil
+	}
 	if x.gone {
 		delete(c.requests, e.ID)
 		return nil
@@ -50,6 +54,12 @@
 	if e.Load.Limit > 0 {
 		r = r.WithReport(e.Load)
 	}
+	switch e.Code {
+	case gatekeeper.CodeOverloaded, gatekeeper.CodeUnreachable, gatekeeper.CodeFailing:
+		return r.WithFailure(now, firstHold, longest)
+	case gatekeeper.CodeBusy, gatekeeper.CodeDisplaced:
+		return r.WithBusy(now.Add(max(e.RetryAfter, firstHold/4)))
+	}
 	return r.WithHold(now.Add(max(e.RetryAfter, firstHold/4)))
 }
 
@@ -76,7 +86,7 @@
 	if x == nil {
 		return nil
 	}
-	c.leave(x, func(r router.Replica) router.Replica { return r.WithFailure(now, firstHold, longest) })
+	c.leave(x, e.Host, func(r router.Replica) router.Replica { return r.WithFailure(now, firstHold, longest) })
 	if x.gone {
 		delete(c.requests, e.ID)
 		return nil
--- a/distributor/order.go
+++ b/distributor/order.go
@@ -124,7 +124,7 @@
 	}
 	for _, step := range strides(n, c.config.Limits.PeersEachWay) {
 		add(ring[(at+step)%n])
-		add(ring[(at-step+n)%n])
+		add(ring[((at-step)%n+n)%n])
 	}
 	return out
 }
--- a/entryrunner/call.go
+++ b/entryrunner/call.go
@@ -29,9 +29,12 @@
 	codeBadRequest  = "BadRequest"
 	codeNoToken     = "NoToken"
 	codeStopping    = "Stopping"
+	codeUnreachable = "Unreachable"
 	stepIntent      = "record intent"
 	pieceBuffer     = 64
 	inProgressRetry = time.Second
+	// acceptTimeout is how long a host may take to offer a slot.
+	acceptTimeout = time.Second
 )
 
 // piece is a part of the answer on its way to the caller.
@@ -64,6 +67,8 @@
 	torn    bool
 	whole   filbertstile.Digest
 	started time.Time
+	// went is true once a host was told to run a non-idempotent call.
+	went bool
 	// incarnation is that of the host that a non-idempotent call was lost at.
 	incarnation string
 }
@@ -209,65 +214,161 @@
 	c.fail(cmd.Err)
 }
 
-// send passes the request to a host, and reports whether the call is over.
+// send passes the request to the hosts that the core chose, and reports
+// whether the call is over.
 func (c *call) send(cmd dispatcher.Send) bool {
+	first := cmd.Targets[0]
 	if c.request.Once && !c.committed {
-		if over := c.intend(cmd.Host.Name); over {
+		if over := c.intend(first.Host.Name); over {
 			return true
 		}
 	}
-	c.entry.attempts.Inc(1)
 	if cmd.Resumed {
-		c.entry.node.Log.Event(reporter.StreamResumed, reporter.Fields{"Request": c.request.ID, "Peer": cmd.Host.Name, "Offset": c.offset})
+		c.entry.node.Log.Event(reporter.StreamResumed, reporter.Fields{"Request": c.request.ID, "Peer": first.Host.Name, "Offset": c.offset})
 	}
-	d := c.dispatch(cmd)
-	c.entry.mu.Lock()
-	incarnation := c.entry.incarnations[cmd.Host.Name]
-	c.entry.mu.Unlock()
-	s, err := c.entry.node.Client.Open(c.ctx, cmd.Host.Address, &wire.Request{Id: c.request.ID, Kind: &wire.Request_Dispatch{Dispatch: d}})
+	if c.request.Once || len(cmd.Targets) > 1 {
+		return c.bind(cmd)
+	}
+	c.entry.attempts.Inc(1)
+	s, err := c.open(c.ctx, cmd, first, false)
 	if err != nil {
-		return c.unopened(cmd, incarnation, err)
+		c.unreached(first.Host.Name)
+		return false
 	}
 	defer s.Close()
-	return c.relay(cmd, incarnation, s)
+	return c.relay(first, "", s)
 }
 
-func (c *call) dispatch(cmd dispatcher.Send) *wire.Dispatch {
-	return &wire.Dispatch{
+func (c *call) open(ctx context.Context, cmd dispatcher.Send, to dispatcher.Target, offer bool) (*messenger.Stream, error) {
+	d := &wire.Dispatch{
 		Service: c.work.GetService(), Account: c.work.GetAccount(), Method: c.work.GetMethod(), Path: c.work.GetPath(), Body: c.work.GetBody(),
-		Stream: c.work.GetStream(), IdempotencyKey: c.work.GetIdempotencyKey(), Once: c.request.Once,
-		Priority: int32(cmd.Rank), Weight: int32(cmd.Weight), Tier: cmd.Tier, Offset: c.offset, Release: string(cmd.Whole),
+		Stream: c.work.GetStream(), IdempotencyKey: c.work.GetIdempotencyKey(), Once: c.request.Once, Offer: offer,
+		Priority: int32(cmd.Rank), Weight: int32(cmd.Weight), Tier: cmd.Tier, Offset: c.offset, Release: string(to.Whole),
 		TimeoutMilliseconds: time.Until(c.request.Deadline).Milliseconds(),
 		Revision:            c.entry.node.Holder.View().Config.Revision,
 	}
+	return c.entry.node.Client.Open(ctx, to.Host.Address, &wire.Request{Id: c.request.ID, Kind: &wire.Request_Dispatch{Dispatch: d}})
+}
+
+// unreached tells the core that a host did not get the request, or did not get
+// its Go: in either case it does not run there.
+func (c *call) unreached(host string) {
+	c.entry.loop.Post(dispatcher.Refused{ID: c.request.ID, Host: host, Code: codeUnreachable})
+}
+
+// offer is a host's first word on a request that waits for Go.
+type offer struct {
+	to     dispatcher.Target
+	stream *messenger.Stream
+	frame  *wire.Frame
+	err    error
 }
 
-// unopened decides about a request that could not be passed to the host.
-func (c *call) unopened(cmd dispatcher.Send, incarnation string, err error) bool {
-	var unreached messenger.ErrUnreached
-	if c.request.Once && !errors.As(err, &unreached) {
-		return c.lost(cmd, incarnation, "send", err)
+// bind offers the request to several hosts and runs it at the first that has a
+// slot. A host that got no Go has not run it.
+func (c *call) bind(cmd dispatcher.Send) bool {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	offers := make(chan offer, len(cmd.Targets))
+	for _, to := range cmd.Targets {
+		c.entry.callsWG.Go(func() { offers <- c.offerTo(ctx, cmd, to) })
+	}
+	for pending := len(cmd.Targets); pending > 0; pending-- {
+		o := <-offers
+		if o.err != nil {
+			c.unreached(o.to.Host.Name)
+			continue
+		}
+		if o.frame.GetAccepted() == nil {
+			c.declined(o)
+			continue
+		}
+		cancel()
+		c.dismiss(cmd, o, offers, pending-1)
+		return c.goAhead(o)
 	}
-	c.entry.loop.Post(dispatcher.Refused{ID: c.request.ID, Host: cmd.Host.Name, Code: "Unreachable"})
 	return false
 }
 
+func (c *call) offerTo(ctx context.Context, cmd dispatcher.Send, to dispatcher.Target) offer {
+	o := offer{to: to}
+	// The winner's stream lives on when the others are dismissed.
+	if o.stream, o.err = c.open(c.ctx, cmd, to, true); o.err != nil {
+		return o
+	}
+	stop := context.AfterFunc(ctx, o.stream.Abort)
+	silent := time.AfterFunc(acceptTimeout, o.stream.Abort)
+	o.frame, o.err = o.stream.Receive()
+	if !stop() && o.err == nil && o.frame.GetAccepted() != nil {
+		o.err = context.Canceled
+	}
+	if !silent.Stop() && o.err == nil {
+		o.err = errTooLate
+	}
+	if o.err != nil {
+		o.stream.Close()
+	}
+	return o
+}
+
+// errTooLate is a slot that was offered after the entry had given up waiting.
+var errTooLate = errors.New("the slot came too late")
+
+// declined takes in a host's refusal to offer a slot.
+func (c *call) declined(o offer) {
+	defer o.stream.Close()
+	if r := o.frame.GetRefusal(); r != nil {
+		c.refused(o.to.Host.Name, r)
+		return
+	}
+	c.unreached(o.to.Host.Name)
+}
+
+// dismiss lets go of the hosts that were not first.
+func (c *call) dismiss(cmd dispatcher.Send, winner offer, offers <-chan offer, pending int) {
+	for _, to := range cmd.Targets {
+		if to.Host.Name != winner.to.Host.Name {
+			c.entry.loop.Post(dispatcher.Declined{ID: c.request.ID, Host: to.Host.Name})
+		}
+	}
+	c.entry.callsWG.Go(func() {
+		for range pending {
+			if o := <-offers; o.err == nil {
+				o.stream.Close()
+			}
+		}
+	})
+}
+
+// goAhead tells the host to run the request, and passes on its answer.
+func (c *call) goAhead(o offer) bool {
+	defer o.stream.Close()
+	c.entry.attempts.Inc(1)
+	c.entry.mu.Lock()
+	incarnation := c.entry.incarnations[o.to.Host.Name]
+	c.entry.mu.Unlock()
+	// From here on only the host knows.
+	c.went = true
+	_ = o.stream.Send(&wire.Frame{Kind: &wire.Frame_Go{Go: &wire.Go{}}})
+	return c.relay(o.to, incarnation, o.stream)
+}
+
 // relay reads the answer's frames; each must be the next one.
-func (c *call) relay(cmd dispatcher.Send, incarnation string, s *messenger.Stream) bool {
+func (c *call) relay(to dispatcher.Target, incarnation string, s *messenger.Stream) bool {
 	digest := xxhash.New()
 	length := int64(0)
 	for {
 		f, err := s.Receive()
 		if err != nil {
-			return c.lost(cmd, incarnation, "read answer", err)
+			return c.lost(to, incarnation, "read answer", err)
 		}
 		switch k := f.GetKind().(type) {
 		case *wire.Frame_Head:
-			c.head(cmd, k.Head)
+			c.head(to, k.Head)
 		case *wire.Frame_Data:
 			if k.Data.GetOffset() != c.offset {
 				err := fmt.Errorf("piece %d where %d was due", k.Data.GetOffset(), c.offset)
-				return c.lost(cmd, incarnation, "read answer", err)
+				return c.lost(to, incarnation, "read answer", err)
 			}
 			c.offset++
 			length += int64(len(k.Data.GetPiece()))
@@ -275,51 +376,53 @@
 			c.emit(piece{data: k.Data.GetPiece()})
 		case *wire.Frame_End:
 			if k.End.GetLength() != length || k.End.GetDigest() != digest.Sum64() {
-				return c.lost(cmd, incarnation, "check answer", fmt.Errorf("%d bytes with another digest than the end says", length))
+				return c.lost(to, incarnation, "check answer", fmt.Errorf("%d bytes with another digest than the end says", length))
 			}
-			c.whole = cmd.Whole
-			return c.done(cmd, k.End)
+			c.whole = to.Whole
+			return c.done(to.Host.Name, k.End)
 		case *wire.Frame_Refusal:
-			return c.refused(cmd, k.Refusal)
+			return c.refused(to.Host.Name, k.Refusal)
 		}
 	}
 }
 
-func (c *call) head(cmd dispatcher.Send, h *wire.Head) {
+func (c *call) head(to dispatcher.Target, h *wire.Head) {
 	if c.headed {
 		return
 	}
 	c.headed = true
 	if h.GetRelease() == "" {
-		h.Release = cmd.Release
+		h.Release = to.Release
 	}
-	c.whole = cmd.Whole
+	c.whole = to.Whole
 	c.emit(piece{head: h})
 }
 
-func (c *call) done(cmd dispatcher.Send, end *wire.End) bool {
-	c.entry.noteLoad(cmd.Host.Name, end.GetLoad())
-	c.entry.loop.Post(dispatcher.Ended{ID: c.request.ID, Host: cmd.Host.Name, OK: true})
+func (c *call) done(host string, end *wire.End) bool {
+	// The report does not count this request any more, so the core must not
+	// either when it takes the report in.
+	c.entry.loop.Post(dispatcher.Ended{ID: c.request.ID, Host: host, OK: true})
+	c.entry.noteLoad(host, end.GetLoad())
 	c.emit(piece{end: true})
 	return true
 }
 
 // refused takes in a host's word that it did not run the request, or that the
 // backend server failed it.
-func (c *call) refused(cmd dispatcher.Send, r *wire.Refusal) bool {
+func (c *call) refused(host string, r *wire.Refusal) bool {
 	var load router.Load
 	if r.GetLoad() != nil {
 		load = toLoad(r.GetLoad())
 	}
 	if filbertstile.RunState(r.GetRun()) == filbertstile.NotRun {
 		c.entry.loop.Post(dispatcher.Refused{
-			ID: c.request.ID, Host: cmd.Host.Name, Code: r.GetCode(), Load: load, Reached: true,
+			ID: c.request.ID, Host: host, Code: r.GetCode(), Load: load, Reached: true,
 			RetryAfter: time.Duration(r.GetRetryAfterMilliseconds()) * time.Millisecond,
 		})
 		return false
 	}
 	c.entry.loop.Post(dispatcher.Broke{
-		ID: c.request.ID, Host: cmd.Host.Name, Step: "run", Detail: r.GetDetail(), Delivered: c.headed, Whole: c.whole,
+		ID: c.request.ID, Host: host, Step: "run", Detail: r.GetDetail(), Delivered: c.headed, Whole: c.whole,
 	})
 	return false
 }
@@ -327,15 +430,20 @@
 // lost decides about a request whose host went silent. A non-idempotent one is
 // sealed: either it surely did not run, or its outcome is known, or it is
 // unknown and stays so.
-func (c *call) lost(cmd dispatcher.Send, incarnation, step string, cause error) bool {
-	c.entry.node.Client.Drop(cmd.Host.Address)
-	broke := dispatcher.Broke{ID: c.request.ID, Host: cmd.Host.Name, Step: step, Detail: cause.Error(), Delivered: c.headed, Whole: c.whole}
+func (c *call) lost(to dispatcher.Target, incarnation, step string, cause error) bool {
+	c.entry.node.Client.Drop(to.Host.Address)
+	broke := dispatcher.Broke{ID: c.request.ID, Host: to.Host.Name, Step: step, Detail: cause.Error(), Delivered: c.headed, Whole: c.whole}
 	if !c.request.Once {
 		c.entry.loop.Post(broke)
 		return false
 	}
+	if !c.went {
+		broke.NotRun = true
+		c.entry.loop.Post(broke)
+		return false
+	}
 	c.incarnation = incarnation
-	sealed, err := c.entry.seal(c.ctx, cmd.Host, incarnation, c.request.ID)
+	sealed, err := c.entry.seal(c.ctx, to.Host, incarnation, c.request.ID)
 	if err != nil {
 		c.entry.loop.Post(broke)
 		return false
@@ -346,7 +454,7 @@
 		c.entry.loop.Post(broke)
 		return false
 	case filbertstile.Ran:
-		c.entry.loop.Post(dispatcher.Ended{ID: c.request.ID, Host: cmd.Host.Name, OK: true})
+		c.entry.loop.Post(dispatcher.Ended{ID: c.request.ID, Host: to.Host.Name, OK: true})
 		c.replay(recorder.Outcome{Run: filbertstile.Ran, Status: int(sealed.GetStatus()), ContentType: sealed.GetContentType(), Body: sealed.GetBody()})
 		return true
 	default:
--- a/entryrunner/convert.go
+++ b/entryrunner/convert.go
@@ -11,7 +11,7 @@
 
 func toLoad(l *wire.Load) router.Load {
 	return router.Load{
-		Running: int(l.GetRunning()), Limit: int(l.GetLimit()), Serving: l.GetServing(), Leaving: l.GetLeaving(), Cold: l.GetCold(),
+		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Limit: int(l.GetLimit()), Serving: l.GetServing(), Leaving: l.GetLeaving(), Cold: l.GetCold(),
 		Release: l.GetRelease(), Whole: filbertstile.Digest(l.GetWhole()), Ready: l.GetReady(), Epoch: l.GetEpoch(),
 		Revision: l.GetRevision(), Role: l.GetRole(), Incarnation: l.GetIncarnation(),
 	}
--- a/gatekeeper/events.go
+++ b/gatekeeper/events.go
@@ -25,6 +25,10 @@
 	CodeDisplaced    = "Displaced"
 	CodeNotReady     = "NotReady"
 	CodeDuplicate    = "Duplicate"
+	CodeFailing      = "BackendFailing"
+	CodeOverloaded   = "BackendOverloaded"
+	CodeUnreachable  = "BackendUnreachable"
+	CodeBackend      = "BackendFailed"
 )
 
 // Class is the paid priority of a request.
@@ -82,6 +86,8 @@
 	FailureOverloaded Failure = "Overloaded"
 	FailureBroken     Failure = "Broken"
 	FailureCancelled  Failure = "Cancelled"
+	// FailureUnused is a slot that was offered and not taken.
+	FailureUnused Failure = "Unused"
 )
 
 // Abandoned tells that the caller of a request is gone.
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -35,6 +35,11 @@
 	coldRetry    = 500 * time.Millisecond
 	busyRetry    = 100 * time.Millisecond
 	permitMargin = 200 * time.Millisecond
+	// restAfter is the number of failures in a row after which the server is
+	// left alone for a while, from firstRest, doubled up to longestRest.
+	restAfter   = 3
+	firstRest   = 500 * time.Millisecond
+	longestRest = 10 * time.Second
 )
 
 // running is a request in the backend server's hands.
@@ -87,6 +92,11 @@
 	loading  string
 	loadedAt time.Time
 	failure  string
+	now      time.Time
+	failures int
+	restFor  time.Duration
+	// restUntil is when a failing server gets its next request.
+	restUntil time.Time
 }
 
 // New returns a gate that lets nothing through before it knows its standing.
@@ -103,6 +113,7 @@
 
 // Tick takes in the events and decides.
 func (c *Core) Tick(now time.Time, inbox []Event) []Command {
+	c.now = now
 	var out []Command
 	for _, e := range inbox {
 		out = append(out, c.take(now, e)...)
@@ -152,6 +163,8 @@
 		return CodeHostOut, false
 	case c.standing.Stale:
 		return CodeStale, false
+	case c.now.Before(c.restUntil):
+		return CodeFailing, false
 	case c.config.Kind == filbertstile.ServicePlain:
 		return "", true
 	case c.loading != "" || c.switching():
@@ -238,13 +251,20 @@
 		return nil
 	}
 	full := len(c.running) >= c.slots()
+	if e.Failure == FailureUnused {
+		c.queue.refund(c.running[e.ID].request.Class)
+	}
 	delete(c.running, e.ID)
 	out := c.settle(now, e)
 	switch e.Failure {
 	case FailureNone:
+		c.failures, c.restFor = 0, 0
 		out = append(out, c.learn(e.Served, full)...)
 	case FailureOverloaded:
+		c.rest(now)
 		out = append(out, c.turnCold("overloaded")...)
+	case FailureBroken:
+		c.rest(now)
 	}
 	return out
 }
@@ -266,6 +286,19 @@
 	return out
 }
 
+// rest leaves a server alone that fails request after request. When the rest is
+// over, its limit is one: a single request tells whether it is back.
+func (c *Core) rest(now time.Time) {
+	c.failures++
+	if c.failures < restAfter {
+		return
+	}
+	c.restFor = min(max(firstRest, 2*c.restFor), longestRest)
+	c.restUntil = now.Add(c.restFor)
+	c.limit = 1
+	c.cold = true
+}
+
 // learn moves the limit with the latency of an answer.
 func (c *Core) learn(served time.Duration, full bool) []Command {
 	served = max(served, leastUsual)
--- a/gatekeeper/queue.go
+++ b/gatekeeper/queue.go
@@ -43,6 +43,9 @@
 	q.clock = max(q.clock, p.value-1/float64(max(c.Weight, 1)))
 }
 
+// refund takes back the charge of a start whose slot was not used.
+func (q *queue) refund(c Class) { q.passOf(c.Tier).value -= 1 / float64(max(c.Weight, 1)) }
+
 // pop takes the request whose tier is furthest behind its share.
 func (q *queue) pop() Request {
 	best := 0
--- a/hostrunner/hostrunner.go
+++ b/hostrunner/hostrunner.go
@@ -168,6 +168,13 @@
 	return h.lastGate
 }
 
+// InHand returns the number of requests that the host has now.
+func (h *Host) InHand() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.jobs)
+}
+
 // Run serves until the context ends, then lets go of everything at once. A
 // planned stop calls Drain first.
 func (h *Host) Run(ctx context.Context) error {
@@ -357,7 +364,7 @@
 func (h *Host) load() *wire.Load {
 	g := h.Gate()
 	l := &wire.Load{
-		Host: h.config.Settings.Identity.Name, Incarnation: h.incarnation, Running: int32(g.Running + g.Waiting), Limit: int32(g.Limit),
+		Host: h.config.Settings.Identity.Name, Incarnation: h.incarnation, Running: int32(g.Running), Waiting: int32(g.Waiting), Limit: int32(g.Limit),
 		Release: g.Release, Whole: string(g.Whole), Serving: g.Serving, Leaving: h.node.Leaving(), Cold: g.Cold,
 		Revision: g.Revision, Epoch: g.Epoch, Ready: g.Ready, LatencyMicroseconds: g.Usual.Microseconds(), Role: g.Role,
 	}
--- a/hostrunner/work.go
+++ b/hostrunner/work.go
@@ -18,12 +18,8 @@
 )
 
 const (
-	codeBackend     = "BackendFailed"
-	codeUnreachable = "BackendUnreachable"
-	codeOverloaded  = "BackendOverloaded"
-	maxKeptBody     = 64 << 10
-	onceTimeout     = 2 * time.Minute
-	loadRetry       = time.Second
+	maxKeptBody = 64 << 10
+	onceTimeout = 2 * time.Minute
 )
 
 // job is a request at the host.
@@ -116,20 +112,53 @@
 	if !h.loop.Post(gatekeeper.Arrived{Request: arrived}) {
 		return
 	}
-	h.wg.Go(func() {
-		// The entry sends nothing more: this ends when it goes away.
-		_, _ = s.Receive()
-		h.loop.Post(gatekeeper.Abandoned{ID: req.GetId()})
-	})
+	gone := make(chan struct{})
+	went := make(chan struct{})
+	h.wg.Go(func() { h.listen(req.GetId(), s, went, gone) })
 	// The gate always decides: at the latest when the deadline passes.
 	switch cmd := (<-j.decided).(type) {
 	case gatekeeper.Refuse:
 		h.refuse(s, cmd)
 	case gatekeeper.Start:
+		if d.GetOffer() && !h.confirmed(s, went, gone) {
+			h.loop.Post(gatekeeper.Finished{ID: req.GetId(), Failure: gatekeeper.FailureUnused, Result: gatekeeper.Result{Run: filbertstile.NotRun}})
+			return
+		}
 		h.run(ctx, req, d, s, timeout)
 	}
 }
 
+// listen hears the entry's Go, and when it goes away.
+func (h *Host) listen(id string, s *messenger.Stream, went, gone chan struct{}) {
+	defer close(gone)
+	heard := false
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			h.loop.Post(gatekeeper.Abandoned{ID: id})
+			return
+		}
+		if f.GetGo() != nil && !heard {
+			heard = true
+			close(went)
+		}
+	}
+}
+
+// confirmed offers the slot to the entry and waits for its Go: an entry that
+// gave none knows for sure that the work did not run here.
+func (h *Host) confirmed(s *messenger.Stream, went, gone <-chan struct{}) bool {
+	if s.Send(&wire.Frame{Kind: &wire.Frame_Accepted{Accepted: &wire.Accepted{}}}) != nil {
+		return false
+	}
+	select {
+	case <-went:
+		return true
+	case <-gone:
+		return false
+	}
+}
+
 func (h *Host) addJob(id string, j *job) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -198,13 +227,13 @@
 		_ = s.Send(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Length: r.length, Digest: r.digest.Sum64(), Load: h.load()}}})
 		return
 	}
-	out := &wire.Refusal{Code: codeBackend, Run: string(r.runState(err)), Detail: err.Error(), Load: h.load()}
+	out := &wire.Refusal{Code: gatekeeper.CodeBackend, Run: string(r.runState(err)), Detail: err.Error(), Load: h.load()}
 	var unsent requester.ErrDial
 	switch {
 	case errors.As(err, &unsent):
-		out.Code = codeUnreachable
+		out.Code = gatekeeper.CodeUnreachable
 	case errors.Is(err, errOverloaded):
-		out.Code = codeOverloaded
+		out.Code = gatekeeper.CodeOverloaded
 	}
 	_ = s.Send(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: out}})
 }
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -97,6 +97,7 @@
 func Catalogue() []Measure {
 	var out []Measure
 	out = append(out, distributionMeasures()...)
+	out = append(out, requestMeasures()...)
 	return out
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -116,8 +116,8 @@
 	_ = s.raw.Close()
 }
 
-// CloseWrite tells the peer that no more frames follow.
-func (s *Stream) CloseWrite() { _ = s.raw.Close() }
+// Abort makes pending and later reads fail.
+func (s *Stream) Abort() { _ = s.raw.SetReadDeadline(time.Now()) }
 
 // Handler answers one request; the stream is closed when it returns.
 type Handler func(ctx context.Context, req *wire.Request, s *Stream)
--- a/router/router.go
+++ b/router/router.go
@@ -2,6 +2,7 @@
 package router
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,7 +14,9 @@
 
 // Load is what a host last said of itself.
 type Load struct {
-	Running  int
+	Running int
+	// Waiting is the number of requests at the gate, beside those running.
+	Waiting  int
 	Limit    int
 	Serving  bool
 	Leaving  bool
@@ -40,6 +43,9 @@
 	OwnAtReport int
 	// HoldUntil is when the replica may be asked again after a refusal.
 	HoldUntil time.Time
+	// BusyUntil is the same after a refusal for lack of room, which does not
+	// hold for the highest tier.
+	BusyUntil time.Time
 	// Failures counts the failures in a row.
 	Failures int
 }
@@ -51,7 +57,16 @@
 // entry can tell: what it reported, corrected by what was sent and what
 // finished since.
 func (r Replica) Estimate() int {
-	return max(r.Own, r.Load.Running-r.OwnAtReport+r.Own)
+	return max(r.Own, r.Load.Running+r.Load.Waiting-r.OwnAtReport+r.Own)
+}
+
+// ahead is the number of requests that count against a new one: the highest
+// tier goes before what waits at the gate.
+func (r Replica) ahead(q Query) int {
+	if q.First {
+		return min(r.Estimate(), r.Load.Running+max(0, r.Own-r.OwnAtReport))
+	}
+	return r.Estimate()
 }
 
 // WithReport returns the replica with a newer load.
@@ -92,6 +107,17 @@
 	return r
 }
 
+// WithBusy returns the replica without room until the moment.
+func (r Replica) WithBusy(until time.Time) Replica {
+	r.BusyUntil = until
+	return r
+}
+
+// held tells whether the replica is not to be asked now.
+func (r Replica) held(q Query) bool {
+	return q.Now.Before(r.HoldUntil) || !q.First && q.Now.Before(r.BusyUntil)
+}
+
 // WithSuccess returns the replica without failures.
 func (r Replica) WithSuccess() Replica {
 	r.Failures = 0
@@ -108,6 +134,8 @@
 	Plain bool
 	// Affinity is a hash of the prompt's prefix; 0 for none.
 	Affinity uint64
+	// First is true for the highest tier, whose requests gates put first.
+	First bool
 	// Tried lists hosts that this request was refused by or broke at.
 	Tried  []string
 	Domain string
@@ -156,38 +184,79 @@
 	}
 }
 
+// offers is the number of gates at which a request of the highest tier waits
+// at once where no slot is free; the first that has one runs it.
+const offers = 3
+
 // Choose returns the replica for the request: with a free slot as near as can
-// be, by affinity or else the better of two; failing that, one whose gate has
-// room to wait. False means that no replica has room now.
-func Choose(q Query, replicas []Replica, rng *rand.Rand) (Replica, bool) {
+// be, by affinity or else the better of two. Failing that, the better of two
+// anywhere whose gates have room to wait, and several for the highest tier. No
+// replica means that none has room now.
+func Choose(q Query, replicas []Replica, rng *rand.Rand) []Replica {
 	free := make([][]Replica, classes)
-	room := make([][]Replica, classes)
+	var room []Replica
 	for _, r := range replicas {
-		if !Eligible(q, r) || q.Now.Before(r.HoldUntil) {
+		if !Eligible(q, r) || r.held(q) {
 			continue
 		}
 		c := class(q, r.Host)
-		switch n := r.Estimate(); {
+		wait := max(1, r.Load.Limit/waitShare)
+		if q.First {
+			wait = max(wait, r.Load.Limit)
+		}
+		switch n := r.ahead(q); {
 		case n < r.Load.Limit:
 			free[c] = append(free[c], r)
-		case !r.Load.Cold && n < r.Load.Limit+max(1, r.Load.Limit/waitShare):
-			room[c] = append(room[c], r)
+		case !r.Load.Cold && n < r.Load.Limit+wait:
+			room = append(room, r)
 		}
 	}
-	for _, set := range [][][]Replica{free, room} {
-		for _, near := range set {
-			if len(near) > 0 {
-				return pick(q, near, rng), true
+	if q.First && !anyIdle(free) {
+		// Reports lag: a slot that looks free may be taken. Several gates know.
+		return several(slices.Concat(append(free, room)...), rng)
+	}
+	for _, near := range free {
+		if len(near) > 0 {
+			return []Replica{pick(q, near, rng)}
+		}
+	}
+	if len(room) > 0 {
+		return []Replica{better(room, rng)}
+	}
+	return nil
+}
+
+// idleShare is the share of free slots from which a replica surely has room,
+// whatever happened since its report.
+const idleShare = 0.5
+
+func anyIdle(free [][]Replica) bool {
+	for _, near := range free {
+		for _, r := range near {
+			if fill(r) <= 1-idleShare {
+				return true
 			}
 		}
 	}
-	return Replica{}, false
+	return false
+}
+
+// several returns a few replicas, the least full first.
+func several(from []Replica, rng *rand.Rand) []Replica {
+	rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	slices.SortStableFunc(from, func(a, b Replica) int { return cmp.Compare(fill(a), fill(b)) })
+	return from[:min(offers, len(from))]
 }
 
 func pick(q Query, near []Replica, rng *rand.Rand) Replica {
 	if q.Affinity != 0 {
 		return byAffinity(q.Affinity, near)
 	}
+	return better(near, rng)
+}
+
+// better takes the less full of two.
+func better(near []Replica, rng *rand.Rand) Replica {
 	a := near[rng.IntN(len(near))]
 	b := near[rng.IntN(len(near))]
 	if fill(b) < fill(a) {
