measurer: capacity slopes; relayer, distributor: work that grows with the fleet done once

Cause: by reading: a place in the tree was ordered anew every 500 ms, a host hashed all members each tick of a transfer, and an entry's table of replicas held every host of the fleet and was copied for each request. Change: each is worked out when the members change; an entry's table holds its subset; the controller of a rollout keeps the other loads apart.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -176,15 +176,16 @@
 		if m.Role == filbertstile.RoleEntry && !m.Leaving {
 			c.entries++
 		}
-		if m.Role != filbertstile.RoleHost {
-			continue
-		}
+	}
+	kept := make(map[string]bool, len(e.Hosts))
+	for _, m := range e.Hosts {
+		kept[m.Name] = true
 		r, _ := c.replicas.Get(m.Name)
 		r.Host = m
 		c.replicas = c.replicas.With(r)
 	}
 	for _, r := range c.replicas.All() {
-		if _, ok := e.View.Members.Get(r.Host.Name); !ok && r.Own == 0 {
+		if !kept[r.Host.Name] && r.Own == 0 {
 			c.replicas = c.replicas.Without(r.Host.Name)
 		}
 	}
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -102,7 +102,9 @@
 
 // ViewSeen brings the configuration and the members.
 type ViewSeen struct {
-	View    viewer.View
+	View viewer.View
+	// Hosts are those that the entry sends requests to.
+	Hosts   []filbertstile.Member
 	Trust   voucher.Trust
 	Leaving bool
 }
--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -10,7 +10,7 @@
 // isImporter tells whether this host should bring chunks into its region now:
 // the first in order, or a later one after as many times without progress.
 func (c *Core) isImporter(now time.Time, t *transfer) bool {
-	rank := c.importRank(t)
+	rank := t.ring.importRank
 	if rank < 0 || c.config.Self.Region == c.config.SourceRegion {
 		return false
 	}
@@ -19,9 +19,9 @@
 
 // follow keeps the subscriptions to the peers that the host should know.
 func (c *Core) follow(now time.Time, t *transfer) []Command {
-	want := c.neighbours(t)
+	want := slices.Clone(t.ring.neighbours)
 	if c.followsSource(now, t) {
-		want = append(want, c.sourcePeers(t)...)
+		want = append(want, t.ring.source...)
 	}
 	if t.done {
 		// Others follow this host; it needs nobody.
@@ -46,7 +46,7 @@
 // followsSource tells whether this host should know what the source's region
 // holds: the first importers do, and later ones once there is no progress.
 func (c *Core) followsSource(now time.Time, t *transfer) bool {
-	rank := c.importRank(t)
+	rank := t.ring.importRank
 	if rank < 0 || c.config.Self.Region == c.config.SourceRegion {
 		return false
 	}
@@ -66,7 +66,7 @@
 			return []Command{FetchManifest{Digest: t.want.Manifest, Peer: p.member}}
 		}
 	}
-	rank := rankIn(c.readers(), string(t.want.Manifest), c.config.Self.Name)
+	rank := rankIn(c.origins, string(t.want.Manifest), c.config.Self.Name)
 	if rank < 0 || now.Sub(t.started) < time.Duration(rank)*c.config.Limits.TakeOver {
 		return nil
 	}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -241,6 +241,18 @@
 	imports    int
 	origins    int
 	done       bool
+	// ring is the host's place among the members; it is worked out anew when
+	// they change.
+	ring ring
+}
+
+// ring is what follows from the members for one transfer.
+type ring struct {
+	version int
+	// neighbours are the peers of the region, source those of the source's.
+	neighbours []filbertstile.Member
+	source     []filbertstile.Member
+	importRank int
 }
 
 // Core owns a host's transfers.
@@ -248,6 +260,9 @@
 	config    Config
 	rng       *rand.Rand
 	members   []filbertstile.Member
+	version   int
+	live      map[string]bool
+	origins   []filbertstile.Member
 	transfers []*transfer
 	// asideUntil and busyUntil say when a peer may be asked again.
 	asideUntil map[string]time.Time
@@ -271,6 +286,7 @@
 		out = append(out, c.take(now, e)...)
 	}
 	for _, t := range c.transfers {
+		c.placeIn(t)
 		out = append(out, c.expire(now, t)...)
 		out = append(out, c.follow(now, t)...)
 		out = append(out, c.manifests(now, t)...)
@@ -295,7 +311,7 @@
 	case Wanted:
 		return c.setWanted(now, e.Wants)
 	case MembersSeen:
-		c.members = e.Members
+		c.setMembers(e.Members)
 	case ManifestArrived:
 		return c.manifestArrived(now, e)
 	case ManifestFailed:
--- a/distributor/order.go
+++ b/distributor/order.go
@@ -44,13 +44,27 @@
 	return out
 }
 
-// readers returns the hosts that may read from the origin: those of its
-// region, or all where it has none.
-func (c *Core) readers() []filbertstile.Member {
-	if in := of(c.members, c.config.SourceRegion); len(in) > 0 {
-		return in
+// setMembers takes in the hosts of the service. Those that may read from the
+// origin are the hosts of its region, or all where it has none.
+func (c *Core) setMembers(members []filbertstile.Member) {
+	c.members = members
+	c.version++
+	c.live = make(map[string]bool, len(members))
+	for _, m := range members {
+		c.live[m.Name] = true
+	}
+	c.origins = of(members, c.config.SourceRegion)
+	if len(c.origins) == 0 {
+		c.origins = members
+	}
+}
+
+// placeIn works out the host's place in a transfer if the members changed.
+func (c *Core) placeIn(t *transfer) {
+	if t.ring.version == c.version {
+		return
 	}
-	return c.members
+	t.ring = ring{version: c.version, neighbours: c.neighbours(t), source: c.sourcePeers(t), importRank: c.importRank(t)}
 }
 
 // readerOf returns the designated reader of a chunk.
@@ -60,7 +74,7 @@
 	}
 	best := uint64(0)
 	name := ""
-	for _, m := range c.readers() {
+	for _, m := range c.origins {
 		if h := hashOf(string(t.manifest.Chunks[index].Digest), m.Name); name == "" || h < best {
 			best, name = h, m.Name
 		}
@@ -69,14 +83,12 @@
 	return name
 }
 
-func (c *Core) alive(name string) bool {
-	return slices.ContainsFunc(c.members, func(m filbertstile.Member) bool { return m.Name == name })
-}
+func (c *Core) alive(name string) bool { return c.live[name] }
 
 // readerRank is the place of this host in the order of a chunk's readers; -1
 // if it may not read from the origin.
 func (c *Core) readerRank(t *transfer, index int) int {
-	return rankIn(c.readers(), string(t.manifest.Chunks[index].Digest), c.config.Self.Name)
+	return rankIn(c.origins, string(t.manifest.Chunks[index].Digest), c.config.Self.Name)
 }
 
 // importRank is the place of this host in the order of its region's importers.
--- a/entryrunner/call.go
+++ b/entryrunner/call.go
@@ -344,13 +344,10 @@
 func (c *call) goAhead(o offer) bool {
 	defer o.stream.Close()
 	c.entry.attempts.Inc(1)
-	c.entry.mu.Lock()
-	incarnation := c.entry.incarnations[o.to.Host.Name]
-	c.entry.mu.Unlock()
 	// From here on only the host knows.
 	c.went = true
 	_ = o.stream.Send(&wire.Frame{Kind: &wire.Frame_Go{Go: &wire.Go{}}})
-	return c.relay(o.to, incarnation, o.stream)
+	return c.relay(o.to, o.frame.GetAccepted().GetIncarnation(), o.stream)
 }
 
 // relay reads the answer's frames; each must be the next one.
--- a/entryrunner/convert.go
+++ b/entryrunner/convert.go
@@ -13,7 +13,7 @@
 	return router.Load{
 		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Limit: int(l.GetLimit()), Serving: l.GetServing(), Leaving: l.GetLeaving(), Cold: l.GetCold(),
 		Release: l.GetRelease(), Whole: filbertstile.Digest(l.GetWhole()), Ready: l.GetReady(), Epoch: l.GetEpoch(),
-		Revision: l.GetRevision(), Role: l.GetRole(), Incarnation: l.GetIncarnation(),
+		Revision: l.GetRevision(), Role: l.GetRole(),
 	}
 }
 
--- a/entryrunner/entryrunner.go
+++ b/entryrunner/entryrunner.go
@@ -62,10 +62,11 @@
 	rollout  *rollout
 	accounts atomic.Pointer[accountIndex]
 
-	mu           sync.Mutex
-	calls        map[string]*call
-	incarnations map[string]string
-	callsWG      sync.WaitGroup
+	mu    sync.Mutex
+	calls map[string]*call
+	// loads are the newest reports of all hosts that the entry follows.
+	loads   map[string]router.Load
+	callsWG sync.WaitGroup
 
 	ctx context.Context
 	wg  sync.WaitGroup
@@ -81,7 +82,7 @@
 // New returns an entry that does not run yet.
 func New(c Config) (*Entry, error) {
 	s := c.Settings
-	e := &Entry{config: c, calls: make(map[string]*call), incarnations: make(map[string]string)}
+	e := &Entry{config: c, calls: make(map[string]*call), loads: make(map[string]router.Load)}
 	self := filbertstile.Member{
 		Name: s.Identity.Name, Role: filbertstile.RoleEntry, Region: s.Identity.Region, Domain: s.Identity.Domain,
 		Address: s.Identity.Address, HTTPAddress: s.HTTPAddress,
@@ -149,7 +150,6 @@
 	e.wg.Go(func() { e.loop.Run(ctx) })
 	e.wg.Go(func() { e.records.Run(ctx) })
 	e.wg.Go(func() { e.watchView(ctx) })
-	e.wg.Go(func() { e.watchHosts(ctx) })
 	e.wg.Go(func() { e.rollout.run(ctx) })
 	e.wg.Go(func() {
 		_ = responder.Serve(ctx, public, responder.Config{Name: "filbertstile", Handler: e.handlePublic, MaxBodyBytes: s.MaxBodyBytes})
@@ -186,22 +186,32 @@
 	}
 }
 
-// watchView keeps the core up to date with the view.
+// watchView keeps the core, and the streams of load reports, up to date with
+// the view.
 func (e *Entry) watchView(ctx context.Context) {
 	var last viewer.View
 	var lastTrust voucher.Trust
+	var hosts []filbertstile.Member
+	controls := false
+	streams := make(map[filbertstile.Member]context.CancelFunc)
 	for {
 		changed := e.node.Holder.Changed()
 		v := e.node.Holder.View()
 		trust := e.node.Relay.Trust()
-		moved := v.Config.Revision != last.Config.Revision || v.MembersVersion != last.MembersVersion
-		if moved || trust != lastTrust {
-			e.loop.Post(dispatcher.ViewSeen{View: v, Trust: trust, Leaving: e.node.Leaving()})
+		controller := e.rollout.state().Holder
+		if v.MembersVersion != last.MembersVersion || controller != controls {
+			hosts = e.subset(v)
+			e.follow(ctx, streams, e.followed(v, hosts, controller))
+			controls = controller
+		}
+		if v.Config.Revision != last.Config.Revision || v.MembersVersion != last.MembersVersion || trust != lastTrust {
+			e.loop.Post(dispatcher.ViewSeen{View: v, Trust: trust, Hosts: hosts, Leaving: e.node.Leaving()})
 			e.accounts.Store(newAccountIndex(v.Config))
 			last, lastTrust = v, trust
 		}
 		select {
 		case <-ctx.Done():
+			e.follow(ctx, streams, nil)
 			return
 		case <-changed:
 		case <-time.After(viewEvery):
@@ -209,61 +219,57 @@
 	}
 }
 
-// watchHosts keeps a stream of load reports from each host of the entry's
-// subset.
-func (e *Entry) watchHosts(ctx context.Context) {
-	running := make(map[filbertstile.Member]context.CancelFunc)
-	for {
-		changed := e.node.Holder.Changed()
-		want := make(map[filbertstile.Member]bool)
-		for _, m := range e.subset() {
-			m.Leaving = false
-			want[m] = true
-			if _, ok := running[m]; ok {
-				continue
-			}
-			hostCtx, cancel := context.WithCancel(ctx)
-			running[m] = cancel
-			e.wg.Go(func() { e.followHost(hostCtx, m) })
-		}
-		for m, cancel := range running {
-			if !want[m] {
-				cancel()
-				delete(running, m)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			for _, cancel := range running {
-				cancel()
-			}
-			return
-		case <-changed:
-		case <-time.After(time.Second):
-			// The lease may have changed hands.
-		}
+// subset returns the hosts that the entry sends requests to.
+func (e *Entry) subset(v viewer.View) []filbertstile.Member {
+	return router.Subset(e.node.Self(), hostsOf(v), e.config.Settings.MaxHosts)
+}
+
+// followed returns the hosts whose loads the entry follows: the controller of a
+// rollout must see every replica.
+func (e *Entry) followed(v viewer.View, subset []filbertstile.Member, controller bool) []filbertstile.Member {
+	if controller {
+		return hostsOf(v)
 	}
+	return subset
 }
 
-func (e *Entry) subset() []filbertstile.Member {
+func hostsOf(v viewer.View) []filbertstile.Member {
 	var hosts []filbertstile.Member
-	for _, m := range e.node.Holder.View().Members.All() {
+	for _, m := range v.Members.All() {
 		if m.Role == filbertstile.RoleHost && m.Address != "" {
 			hosts = append(hosts, m)
 		}
 	}
-	if e.rollout.state().Holder {
-		// The controller of a rollout must see every replica.
-		return hosts
+	return hosts
+}
+
+// follow keeps a stream of load reports from each of the hosts.
+func (e *Entry) follow(ctx context.Context, streams map[filbertstile.Member]context.CancelFunc, hosts []filbertstile.Member) {
+	want := make(map[filbertstile.Member]bool, len(hosts))
+	for _, m := range hosts {
+		// A host that leaves is followed to its end.
+		m.Leaving = false
+		want[m] = true
+		if _, ok := streams[m]; ok {
+			continue
+		}
+		hostCtx, cancel := context.WithCancel(ctx)
+		streams[m] = cancel
+		e.wg.Go(func() { e.followHost(hostCtx, m) })
+	}
+	for m, cancel := range streams {
+		if !want[m] {
+			cancel()
+			delete(streams, m)
+		}
 	}
-	return router.Subset(e.node.Self(), hosts, e.config.Settings.MaxHosts)
 }
 
 func (e *Entry) followHost(ctx context.Context, m filbertstile.Member) {
 	found := false
 	for ctx.Err() == nil {
 		err := e.readLoads(ctx, m, &found)
-		e.loop.Post(dispatcher.HostLost{Host: m.Name})
+		e.noteLost(m.Name)
 		if ctx.Err() != nil {
 			return
 		}
@@ -304,9 +310,16 @@
 	}
 }
 
+func (e *Entry) noteLost(host string) {
+	e.mu.Lock()
+	delete(e.loads, host)
+	e.mu.Unlock()
+	e.loop.Post(dispatcher.HostLost{Host: host})
+}
+
 func (e *Entry) noteLoad(host string, l *wire.Load) {
 	e.mu.Lock()
-	e.incarnations[host] = l.GetIncarnation()
+	e.loads[host] = toLoad(l)
 	e.mu.Unlock()
 	e.loop.Post(dispatcher.LoadSeen{Host: host, Load: toLoad(l)})
 }
@@ -339,9 +352,18 @@
 	return st
 }
 
-// Replicas returns the hosts as this entry sees them.
+// Replicas returns the hosts that this entry follows, as they last reported.
 func (e *Entry) Replicas() []router.Replica {
-	var out []router.Replica
-	e.loop.Inspect(func() { out = e.core.State().Replicas })
+	members := e.node.Holder.View().Members
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]router.Replica, 0, len(e.loads))
+	for _, m := range members.All() {
+		if m.Role != filbertstile.RoleHost {
+			continue
+		}
+		l, ok := e.loads[m.Name]
+		out = append(out, router.Replica{Host: m, Load: l, Connected: ok})
+	}
 	return out
 }
--- a/hostrunner/hostrunner.go
+++ b/hostrunner/hostrunner.go
@@ -75,6 +75,7 @@
 	changed  chan struct{}
 	lastGate gatekeeper.Gate
 	standing gatekeeper.Standing
+	seen     seen
 	ctx      context.Context
 	wg       sync.WaitGroup
 }
@@ -271,8 +272,21 @@
 	if h.weights == nil {
 		return
 	}
-	h.weights.SetMembers(peers(v.Members, self.Service))
-	h.weights.SetWanted(wanted(v.Config, self.Service, h.Gate().Release))
+	if v.MembersVersion != h.seen.members {
+		h.weights.SetMembers(peers(v.Members, self.Service))
+	}
+	running := h.Gate().Release
+	if v.Config.Revision != h.seen.revision || running != h.seen.running {
+		h.weights.SetWanted(wanted(v.Config, self.Service, running))
+	}
+	h.seen = seen{members: v.MembersVersion, revision: v.Config.Revision, running: running}
+}
+
+// seen is what the transfers were last told of.
+type seen struct {
+	members  uint64
+	revision uint64
+	running  string
 }
 
 func peers(members filbertstile.Table[filbertstile.Member], service string) []filbertstile.Member {
--- a/hostrunner/work.go
+++ b/hostrunner/work.go
@@ -148,7 +148,7 @@
 // confirmed offers the slot to the entry and waits for its Go: an entry that
 // gave none knows for sure that the work did not run here.
 func (h *Host) confirmed(s *messenger.Stream, went, gone <-chan struct{}) bool {
-	if s.Send(&wire.Frame{Kind: &wire.Frame_Accepted{Accepted: &wire.Accepted{}}}) != nil {
+	if s.Send(&wire.Frame{Kind: &wire.Frame_Accepted{Accepted: &wire.Accepted{Incarnation: h.incarnation}}}) != nil {
 		return false
 	}
 	select {
--- a/measurer/distribution.go
+++ b/measurer/distribution.go
@@ -78,7 +78,6 @@
 // spreadResult is what a run showed.
 type spreadResult struct {
 	seconds     float64
-	held        float64
 	originCopy  float64
 	regionCopy  float64
 	deltaCopies float64
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -98,6 +98,8 @@
 	var out []Measure
 	out = append(out, distributionMeasures()...)
 	out = append(out, requestMeasures()...)
+	out = append(out, addedMeasures()...)
+	out = append(out, capacityMeasures()...)
 	return out
 }
 
--- a/measurer/requests.go
+++ b/measurer/requests.go
@@ -6,9 +6,11 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/caller"
 	"filbertstile.example/filbertstile/checker"
 	"filbertstile.example/filbertstile/imitator"
+	"filbertstile.example/filbertstile/relayer"
 	"filbertstile.example/filbertstile/sleeper"
 )
 
@@ -437,3 +439,5 @@
 		}, nil
 	})
 }
+
+func proposalOf(marks ...filbertstile.Mark) relayer.Proposal { return relayer.Proposal{Marks: marks} }
--- a/measurer/scene.go
+++ b/measurer/scene.go
@@ -219,7 +219,7 @@
 
 // mark takes a domain out or in through an entry.
 func (s *scene) mark(ctx context.Context, via int, domain string, out bool) (relayer.Acceptance, error) {
-	return s.stage.Propose(ctx, s.stage.Entries[via], relayer.Proposal{Marks: []filbertstile.Mark{{Kind: filbertstile.MarkDomain, Name: domain, Out: out}}})
+	return s.stage.Propose(ctx, s.stage.Entries[via], proposalOf(filbertstile.Mark{Kind: filbertstile.MarkDomain, Name: domain, Out: out}))
 }
 
 // attempts sums up what the entries took in and sent.
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -4,6 +4,7 @@
 package relayer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -39,15 +40,16 @@
 // order lists entries before hosts, each in the order of their hash, so that a
 // process that leaves moves few others.
 func order(members []filbertstile.Member) []filbertstile.Member {
+	ranks := make(map[string]uint64, len(members))
+	for _, m := range members {
+		ranks[m.Name] = rank(m)
+	}
 	out := slices.Clone(members)
 	slices.SortFunc(out, func(a, b filbertstile.Member) int {
 		if a.Role != b.Role {
 			return strings.Compare(string(a.Role), string(b.Role))
 		}
-		if rank(a) < rank(b) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(ranks[a.Name], ranks[b.Name])
 	})
 	return out
 }
@@ -111,9 +113,11 @@
 			head = append(head, m)
 		}
 	}
+	isRoot := func(m filbertstile.Member) bool {
+		return slices.ContainsFunc(head, func(r filbertstile.Member) bool { return r.Name == m.Name })
+	}
 	for _, m := range members.All() {
-		isRoot := slices.ContainsFunc(head, func(r filbertstile.Member) bool { return r.Name == m.Name })
-		if m.Region == self.Region && !isRoot && (!m.Leaving || m.Name == self.Name) {
+		if m.Region == self.Region && !isRoot(m) && (!m.Leaving || m.Name == self.Name) {
 			rest = append(rest, m)
 		}
 	}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -161,12 +161,17 @@
 	running := make(map[string]context.CancelFunc)
 	t := time.NewTicker(placeEvery)
 	defer t.Stop()
+	version := ^uint64(0)
 	for {
-		p := PlaceOf(r.config.Self, r.config.Holder.View().Members, r.config.Limits)
-		r.mu.Lock()
-		r.place = p
-		r.mu.Unlock()
-		r.adjust(ctx, running, r.duties(p))
+		// A place costs an ordering of all members, so it is kept until they change.
+		if v := r.config.Holder.View(); v.MembersVersion != version {
+			version = v.MembersVersion
+			p := PlaceOf(r.config.Self, v.Members, r.config.Limits)
+			r.mu.Lock()
+			r.place = p
+			r.mu.Unlock()
+			r.adjust(ctx, running, r.duties(p))
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/router/router.go
+++ b/router/router.go
@@ -27,8 +27,6 @@
 	Epoch    uint64
 	Revision uint64
 	Role     string
-	// Incarnation changes each time the host process starts.
-	Incarnation string
 }
 
 // Replica is a host as an entry sees it.
--- a/shaper/fabric.go
+++ b/shaper/fabric.go
@@ -81,6 +81,12 @@
 	return l.free
 }
 
+func (l *link) total() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
 // New returns a fabric without sites.
 func New(c Config) *Fabric {
 	return &Fabric{
@@ -151,6 +157,26 @@
 	return out
 }
 
+// SiteBytes is what a site sent and received.
+type SiteBytes struct {
+	Site Site
+	Up   int64
+	Down int64
+}
+
+// SiteTraffic returns the bytes of every site so far.
+func (f *Fabric) SiteTraffic() []SiteBytes {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []SiteBytes
+	for key, st := range f.sites {
+		if key == "site:"+st.site.Name {
+			out = append(out, SiteBytes{Site: st.site, Up: st.up.total(), Down: st.down.total()})
+		}
+	}
+	return out
+}
+
 // SetSiteRate changes the rate of a site's own link.
 func (f *Fabric) SetSiteRate(name string, bytesPerSecond float64) {
 	st := f.station(Site{Name: name})
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -48,6 +48,8 @@
 	Records      recorder.Config
 	Dispatch     *dispatcher.Config
 	Distribution distributor.Limits
+	// Direct leaves the links out: processes meet over the base network.
+	Direct bool
 	// Tune changes the settings of a host before it starts.
 	Tune func(*configurer.Host)
 }
@@ -129,13 +131,21 @@
 	}
 }
 
+// network returns the network as the site sees it.
+func (s *Stage) network(site shaper.Site) filbertstile.Network {
+	if s.config.Direct {
+		return s.config.Base
+	}
+	return s.Fabric.Network(site)
+}
+
 type server interface {
 	Serve(ctx context.Context, l net.Listener) error
 }
 
 // serve runs a stand-in at a free address of the site, and returns the address.
 func (s *Stage) serve(ctx context.Context, site shaper.Site, v server) (string, error) {
-	l, err := s.Fabric.Network(site).Listen(loopback)
+	l, err := s.network(site).Listen(loopback)
 	if err != nil {
 		return "", err
 	}
@@ -271,7 +281,7 @@
 	e, err := entryrunner.New(entryrunner.Config{
 		Settings: p.Settings, Logger: s.config.Logger, Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(), Records: s.config.Records,
 		Dispatch: s.config.Dispatch,
-		Network:  s.Fabric.Network(shaper.Site{Name: id.Name, Domain: id.Domain, Region: id.Region}),
+		Network:  s.network(shaper.Site{Name: id.Name, Domain: id.Domain, Region: id.Region}),
 	})
 	if err != nil {
 		return err
@@ -285,7 +295,7 @@
 func (s *Stage) StartHost(p *HostProcess) error {
 	h, err := hostrunner.New(hostrunner.Config{
 		Settings: p.Settings, Logger: s.config.Logger, Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(),
-		Distribution: s.config.Distribution, Network: s.Fabric.Network(s.hostSite(p.Settings)),
+		Distribution: s.config.Distribution, Network: s.network(s.hostSite(p.Settings)),
 	})
 	if err != nil {
 		return err
@@ -346,7 +356,7 @@
 
 // HTTPClient returns an ordinary HTTP client that stands at the site.
 func (s *Stage) HTTPClient(site shaper.Site) *http.Client {
-	n := s.Fabric.Network(site)
+	n := s.network(site)
 	t := &http.Transport{
 		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(ctx, addr) },
 		MaxIdleConnsPerHost: 256,
