gatekeeper, distributor: property tests, and what they found

Cause: a seal of a running call that may be repeated answered NotRun; a host without a manifest asked the first peer by name for ever; maps made the cores' choices differ from run to run. Change: each mended; seeds are fixed.

--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -60,12 +60,18 @@
 	if t.known || now.Sub(t.asked) < c.config.Limits.ManifestRetry && !t.asked.IsZero() {
 		return nil
 	}
-	for _, p := range t.peers {
-		if c.usable(now, p) {
-			t.asked = now
-			return []Command{FetchManifest{Digest: t.want.Manifest, Peer: p.member}}
+	var usable []*peerRow
+	for _, name := range sortedNames(t.peers) {
+		if p := t.peers[name]; c.usable(now, p) {
+			usable = append(usable, p)
 		}
 	}
+	if len(usable) > 0 {
+		// Any of them, or one that never answers would be asked for ever.
+		p := usable[c.rng.IntN(len(usable))]
+		t.asked = now
+		return []Command{FetchManifest{Digest: t.want.Manifest, Peer: p.member}}
+	}
 	rank := rankIn(c.origins, string(t.want.Manifest), c.config.Self.Name)
 	if rank < 0 || now.Sub(t.started) < time.Duration(rank)*c.config.Limits.TakeOver {
 		return nil
--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,241 @@
+package distributor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/distributor"
+)
+
+const manifestName = filbertstile.Digest("m")
+
+// swarm is a set of cores and what they hold, moved step by step.
+type swarm struct {
+	now    time.Time
+	hosts  []filbertstile.Member
+	cores  map[string]*distributor.Core
+	inbox  map[string][]distributor.Event
+	held   map[string][]bool
+	follow map[string]map[string]bool
+	whole  map[string]bool
+	dead   map[string]bool
+	// announce marks hosts that get the manifest with their next tick.
+	announce map[string]bool
+	// origin counts the chunks read from the source.
+	origin int
+	m      filbertstile.Manifest
+	rng    *rand.Rand
+	// fail tells whether a fetch fails, and how.
+	fail func() (distributor.Failure, bool)
+}
+
+func newSwarm(hosts, regions, chunks int, seed uint64) *swarm {
+	s := &swarm{
+		now: time.Unix(1e9, 0), cores: make(map[string]*distributor.Core), inbox: make(map[string][]distributor.Event),
+		held: make(map[string][]bool), follow: make(map[string]map[string]bool), whole: make(map[string]bool),
+		dead: make(map[string]bool), announce: make(map[string]bool), rng: rand.New(rand.NewPCG(seed, 1)),
+		fail: func() (distributor.Failure, bool) { return "", false },
+	}
+	for i := range chunks {
+		s.m.Chunks = append(s.m.Chunks, filbertstile.ChunkRef{Digest: filbertstile.Digest(fmt.Sprint("c", i)), Size: 1})
+	}
+	for i := range hosts {
+		s.hosts = append(s.hosts, filbertstile.Member{Name: fmt.Sprint("h", i), Region: fmt.Sprint("r", i%regions), Address: "a"})
+	}
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	return s
+}
+
+// start runs a host that holds nothing.
+func (s *swarm) start(h filbertstile.Member) {
+	s.cores[h.Name] = distributor.New(distributor.Config{Self: h, SourceRegion: "r0", Limits: distributor.DefaultLimits(), Seed: 1})
+	s.held[h.Name] = make([]bool, len(s.m.Chunks))
+	if s.follow[h.Name] == nil {
+		s.follow[h.Name] = make(map[string]bool)
+	}
+	s.whole[h.Name] = false
+	s.dead[h.Name] = false
+	s.inbox[h.Name] = []distributor.Event{
+		distributor.MembersSeen{Members: s.hosts},
+		distributor.Wanted{Wants: []distributor.Want{{Release: "r", Manifest: manifestName}}},
+	}
+}
+
+func (s *swarm) post(host string, e distributor.Event) { s.inbox[host] = append(s.inbox[host], e) }
+
+// step ticks every host and carries out its commands at once.
+func (s *swarm) step(t *rapid.T) {
+	s.now = s.now.Add(10 * time.Millisecond)
+	for _, h := range s.hosts {
+		if s.dead[h.Name] {
+			continue
+		}
+		events := s.inbox[h.Name]
+		s.inbox[h.Name] = nil
+		announce := s.announce[h.Name]
+		s.announce[h.Name] = false
+		commands := s.cores[h.Name].Tick(s.now, events)
+		if announce {
+			s.tellAll(h.Name)
+		}
+		for _, cmd := range commands {
+			s.execute(t, h.Name, cmd)
+		}
+	}
+}
+
+func (s *swarm) execute(t *rapid.T, host string, cmd distributor.Command) {
+	switch cmd := cmd.(type) {
+	case distributor.FetchManifest:
+		if cmd.Peer.Name != "" && (s.dead[cmd.Peer.Name] || !s.knows(cmd.Peer.Name)) {
+			s.post(host, distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
+			return
+		}
+		s.post(host, distributor.ManifestArrived{Digest: cmd.Digest, Manifest: s.m})
+		s.announce[host] = true
+	case distributor.FetchChunk:
+		s.fetch(t, host, cmd)
+	case distributor.Follow:
+		s.follow[cmd.Peer.Name][host] = true
+		s.tell(cmd.Peer.Name, host)
+	case distributor.Unfollow:
+		delete(s.follow[cmd.Peer], host)
+	case distributor.Completed:
+		for i, held := range s.held[host] {
+			if !held {
+				t.Fatalf("%s calls its release whole without chunk %d", host, i)
+			}
+		}
+		s.whole[host] = true
+	}
+}
+
+func (s *swarm) knows(host string) bool {
+	for _, p := range s.cores[host].Progress() {
+		if p.Chunks > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *swarm) fetch(t *rapid.T, host string, cmd distributor.FetchChunk) {
+	peer := cmd.Peer.Name
+	if failure, bad := s.fail(); bad {
+		s.post(host, distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: peer, Failure: failure})
+		return
+	}
+	if peer != "" && (s.dead[peer] || !s.held[peer][cmd.Index]) {
+		s.post(host, distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: peer, Failure: distributor.FailedLost})
+		return
+	}
+	if peer == "" {
+		s.origin++
+	}
+	s.held[host][cmd.Index] = true
+	s.post(host, distributor.ChunkArrived{Manifest: cmd.Manifest, Index: cmd.Index, Peer: peer})
+	s.tellAll(host)
+}
+
+func (s *swarm) tellAll(host string) {
+	for follower := range s.follow[host] {
+		s.tell(host, follower)
+	}
+}
+
+func (s *swarm) tell(host, follower string) {
+	if s.dead[host] {
+		s.post(follower, distributor.PeerLost{Peer: host, Manifest: manifestName})
+		return
+	}
+	if !s.knows(host) {
+		// A host tells nothing before it has the manifest.
+		return
+	}
+	var chunks []int
+	for i, held := range s.held[host] {
+		if held {
+			chunks = append(chunks, i)
+		}
+	}
+	s.post(follower, distributor.HoldingSeen{Peer: host, Manifest: manifestName, Whole: true, Chunks: chunks})
+}
+
+func (s *swarm) done() bool {
+	for _, h := range s.hosts {
+		if !s.dead[h.Name] && !s.whole[h.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// TestTransferEndsWhenFaultsEnd breaks anything for a while: hosts die and come
+// back empty, fetches fail in every way. Then all must become whole.
+func TestTransferEndsWhenFaultsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSwarm(rapid.IntRange(1, 14).Draw(t, "hosts"), rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 20).Draw(t, "chunks"), 1)
+		percent := rapid.IntRange(0, 90).Draw(t, "failing")
+		kinds := []distributor.Failure{distributor.FailedBusy, distributor.FailedCorrupt, distributor.FailedLost}
+		s.fail = func() (distributor.Failure, bool) { return kinds[s.rng.IntN(len(kinds))], s.rng.IntN(100) < percent }
+		for range rapid.IntRange(0, 100).Draw(t, "faulty steps") {
+			if s.rng.IntN(20) == 0 {
+				h := s.hosts[s.rng.IntN(len(s.hosts))]
+				if s.dead[h.Name] {
+					s.start(h)
+				} else {
+					s.dead[h.Name] = true
+					s.tellAll(h.Name)
+				}
+			}
+			s.step(t)
+		}
+		s.fail = func() (distributor.Failure, bool) { return "", false }
+		for _, h := range s.hosts {
+			if s.dead[h.Name] {
+				s.start(h)
+				s.tellAll(h.Name)
+			}
+		}
+		// A peer that is set aside is asked again after half a minute.
+		for range 8000 {
+			if s.done() {
+				return
+			}
+			s.step(t)
+		}
+		for _, h := range s.hosts {
+			t.Logf("%s whole=%v %+v", h.Name, s.whole[h.Name], s.cores[h.Name].Progress())
+		}
+		t.Fatal("the transfer does not end")
+	})
+}
+
+// TestOneOriginCopy checks that without faults each chunk is read once.
+func TestOneOriginCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSwarm(rapid.IntRange(2, 60).Draw(t, "hosts"), rapid.IntRange(1, 3).Draw(t, "regions"), rapid.IntRange(1, 40).Draw(t, "chunks"), 2)
+		for range 3000 {
+			s.step(t)
+		}
+		if !s.done() || s.origin != len(s.m.Chunks) {
+			t.Fatalf("done %v, %d chunks read from the origin of %d", s.done(), s.origin, len(s.m.Chunks))
+		}
+	})
+}
+
+// TestRingOfTwentyTwo is for a ring whose longest stride is larger than itself.
+func TestRingOfTwentyTwo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSwarm(22, 1, 1, 3)
+		s.step(t)
+		s.step(t)
+	})
+}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -179,14 +179,12 @@
 }
 
 func (c *Core) arrived(now time.Time, r Request) []Command {
-	if r.Once {
-		if row := c.once[r.ID]; row != nil {
-			code := CodeDuplicate
-			if !row.running && row.result.Run == filbertstile.NotRun {
-				code = CodeSealed
-			}
-			return []Command{Refuse{ID: r.ID, Code: code}}
+	if row := c.once[r.ID]; row != nil {
+		code := CodeDuplicate
+		if !row.running && row.result.Run == filbertstile.NotRun {
+			code = CodeSealed
 		}
+		return []Command{Refuse{ID: r.ID, Code: code}}
 	}
 	if code, ok := c.serves(r.Whole); !ok {
 		return []Command{Refuse{ID: r.ID, Code: code, RetryAfter: busyRetry}}
@@ -353,6 +351,10 @@
 // with its outcome.
 func (c *Core) seal(now time.Time, e SealAsked) []Command {
 	row := c.once[e.RequestID]
+	if _, runs := c.running[e.RequestID]; runs && row == nil {
+		// No outcome is kept of a call that may be repeated.
+		return []Command{Sealed{Ticket: e.Ticket, Result: Result{Run: filbertstile.Unknown}}}
+	}
 	if row == nil {
 		row = &onceRow{id: e.RequestID, result: Result{Run: filbertstile.NotRun}, at: now}
 		c.once[e.RequestID] = row
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -4,12 +4,10 @@
 	"context"
 	"flag"
 	"os"
-	"runtime"
 	"strings"
 	"testing"
-	"testing/synctest"
-	"time"
 
+	"filbertstile.example/filbertstile/bubbler"
 	"filbertstile.example/filbertstile/measurer"
 )
 
@@ -18,21 +16,6 @@
 	only      = flag.String("only", "", "run only measurements whose name starts with one of these, separated by commas")
 )
 
-// withBubble runs the function in virtual time. Pools that hold timers of an
-// earlier bubble are emptied first: two collections drop what a pool keeps.
-func withBubble(t *testing.T, f func(ctx context.Context)) {
-	t.Helper()
-	runtime.GC()
-	runtime.GC()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		f(ctx)
-		cancel()
-		// Connections that idle time out in virtual time.
-		time.Sleep(10 * time.Minute)
-	})
-}
-
 func wanted(name string) bool {
 	for _, prefix := range strings.Split(*only, ",") {
 		if strings.HasPrefix(name, prefix) {
@@ -69,7 +52,7 @@
 				run(t.Context())
 				return
 			}
-			withBubble(t, run)
+			bubbler.Run(t, func(ctx context.Context, _ *testing.T) { run(ctx) })
 		})
 	}
 }
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -6,12 +6,12 @@
 	"io"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"filbertstile.example/filbertstile/bubbler"
 	"filbertstile.example/filbertstile/caller"
 	"filbertstile.example/filbertstile/checker"
 	"filbertstile.example/filbertstile/imitator"
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
 	is.NoErr(err)
-	synctest.Test(t, func(t *testing.T) {
+	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
 		is := is.New(t)
 		log := logrus.New()
 		log.SetOutput(io.Discard)
@@ -31,10 +31,9 @@
 			log.SetOutput(t.Output())
 		}
 		s := stager.New(stager.Config{Deployment: d, Base: shaper.NewMemory(), Logger: log})
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+		ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
 		defer cancel()
 		is.NoErr(s.Start(ctx))
-		defer time.Sleep(5 * time.Minute)
 		defer s.Close()
 		is.NoErr(s.AwaitReady(ctx))
 		is.NoErr(s.Install(ctx))
--- /dev/null
+++ b/voucher/main_test.go
@@ -0,0 +1,10 @@
+package voucher_test
+
+import (
+	"os"
+	"testing"
+
+	"filbertstile.example/filbertstile/bubbler"
+)
+
+func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
