--- a/entryrunner/entryrunner.go
+++ b/entryrunner/entryrunner.go
@@ -37,6 +37,10 @@
 	redial      = 300 * time.Millisecond
 	silentAfter = 3 * time.Second
 	drainPoll   = 10 * time.Millisecond
+	// listedFor bounds the wait for the list to show the stop, and leaveSpread is
+	// what it then takes until every entry has seen it.
+	listedFor   = 30 * time.Second
+	leaveSpread = 2500 * time.Millisecond
 )
 
 // Config puts an entry together.
@@ -165,12 +169,13 @@
 	return err
 }
 
-// Drain announces the stop. The entry goes on answering until the answers that
-// it gave about which entries to use have expired, and returns when all calls
-// in hand are finished.
+// Drain announces the stop. The entry goes on answering until no other entry
+// names it any more and the answers that named it have expired, and returns
+// when all calls in hand are finished.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.node.Leave(ctx)
-	if err := sleeper.Sleep(ctx, time.Duration(e.config.Settings.EntriesValid)); err != nil {
+	e.awaitUnlisted(ctx)
+	if err := sleeper.Sleep(ctx, leaveSpread+time.Duration(e.config.Settings.EntriesValid)); err != nil {
 		return err
 	}
 	for {
@@ -186,6 +191,18 @@
 	}
 }
 
+// awaitUnlisted waits until the list shows the stop, as far as this entry sees.
+func (e *Entry) awaitUnlisted(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listedFor)
+	defer cancel()
+	for {
+		m, listed := e.node.Holder.View().Members.Get(e.node.Self().Name)
+		if !listed || m.Leaving || sleeper.Sleep(ctx, drainPoll) != nil {
+			return
+		}
+	}
+}
+
 // watchView keeps the core, and the streams of load reports, up to date with
 // the view.
 func (e *Entry) watchView(ctx context.Context) {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	keepAlive       = 2 * time.Second
-	writeTimeout    = 4 * time.Second
+	keepAlive    = 2 * time.Second
+	writeTimeout = 4 * time.Second
+	// openTimeout bounds the time until a request is on its way.
+	openTimeout     = 700 * time.Millisecond
 	maxFrameBytes   = 20 << 20
 	streamWindow    = 256 << 10
 	readBufferBytes = 32 << 10
@@ -270,9 +272,41 @@
 	return sess, nil
 }
 
+// opened is the outcome of opening a stream.
+type opened struct {
+	stream *Stream
+	err    error
+}
+
 // Open sends the request on a stream of its own. The stream ends with the
 // context. ErrUnreached means that nothing of the request was sent.
 func (c *Client) Open(ctx context.Context, address string, req *wire.Request) (*Stream, error) {
+	// yamux waits for a stalled connection without regard to any context, so the
+	// wait is left to a goroutine.
+	done := make(chan opened, 1)
+	go func() {
+		s, err := c.open(ctx, address, req)
+		done <- opened{stream: s, err: err}
+	}()
+	late := time.NewTimer(openTimeout)
+	defer late.Stop()
+	cause := ctx.Err
+	select {
+	case o := <-done:
+		return o.stream, o.err
+	case <-late.C:
+		cause = func() error { return context.DeadlineExceeded }
+	case <-ctx.Done():
+	}
+	go func() {
+		if o := <-done; o.stream != nil {
+			o.stream.Close()
+		}
+	}()
+	return nil, fmt.Errorf("open stream to %s: %w", address, cause())
+}
+
+func (c *Client) open(ctx context.Context, address string, req *wire.Request) (*Stream, error) {
 	sess, err := c.session(ctx, address)
 	if err != nil {
 		return nil, ErrUnreached{Step: "open session", Peer: address, Cause: err}
--- a/relayer/accept.go
+++ b/relayer/accept.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -178,44 +177,52 @@
 	return Roots(r.config.Holder.View().Members, r.config.Limits)
 }
 
-// each calls every root at once and counts those that answered.
-func (r *Relay) each(ctx context.Context, request func() *wire.Request) int {
+// each calls every root at once and counts those that answered. It returns
+// when all have, or, once more than half have, after the grace.
+func (r *Relay) each(ctx context.Context, grace time.Duration, request func() *wire.Request) int {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	answered := 0
-	for _, m := range r.roots() {
+	roots := r.roots()
+	answers := make(chan bool, len(roots))
+	for _, m := range roots {
 		if m.Name == r.config.Self.Name {
-			mu.Lock()
-			answered++
-			mu.Unlock()
+			answers <- true
 			continue
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			if _, err := r.config.Client.Call(ctx, m.Address, request()); err != nil {
-				return
+		r.wg.Go(func() {
+			_, err := r.config.Client.Call(ctx, m.Address, request())
+			answers <- err == nil
+		})
+	}
+	answered := 0
+	var enough <-chan time.Time
+	for range roots {
+		select {
+		case ok := <-answers:
+			if ok {
+				answered++
+			}
+			if enough == nil && 2*answered > len(roots) {
+				enough = time.After(grace)
 			}
-			mu.Lock()
-			answered++
-			mu.Unlock()
-		}()
+		case <-enough:
+			return answered
+		case <-ctx.Done():
+			return answered
+		}
 	}
-	wg.Wait()
 	return answered
 }
 
 func (r *Relay) ping(ctx context.Context) (int, int) {
-	n := r.each(ctx, func() *wire.Request {
+	n := r.each(ctx, 0, func() *wire.Request {
 		return &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Watch{Watch: &wire.Watch{}}}
 	})
 	return n, len(r.roots())
 }
 
 func (r *Relay) push(ctx context.Context, raw []byte) int {
-	return r.each(ctx, func() *wire.Request {
+	return r.each(context.WithoutCancel(ctx), pushGrace, func() *wire.Request {
 		return &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Push{Push: &wire.Push{Change: raw}}}
 	})
 }
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -29,15 +29,17 @@
 )
 
 const (
-	placeEvery     = 500 * time.Millisecond
-	listEvery      = time.Second
-	pollEvery      = 500 * time.Millisecond
-	heartbeat      = time.Second
-	ackGap         = 400 * time.Millisecond
-	resubscribe    = 200 * time.Millisecond
-	maxPolls       = 4
-	storeGiveUp    = 2 * time.Second
-	pushTimeout    = time.Second
+	placeEvery  = 500 * time.Millisecond
+	listEvery   = time.Second
+	pollEvery   = 500 * time.Millisecond
+	heartbeat   = time.Second
+	ackGap      = 400 * time.Millisecond
+	resubscribe = 200 * time.Millisecond
+	maxPolls    = 4
+	storeGiveUp = 2 * time.Second
+	pushTimeout = time.Second
+	// pushGrace is how long an operator waits for the relays beyond the half.
+	pushGrace      = 100 * time.Millisecond
 	silentAfter    = 5 * time.Second
 	trustEvery     = 100 * time.Millisecond
 	reportTimeout  = time.Second
