docs: design, operators' pages, capacity from measured slopes; relayer, lister: fewer bytes

Cause: measured whole, an idle root entry sent and received 16.8 KB/s and 379 B/s more for each host, where 4 KB/s a node are the budget: the host list was read whole every second, quota demands went out four times a second without demand, ids of 36 bytes were on every frame, and loads were repeated. Change: the list is asked for by its entity tag; quiet entries send a sign of life every 0.7 s; control streams have short ids; an unchanged load says so; a second parent waits 0.6 s; fan-out 4; an entry follows 32 hosts at most.

--- a/bubbler/bubbler.go
+++ b/bubbler/bubbler.go
@@ -22,10 +22,7 @@
 	// inside.
 	var h fasthttp.ResponseHeader
 	_ = h.Header()
-	// yamux pools timers, which must not be shared between two runs: two
-	// collections drop what a pool keeps.
-	runtime.GC()
-	runtime.GC()
+	Clean()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f(ctx, t)
@@ -35,6 +32,14 @@
 	})
 }
 
+// Clean empties the pools in which yamux keeps timers: a timer of virtual time
+// must not be used outside of it, or in another run. Two collections drop what
+// a pool keeps.
+func Clean() {
+	runtime.GC()
+	runtime.GC()
+}
+
 // fixedSeed makes property tests draw the same every run; -rapid.seed on the
 // command line draws others.
 const fixedSeed = "1"
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -66,7 +66,7 @@
 		MaxBodyBytes: 1 << 20,
 		MaxQueue:     256,
 		MaxWait:      Duration(2 * time.Second),
-		MaxHosts:     64,
+		MaxHosts:     32,
 		RecordsKept:  Duration(10 * time.Minute),
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,13 +52,17 @@
 	leastLine = 8
 	// askGap is the least time between two rounds of quota demands.
 	askGap = 50 * time.Millisecond
+	// quietAsk is the time between two signs of life without demands; owners
+	// take an entry to be out of touch after limiter.Term.
+	quietAsk = 700 * time.Millisecond
 )
 
 // row is a request in hand.
 type row struct {
 	request Request
-	arrived time.Time
-	tier    filbertstile.Tier
+	// queued is when the request last joined the line.
+	queued time.Time
+	tier   filbertstile.Tier
 	// weight is the tier's share, with its floor.
 	weight float64
 	// hosts are where the request is; none while it waits.
@@ -67,8 +71,23 @@
 	// whole pins the request once the caller has a part of the answer.
 	whole   filbertstile.Digest
 	resumed bool
-	gone    bool
-	last    filbertstile.ErrRequest
+	// lost is true once the request may have run at a host that went silent.
+	lost bool
+	gone bool
+	last filbertstile.ErrRequest
+}
+
+// run is what is known of a request that is with no host.
+func (x *row) run() filbertstile.RunState {
+	switch {
+	case x.resumed:
+		// The caller has a part of the answer.
+		return filbertstile.Ran
+	case x.lost:
+		return filbertstile.Unknown
+	default:
+		return filbertstile.NotRun
+	}
 }
 
 // line is the waiting requests of one service.
@@ -97,6 +116,7 @@
 	entries  int
 	budget   float64
 	askedAt  time.Time
+	quiet    bool
 }
 
 // New returns a core without requests.
@@ -234,7 +254,7 @@
 	if !r.Deadline.After(now) {
 		return refuse(CodeDeadline, 0, "the deadline had passed on arrival")
 	}
-	x := &row{request: r, arrived: now, tier: tier, weight: c.weight(tier)}
+	x := &row{request: r, queued: now, tier: tier, weight: c.weight(tier)}
 	l := c.lineOf(service.Name, now)
 	if expected := c.expectedWait(l, tier); expected > min(c.config.MaxWait, r.Deadline.Sub(now)) {
 		return refuse(CodeOverloaded, c.drainTime(l), fmt.Sprintf("tier %s would wait for %v", tier.Name, expected.Round(time.Millisecond)))
@@ -265,7 +285,7 @@
 	b = b.WithFill(now, a, c.entries)
 	b, pass := b.WithArrival()
 	c.buckets[a.Name] = b
-	if !ok || !pass && now.Sub(c.askedAt) > askGap {
+	if !ok || c.quiet || !pass && now.Sub(c.askedAt) > askGap {
 		// The owner is asked at once for an account that is new here, or whose
 		// rate has grown.
 		c.askedAt = time.Time{}
@@ -284,10 +304,16 @@
 
 // ask brings the buckets up to date and asks the owners for new grants.
 func (c *Core) ask(now time.Time) []Command {
-	if now.Sub(c.askedAt) < c.config.AskEvery {
+	every := c.config.AskEvery
+	if c.quiet {
+		// A sign of life is enough.
+		every = quietAsk
+	}
+	if now.Sub(c.askedAt) < every {
 		return nil
 	}
 	c.askedAt = now
+	c.quiet = true
 	var cmd Ask
 	for _, name := range sortedKeys(c.buckets) {
 		a, ok := c.view.Config.Accounts.Get(name)
@@ -298,6 +324,10 @@
 		b := c.buckets[name].WithFill(now, a, c.entries).WithDemand(now)
 		b = b.WithFallback(now, a.RatePerSecond/float64(max(1, c.entries)))
 		c.buckets[name] = b
+		if b.Asks() == 0 && b.PerSecond == 0 {
+			continue
+		}
+		c.quiet = c.quiet && b.Asks() == 0
 		cmd.Demands = append(cmd.Demands, Demand{Account: name, PerSecond: b.Asks()})
 	}
 	return []Command{cmd}
@@ -331,11 +361,7 @@
 	if x.gone {
 		return nil
 	}
-	err := filbertstile.ErrRequest{Code: code, Run: filbertstile.NotRun, Step: "wait", Peer: c.config.Self.Name, RetryAfter: c.drainTime(l), Detail: detail}
-	if x.resumed {
-		// The caller has a part of the answer: it did run.
-		err.Run = filbertstile.Ran
-	}
+	err := filbertstile.ErrRequest{Code: code, Run: x.run(), Step: "wait", Peer: c.config.Self.Name, RetryAfter: c.drainTime(l), Detail: detail}
 	if x.last.Code != "" {
 		err.Detail += "; last: " + x.last.Detail
 		err.Peer = x.last.Peer
@@ -396,7 +422,7 @@
 			out = append(out, c.giveUp(l, i, CodeDeadline, "the caller is gone")...)
 		case !x.request.Deadline.After(now):
 			out = append(out, c.giveUp(l, i, CodeDeadline, "the deadline passed while the request waited")...)
-		case now.Sub(x.arrived) > c.config.MaxWait && !x.resumed:
+		case now.Sub(x.queued) > c.config.MaxWait && !x.resumed:
 			out = append(out, c.giveUp(l, i, c.waitCode(now, l, x), "no replica had room in time")...)
 		default:
 			i++
@@ -548,5 +574,6 @@
 // again puts a request back in line, ahead of those that never left it.
 func (c *Core) again(now time.Time, x *row) {
 	l := c.lineOf(x.request.Service, now)
+	x.queued = now
 	l.waiting = slices.Insert(l.waiting, 0, x)
 }
--- a/dispatcher/retrier.go
+++ b/dispatcher/retrier.go
@@ -33,20 +33,13 @@
 	}
 	if !e.Reached && !c.spend() {
 		return c.drop(x, filbertstile.ErrRequest{
-			Code: CodeRetryBudget, Run: notRunUnless(x), Step: "send", Peer: e.Host, RetryAfter: time.Second, Detail: "the host could not be reached, and too many requests are being repeated",
+			Code: CodeRetryBudget, Run: x.run(), Step: "send", Peer: e.Host, RetryAfter: time.Second, Detail: "the host could not be reached, and too many requests are being repeated",
 		})
 	}
 	c.again(now, x)
 	return nil
 }
 
-func notRunUnless(x *row) filbertstile.RunState {
-	if x.resumed {
-		return filbertstile.Ran
-	}
-	return filbertstile.NotRun
-}
-
 func refusedBy(now time.Time, r router.Replica, e Refused) router.Replica {
 	if !e.Reached {
 		return r.WithFailure(now, firstHold, longest)
@@ -98,16 +91,12 @@
 		x.resumed = true
 		x.whole = e.Whole
 	}
-	switch {
-	case e.NotRun:
-		err.Run = notRunUnless(x)
-	case x.request.Once:
-		err.Run = filbertstile.Unknown
+	x.lost = x.lost || !e.NotRun
+	err.Run = x.run()
+	if x.lost && x.request.Once {
 		err.Code = CodeLost
 		err.RetryAfter = 0
 		return c.drop(x, err)
-	default:
-		err.Run = filbertstile.Ran
 	}
 	if !e.NotRun && !x.request.Idempotent || !c.spend() {
 		return c.drop(x, err)
--- /dev/null
+++ b/documenter/document/main.go
@@ -0,0 +1,16 @@
+// Command document writes the generated pages of docs/.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"filbertstile.example/filbertstile/documenter"
+)
+
+func main() {
+	if err := documenter.Write("docs"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/documenter/documenter_test.go
@@ -0,0 +1,33 @@
+package documenter_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile/documenter"
+)
+
+const docs = "../docs"
+
+func TestPagesAreCurrent(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(documenter.Check(docs))
+}
+
+func TestStalePageIsFound(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	figures, err := os.ReadFile(filepath.Join(docs, documenter.FiguresFile))
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(filepath.Join(dir, documenter.FiguresFile), figures, 0o600))
+	is.NoErr(documenter.Write(dir))
+	is.NoErr(documenter.Check(dir))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "LOGS.md"), []byte("# Log events\n"), 0o600))
+	err = documenter.Check(dir)
+	stale, ok := err.(documenter.ErrStale)
+	is.True(ok)
+	is.Equal(stale.Page, "LOGS.md")
+}
--- a/entryrunner/admin.go
+++ b/entryrunner/admin.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
@@ -230,7 +229,7 @@
 func (e *Entry) fetchDump(ctx context.Context, m filbertstile.Member) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
-	s, err := e.node.Client.Open(ctx, m.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Dump{Dump: &wire.Dump{}}})
+	s, err := e.node.Client.Open(ctx, m.Address, &wire.Request{Id: e.node.Client.NextID(), Kind: &wire.Request_Dump{Dump: &wire.Dump{}}})
 	if err != nil {
 		return nil, err
 	}
--- a/entryrunner/entryrunner.go
+++ b/entryrunner/entryrunner.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -302,22 +301,27 @@
 func (e *Entry) readLoads(ctx context.Context, m filbertstile.Member, found *bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s, err := e.node.Client.Open(ctx, m.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Report{Report: &wire.Report{}}})
+	s, err := e.node.Client.Open(ctx, m.Address, &wire.Request{Id: e.node.Client.NextID(), Kind: &wire.Request_Report{Report: &wire.Report{}}})
 	if err != nil {
 		return err
 	}
 	defer s.Close()
 	silent := time.AfterFunc(silentAfter, cancel)
 	defer silent.Stop()
+	var last *wire.Load
 	for {
 		f, err := s.Receive()
 		if err != nil {
 			return err
 		}
 		l := f.GetLoad()
+		if l.GetSame() {
+			l = last
+		}
 		if l == nil {
 			continue
 		}
+		last = l
 		silent.Reset(silentAfter)
 		if !*found {
 			*found = true
--- a/entryrunner/once.go
+++ b/entryrunner/once.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/messenger"
 	"filbertstile.example/filbertstile/recorder"
@@ -32,7 +30,7 @@
 	if !ok || m.Name == e.node.Self().Name {
 		return e.records.Commit(ctx, i)
 	}
-	f, err := e.node.Client.Call(ctx, m.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Intent{Intent: &wire.Intent{
+	f, err := e.node.Client.Call(ctx, m.Address, &wire.Request{Id: e.node.Client.NextID(), Kind: &wire.Request_Intent{Intent: &wire.Intent{
 		Key: i.Key, BodyDigest: i.BodyDigest, RequestId: i.RequestID,
 	}}})
 	if err == nil {
@@ -80,7 +78,7 @@
 	if ok && m.Name != e.node.Self().Name {
 		call, cancel := context.WithTimeout(ctx, intentTimeout)
 		defer cancel()
-		f, err := e.node.Client.Call(call, m.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Outcome{Outcome: toOutcome(o)}})
+		f, err := e.node.Client.Call(call, m.Address, &wire.Request{Id: e.node.Client.NextID(), Kind: &wire.Request_Outcome{Outcome: toOutcome(o)}})
 		if err == nil && f.GetRecorded() != nil {
 			return nil
 		}
@@ -121,7 +119,7 @@
 func (e *Entry) sealOnce(ctx context.Context, host filbertstile.Member, incarnation, requestID string) (*wire.Sealed, error) {
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
-	f, err := e.node.Client.Call(ctx, host.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Seal{Seal: &wire.Seal{
+	f, err := e.node.Client.Call(ctx, host.Address, &wire.Request{Id: e.node.Client.NextID(), Kind: &wire.Request_Seal{Seal: &wire.Seal{
 		RequestId: requestID, Incarnation: incarnation,
 	}}})
 	if err != nil {
--- a/entryrunner/quotas.go
+++ b/entryrunner/quotas.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/dispatcher"
@@ -121,7 +120,7 @@
 	} else {
 		ctx, cancel := context.WithTimeout(e.ctx, demandTimeout)
 		defer cancel()
-		f, err := e.node.Client.Call(ctx, m.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Demand{Demand: &wire.Demand{Rates: rates}}})
+		f, err := e.node.Client.Call(ctx, m.Address, &wire.Request{Id: e.node.Client.NextID(), Kind: &wire.Request_Demand{Demand: &wire.Demand{Rates: rates}}})
 		if err != nil {
 			if len(rates) > 0 && e.ctx.Err() == nil {
 				e.node.Log.Event(reporter.QuotaOwnerUnreached, reporter.Fields{"Peer": m.Name, "Error": err})
--- a/entryrunner/rollout.go
+++ b/entryrunner/rollout.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/leaser"
 	"filbertstile.example/filbertstile/relayer"
@@ -124,7 +122,7 @@
 func (r *rollout) give(ctx context.Context, p roller.Permit) {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	f, err := r.entry.node.Client.Call(ctx, p.Host.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Permit{Permit: &wire.Permit{
+	f, err := r.entry.node.Client.Call(ctx, p.Host.Address, &wire.Request{Id: r.entry.node.Client.NextID(), Kind: &wire.Request_Permit{Permit: &wire.Permit{
 		Release: p.Release, Epoch: p.Epoch, LeaseMilliseconds: time.Until(p.Until).Milliseconds(),
 	}}})
 	if err != nil {
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/panjf2000/ants/v2"
 	"github.com/rcrowley/go-metrics"
 
@@ -251,7 +250,7 @@
 // ask gets content by digest from a peer.
 func (t *Fetcher) ask(ctx context.Context, peer filbertstile.Member, digest filbertstile.Digest) ([]byte, error) {
 	s, err := t.config.Client.Open(ctx, peer.Address, &wire.Request{
-		Id:   uuid.NewString(),
+		Id:   t.config.Client.NextID(),
 		Kind: &wire.Request_Chunk{Chunk: &wire.Chunk{Digest: string(digest), AcrossRegions: peer.Region != t.config.Self.Region}},
 	})
 	if err != nil {
@@ -399,7 +398,7 @@
 
 func (t *Fetcher) followOnce(ctx context.Context, cmd distributor.Follow) error {
 	s, err := t.config.Client.Open(ctx, cmd.Peer.Address, &wire.Request{
-		Id: uuid.NewString(), Kind: &wire.Request_Holdings{Holdings: &wire.Holdings{Manifest: string(cmd.Manifest)}},
+		Id: t.config.Client.NextID(), Kind: &wire.Request_Holdings{Holdings: &wire.Holdings{Manifest: string(cmd.Manifest)}},
 	})
 	if err != nil {
 		return err
--- a/hostrunner/hostrunner.go
+++ b/hostrunner/hostrunner.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/configurer"
@@ -377,15 +378,11 @@
 // load is the gate's state as a report.
 func (h *Host) load() *wire.Load {
 	g := h.Gate()
-	l := &wire.Load{
+	return &wire.Load{
 		Host: h.config.Settings.Identity.Name, Incarnation: h.incarnation, Running: int32(g.Running), Waiting: int32(g.Waiting), Limit: int32(g.Limit),
 		Release: g.Release, Whole: string(g.Whole), Serving: g.Serving, Leaving: h.node.Leaving(), Cold: g.Cold,
-		Revision: g.Revision, Epoch: g.Epoch, Ready: g.Ready, LatencyMicroseconds: g.Usual.Microseconds(), Role: g.Role,
+		Revision: g.Revision, Epoch: g.Epoch, Ready: g.Ready, Role: g.Role,
 	}
-	if h.weights != nil {
-		l.HeldBytes = h.weights.Shelf().Bytes()
-	}
-	return l
 }
 
 // handleReport tells an entry the load, as it changes and at least every
@@ -398,11 +395,18 @@
 		_, _ = s.Receive()
 		cancel()
 	})
+	var told *wire.Load
 	for {
 		h.mu.Lock()
 		changed := h.changed
 		h.mu.Unlock()
-		if s.Send(&wire.Frame{Kind: &wire.Frame_Load{Load: h.load()}}) != nil {
+		l := h.load()
+		if proto.Equal(l, told) {
+			l = &wire.Load{Same: true}
+		} else {
+			told = l
+		}
+		if s.Send(&wire.Frame{Kind: &wire.Frame_Load{Load: l}}) != nil {
 			return
 		}
 		if sleeper.Sleep(ctx, reportGap) != nil {
--- a/imitator/objects.go
+++ b/imitator/objects.go
@@ -290,11 +290,28 @@
 	}
 }
 
+// get answers with the list, or that it is what the reader has already.
+func (h *HostList) get(rc *fasthttp.RequestCtx) {
+	data, err := json.Marshal(h.shown)
+	if err != nil {
+		rc.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	tag := `"` + string(filbertstile.DigestOf(data)[:16]) + `"`
+	if string(rc.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		rc.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	rc.Response.Header.Set(fasthttp.HeaderETag, tag)
+	rc.SetContentType("application/json")
+	rc.SetBody(data)
+}
+
 func (h *HostList) handle(rc *fasthttp.RequestCtx) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if rc.IsGet() {
-		responder.WriteJSON(rc, fasthttp.StatusOK, h.shown)
+		h.get(rc)
 		return
 	}
 	var m filbertstile.Member
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,11 @@
 // Client is a filbertstile.HostList over HTTP.
 type Client struct {
 	http *requester.Client
+
+	mu sync.Mutex
+	// tag names the version of the list that members is.
+	tag     string
+	members []filbertstile.Member
 }
 
 // New returns a client of the host list.
@@ -34,13 +40,24 @@
 // Close drops the client's idle connections.
 func (c *Client) Close() { c.http.Close() }
 
-// Members returns the list as it is now.
+// Members returns the list as it is now. A list that has not changed is not
+// sent again.
 func (c *Client) Members(ctx context.Context) ([]filbertstile.Member, error) {
 	const step = "read host list"
-	a, err := c.http.Do(ctx, requester.Call{Step: step, Method: "GET", Path: "/hosts"})
+	c.mu.Lock()
+	tag, known := c.tag, c.members
+	c.mu.Unlock()
+	call := requester.Call{Step: step, Method: "GET", Path: "/hosts"}
+	if tag != "" {
+		call.Headers = append(call.Headers, requester.Header{Name: fasthttp.HeaderIfNoneMatch, Value: tag})
+	}
+	a, err := c.http.Do(ctx, call)
 	if err != nil {
 		return nil, err
 	}
+	if a.Status == fasthttp.StatusNotModified && tag != "" {
+		return known, nil
+	}
 	if a.Status != fasthttp.StatusOK {
 		return nil, c.http.Unexpected(step, a)
 	}
@@ -48,6 +65,9 @@
 	if err := json.Unmarshal(a.Body, &members); err != nil {
 		return nil, fmt.Errorf("%s: peer %s: %w", step, c.http.Address(), err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.members = a.Tag, members
 	return members, nil
 }
 
--- a/measurer/capacity.go
+++ b/measurer/capacity.go
@@ -10,17 +10,20 @@
 	"time"
 
 	"gonum.org/v1/gonum/stat"
+	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/dispatcher"
 	"filbertstile.example/filbertstile/distributor"
 	"filbertstile.example/filbertstile/gatekeeper"
+	"filbertstile.example/filbertstile/limiter"
 	"filbertstile.example/filbertstile/recorder"
 	"filbertstile.example/filbertstile/relayer"
 	"filbertstile.example/filbertstile/roller"
 	"filbertstile.example/filbertstile/router"
 	"filbertstile.example/filbertstile/viewer"
 	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/wire"
 )
 
 const (
@@ -73,13 +76,14 @@
 	}
 	residual := 0.0
 	for i := range xs {
-		residual += math.Pow(ys[i]-fixed-slope*xs[i], 2)
+		off := ys[i] - fixed - slope*xs[i]
+		residual += off * off
 	}
 	_, spread := stat.MeanVariance(xs, nil)
 	err := math.Sqrt(residual / max(1, float64(len(xs)-2)) / (spread * float64(len(xs)-1)))
 	return append(lines,
 		plain("Capacity."+name+".Slope", slope, unit+"/"+per, Params{{"Error", err}, {"Points", len(points)}}),
-		plain("Capacity."+name+".Fixed", fixed, unit, Params{{"RSquared", stat.RSquared(xs, ys, nil, fixed, slope)}}),
+		plain("Capacity."+name+".Fixed", fixed, unit, Params{{"Error", err * stat.Mean(xs, nil)}}),
 	)
 }
 
@@ -141,6 +145,7 @@
 	lines = append(lines, fit("RequestDecided", "us", "Replica", each([]int{16, 32, 64}, benchDispatch))...)
 	lines = append(lines, fit("RequestGated", "us", "Running", each([]int{8, 64, 512}, benchGate))...)
 	lines = append(lines, fit("RecordJudged", "us", "Record", each([]int{1000, 10000, 100000}, benchLedger))...)
+	lines = append(lines, plain("Capacity.QuotaCost", benchQuota(1000), "us", nil))
 	lines = append(lines, fit("ChunkDecided", "us", "Chunk", each([]int{256, 1024, 4096}, benchDistributor))...)
 	return append(lines, fit("RolloutPlanned", "us", "Replica", each([]int{100, 1000, 10000}, benchRoller))...), nil
 }
@@ -329,3 +334,71 @@
 	}
 	return float64(len(data))
 }
+
+// frameBytes is what one message costs on a stream that stays open: its
+// protobuf, the length before it and the header of yamux.
+func frameBytes(m proto.Message) float64 {
+	const yamuxHeader, length = 12, 1
+	return float64(proto.Size(m) + yamuxHeader + length)
+}
+
+// callBytes is what a request on a stream of its own costs: three headers of
+// yamux each way for the stream, and both messages.
+func callBytes(request, answer proto.Message) float64 {
+	const streamBytes = 4 * 12
+	return frameBytes(request) + frameBytes(answer) + streamBytes
+}
+
+// messageSizes returns the bytes of the messages that the page multiplies, a
+// second or each, from the messages themselves.
+func messageSizes() []Line {
+	update := &wire.Frame{Id: "1z", Kind: &wire.Frame_Update{Update: &wire.Update{
+		Revision: 1e6, MembersVersion: 1 << 62, VouchedMillisecondsAgo: 100, EchoMicroseconds: 1.7e15,
+	}}}
+	ack := &wire.Frame{Id: "1z", Kind: &wire.Frame_Ack{Ack: &wire.Ack{
+		MinRevision: 1e6, Revision: 1e6, MembersVersion: 1 << 62, Nodes: 1480, Slowest: "process-00000", StampMicroseconds: 1.7e15,
+	}}}
+	// Both come with every confirmation, twice a second, from two parents.
+	pair := 2 * (frameBytes(update) + frameBytes(ack))
+	rate := &wire.AccountRate{Account: "account-000001", PerSecond: 100}
+	demand := &wire.Request{Id: "1z", Sender: "process-00000", Kind: &wire.Request_Demand{Demand: &wire.Demand{Rates: []*wire.AccountRate{rate}}}}
+	grant := &wire.Frame{Id: "1z", Kind: &wire.Frame_Grant{Grant: &wire.Grant{Rates: []*wire.AccountRate{rate}, LeaseMilliseconds: 1000}}}
+	same := &wire.Frame{Id: "1z", Kind: &wire.Frame_Load{Load: &wire.Load{Same: true}}}
+	record, err := json.Marshal(recorder.Batch{
+		Intents:  []recorder.Intent{{Key: "account-000001/royalty-ledger/0123456789abcdef0123456789abcdef", BodyDigest: string(filbertstile.DigestOf(nil)), RequestID: "0123456789abcdef0123456789abcdef0123", At: time.Now().UTC()}},
+		Outcomes: []recorder.Outcome{{Key: "account-000001/royalty-ledger/0123456789abcdef0123456789abcdef", RequestID: "0123456789abcdef0123456789abcdef0123", Run: filbertstile.Ran, Status: 200, ContentType: "application/json", Body: make([]byte, 128), At: time.Now().UTC()}},
+	})
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	member, err := json.Marshal(members(2)[1])
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	return []Line{
+		plain("Capacity.ChangeSize", changeBytes(), "bytes", nil),
+		plain("Capacity.TreeBytes.Fixed", 2*pair, "bytes/s", nil),
+		plain("Capacity.TreeBytes.Slope", 0, "bytes/s/Member", nil),
+		plain("Capacity.RootWord", pair, "bytes/s/Root", nil),
+		plain("Capacity.QuotaWord", callBytes(demand, grant)/0.7, "bytes/s/Entry", nil),
+		// A report a second, and a ping of yamux and its answer each way every 2 s.
+		plain("Capacity.HostReport", frameBytes(same)+24, "bytes/s/Entry", nil),
+		plain("Capacity.RecordBytes", float64(len(record)), "bytes/Record", nil),
+		plain("Capacity.MemberBytes", float64(len(member)), "bytes/Member", nil),
+	}
+}
+
+// benchQuota answers one entry's demand for one of n accounts.
+func benchQuota(n int) float64 {
+	ledgers := make([]limiter.Ledger, n)
+	now := time.Now()
+	for i := range ledgers {
+		ledgers[i] = limiter.NewLedger(now)
+	}
+	i := 0
+	return perCall(func() {
+		i++
+		now = now.Add(time.Millisecond)
+		ledgers[i%n], _ = ledgers[i%n].WithGrant(limiter.Round{Now: now, Rate: 1000, Entries: 7}, fmt.Sprint("entry-", i%7), 100)
+	})
+}
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -49,6 +49,7 @@
 				}
 			}
 			if m.Wall {
+				bubbler.Clean()
 				run(t.Context())
 				return
 			}
--- a/measurer/path.go
+++ b/measurer/path.go
@@ -36,7 +36,7 @@
 
 // measureControlBytes counts what an idle system sends, and what a change adds.
 func measureControlBytes(ctx context.Context) ([]Line, error) {
-	var host, entry, change, reads, writes []point
+	var host, entry, root, change, reads, writes []point
 	for _, n := range []int{14, 28, 56} {
 		b, err := controlBytes(ctx, n)
 		if err != nil {
@@ -45,22 +45,25 @@
 		size := float64(n)
 		host = append(host, point{size, b.host})
 		entry = append(entry, point{size, b.entry})
+		root = append(root, point{size, b.root})
 		change = append(change, point{size, b.change})
 		reads = append(reads, point{size, b.reads})
 		writes = append(writes, point{size, b.writes})
 	}
 	lines := fit("HostControl", "bytes/s", "Host", host)
 	lines = append(lines, fit("EntryControl", "bytes/s", "Host", entry)...)
+	lines = append(lines, fit("RootControl", "bytes/s", "Host", root)...)
 	lines = append(lines, fit("ChangeBytes", "bytes", "Host", change)...)
 	lines = append(lines, fit("StoreReads", "calls/s", "Host", reads)...)
 	lines = append(lines, fit("StoreWrites", "calls/s", "Host", writes)...)
-	return append(lines, plain("Capacity.ChangeSize", changeBytes(), "bytes", nil)), nil
+	return append(lines, messageSizes()...), nil
 }
 
 // control is the traffic of one size, for the busiest process of each role.
 type control struct {
 	host   float64
 	entry  float64
+	root   float64
 	change float64
 	reads  float64
 	writes float64
@@ -98,11 +101,17 @@
 		return control{}, err
 	}
 	busy := traffic(s)
+	roots := make(map[string]bool)
+	for _, e := range s.Entries {
+		roots[e.Settings.Identity.Name] = e.Entry.Node().Relay.Place().Root
+	}
 	var out control
 	seconds := idleTime.Seconds()
 	for name, b := range idle {
 		rate := float64(b-before[name]) / seconds
 		switch {
+		case roots[name]:
+			out.root = max(out.root, rate)
 		case strings.HasPrefix(name, "entry-"):
 			out.entry = max(out.entry, rate)
 		case strings.HasPrefix(name, modelService):
--- a/measurer/requests.go
+++ b/measurer/requests.go
@@ -421,7 +421,7 @@
 
 // measureOnceHostDies kills one of three hosts in the midst of orders.
 func measureOnceHostDies(ctx context.Context) ([]Line, error) {
-	return withScene(ctx, sceneConfig{ledgers: 3}, func(ctx context.Context, s *scene) ([]Line, error) {
+	return withScene(ctx, sceneConfig{ledgers: 3, orderDelay: slowOrder}, func(ctx context.Context, s *scene) ([]Line, error) {
 		s.run(ctx, 3*time.Second, flow{perSecond: onceRate / 10, send: ordersOf("warm")})
 		done := make(chan struct{})
 		go func() {
--- a/measurer/scene.go
+++ b/measurer/scene.go
@@ -26,7 +26,8 @@
 	answerTokens = 8
 	tokenDelay   = 20 * time.Millisecond
 	slots        = 8
-	orderDelay   = 20 * time.Millisecond
+	quickOrder   = 20 * time.Millisecond
+	slowOrder    = 200 * time.Millisecond
 	// serviceTime is what an engine takes for one answer.
 	serviceTime = answerTokens * tokenDelay
 	releaseName = "release-1"
@@ -43,6 +44,8 @@
 	dispatch     *dispatcher.Config
 	// rate is the paid rate of each account.
 	rate float64
+	// orderDelay is what a call of the plain service takes.
+	orderDelay time.Duration
 }
 
 // scene is a stage under load.
@@ -66,12 +69,15 @@
 	if c.rate == 0 {
 		c.rate = 1e6
 	}
+	if c.orderDelay == 0 {
+		c.orderDelay = quickOrder
+	}
 	d := brief(c.replicas)
 	d.Services[0].TokenDelay = configurer.Duration(tokenDelay)
 	if c.ledgers > 0 {
 		d.Services = append(d.Services, stager.Served{
 			Service:  filbertstile.Service{Name: ledgerService, Kind: filbertstile.ServicePlain, NonIdempotentMethods: []string{"POST"}},
-			Replicas: c.ledgers, MaxRunning: 64, Delay: configurer.Duration(orderDelay),
+			Replicas: c.ledgers, MaxRunning: 64, Delay: configurer.Duration(c.orderDelay),
 		})
 	}
 	if c.replicas == 0 {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -216,6 +218,7 @@
 type Client struct {
 	network filbertstile.Network
 	sender  string
+	last    atomic.Uint64
 	mu      sync.Mutex
 	peers   map[string]*peer
 }
@@ -240,6 +243,10 @@
 	return &Client{network: c.Network, sender: c.Sender, peers: make(map[string]*peer)}
 }
 
+// NextID returns a short id for a request that nobody refers to outside of its
+// stream.
+func (c *Client) NextID() string { return strconv.FormatUint(c.last.Add(1), 36) }
+
 func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
 	c.mu.Lock()
 	p, ok := c.peers[address]
--- a/relayer/accept.go
+++ b/relayer/accept.go
@@ -216,14 +216,14 @@
 
 func (r *Relay) ping(ctx context.Context) (int, int) {
 	n := r.each(ctx, 0, func() *wire.Request {
-		return &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Watch{Watch: &wire.Watch{}}}
+		return &wire.Request{Id: r.config.Client.NextID(), Kind: &wire.Request_Watch{Watch: &wire.Watch{}}}
 	})
 	return n, len(r.roots())
 }
 
 func (r *Relay) push(ctx context.Context, raw []byte) int {
 	return r.each(context.WithoutCancel(ctx), pushGrace, func() *wire.Request {
-		return &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Push{Push: &wire.Push{Change: raw}}}
+		return &wire.Request{Id: r.config.Client.NextID(), Kind: &wire.Request_Push{Push: &wire.Push{Change: raw}}}
 	})
 }
 
@@ -287,7 +287,7 @@
 	if m.Name == r.config.Self.Name {
 		return r.Subtree(), nil
 	}
-	f, err := r.config.Client.Call(ctx, m.Address, &wire.Request{Id: uuid.NewString(), Kind: &wire.Request_Watch{Watch: &wire.Watch{}}})
+	f, err := r.config.Client.Call(ctx, m.Address, &wire.Request{Id: r.config.Client.NextID(), Kind: &wire.Request_Watch{Watch: &wire.Watch{}}})
 	if err != nil {
 		return nil, err
 	}
--- a/relayer/place.go
+++ b/relayer/place.go
@@ -23,7 +23,7 @@
 }
 
 // DefaultLimits keep the tree's traffic within 4 KB/s a process.
-func DefaultLimits() Limits { return Limits{RootsPerRegion: 2, FanOut: 8} }
+func DefaultLimits() Limits { return Limits{RootsPerRegion: 2, FanOut: 4} }
 
 // Place is a process's place in the tree.
 type Place struct {
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/journaler"
 	"filbertstile.example/filbertstile/messenger"
@@ -35,6 +33,8 @@
 	heartbeat   = time.Second
 	ackGap      = 400 * time.Millisecond
 	resubscribe = 200 * time.Millisecond
+	// secondDelay is how long a second parent waits for the first.
+	secondDelay = 600 * time.Millisecond
 	maxPolls    = 4
 	storeGiveUp = 2 * time.Second
 	pushTimeout = time.Second
@@ -453,7 +453,7 @@
 	defer cancel()
 	v := r.config.Holder.View()
 	s, err := r.config.Client.Open(ctx, parent.Address, &wire.Request{
-		Id: uuid.NewString(),
+		Id: r.config.Client.NextID(),
 		Kind: &wire.Request_Subscribe{Subscribe: &wire.Subscribe{
 			Node: r.config.Self.Name, Revision: v.Config.Revision, MembersVersion: r.ack(primary).GetMembersVersion(),
 			StampMicroseconds: micros(time.Now()), Primary: primary,
@@ -609,6 +609,11 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+			// A second parent waits for the first: what the subscriber has by then
+			// is not sent again.
+			if !sub.GetPrimary() && sleeper.Sleep(ctx, secondDelay) != nil {
+				return
+			}
 		case <-vouched:
 		case <-time.After(heartbeat):
 		}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -93,7 +93,9 @@
 type Answer struct {
 	Status      int
 	ContentType string
-	Body        []byte
+	// Tag is the answer's entity tag, where it has one.
+	Tag  string
+	Body []byte
 }
 
 // ErrStatus is an answer with an unexpected status.
@@ -170,6 +172,7 @@
 	return Answer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
+		Tag:         string(resp.Header.Peek(fasthttp.HeaderETag)),
 		Body:        bytes.Clone(resp.Body()),
 	}, nil
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -275,8 +275,12 @@
 	})
 }
 
-// StartEntry starts an entry, for the first time or again.
+// StartEntry starts an entry, for the first time or again; one that runs stays
+// as it is.
 func (s *Stage) StartEntry(p *EntryProcess) error {
+	if p.running() {
+		return nil
+	}
 	id := p.Settings.Identity
 	e, err := entryrunner.New(entryrunner.Config{
 		Settings: p.Settings, Logger: s.config.Logger, Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(), Records: s.config.Records,
@@ -291,8 +295,12 @@
 	return nil
 }
 
-// StartHost starts a host process, for the first time or again.
+// StartHost starts a host process, for the first time or again; one that runs
+// stays as it is.
 func (s *Stage) StartHost(p *HostProcess) error {
+	if p.running() {
+		return nil
+	}
 	h, err := hostrunner.New(hostrunner.Config{
 		Settings: p.Settings, Logger: s.config.Logger, Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(),
 		Distribution: s.config.Distribution, Network: s.network(s.hostSite(p.Settings)),
