--- /dev/null
+++ b/demonstrator/demonstrator_test.go
@@ -0,0 +1,40 @@
+package demonstrator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/demonstrator"
+	"filbertstile.example/filbertstile/shaper"
+	"filbertstile.example/filbertstile/stager"
+)
+
+// TestBothDeployments runs the demo of each deployment in virtual time.
+func TestBothDeployments(t *testing.T) {
+	for _, name := range []string{"royalty-office", "graffiti-society"} {
+		t.Run(name, func(t *testing.T) {
+			d, err := stager.Load("../examples/" + name + "/deployment.jsonc")
+			if err != nil {
+				t.Fatal(err)
+			}
+			bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+				is := is.New(t)
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				var out bytes.Buffer
+				r, err := demonstrator.Run(ctx, demonstrator.Config{Deployment: d, Out: &out, JSON: true, Logger: log, Base: shaper.NewMemory()})
+				is.NoErr(err)
+				is.Equal(r.Broken, 0)
+				is.Equal(r.Verdict.Broken(), 0)
+				is.True(json.Valid(out.Bytes()))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/reporter/events_test.go
@@ -0,0 +1,49 @@
+package reporter_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"filbertstile.example/filbertstile/reporter"
+)
+
+// TestCatalogueMatchesCode looks for events that are written nowhere, and for
+// events in the code that the catalogue lacks.
+func TestCatalogueMatchesCode(t *testing.T) {
+	uses := regexp.MustCompile(`reporter\.([A-Z][A-Za-z]+)\b`)
+	used := make(map[string]bool)
+	err := filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range uses.FindAllStringSubmatch(string(data), -1) {
+			used[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := make(map[string]bool)
+	numbers := make(map[reporter.Event]string)
+	for _, e := range reporter.Catalogue {
+		known[e.Name] = true
+		if !used[e.Name] {
+			t.Errorf("event %d %s is written nowhere", e.Event, e.Name)
+		}
+		if other, ok := numbers[e.Event]; ok {
+			t.Errorf("events %s and %s share the number %d", other, e.Name, e.Event)
+		}
+		numbers[e.Event] = e.Name
+	}
+	notEvents := map[string]bool{"Fields": true, "Log": true, "New": true, "Config": true, "Event": true, "Subsystems": true, "Markdown": true, "Catalogue": true}
+	for name := range used {
+		if !known[name] && !notEvents[name] {
+			t.Errorf("reporter.%s is not in the catalogue", name)
+		}
+	}
+}
--- /dev/null
+++ b/roller/roller_test.go
@@ -0,0 +1,73 @@
+package roller_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/roller"
+	"filbertstile.example/filbertstile/router"
+)
+
+func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
+
+// TestFloorHoldsAndRolloutEnds plays a rollout with replicas that come and go:
+// permits never leave fewer serving than the floor, and in the end all switch.
+func TestFloorHoldsAndRolloutEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "replicas")
+		percent := rapid.IntRange(0, 100).Draw(t, "floor")
+		c := filbertstile.Config{
+			Services: filbertstile.NewTable(filbertstile.Service{Name: "m", Kind: filbertstile.ServiceModel, Release: "new", CapacityFloorPercent: percent}),
+			Releases: filbertstile.NewTable(filbertstile.Release{Name: "new", Service: "m"}),
+		}
+		replicas := make([]router.Replica, n)
+		for i := range replicas {
+			replicas[i] = router.Replica{
+				Host: filbertstile.Member{Name: fmt.Sprint("h", i), Service: "m"}, Connected: true,
+				Load: router.Load{Serving: rapid.Bool().Draw(t, "serving"), Limit: 4, Running: rapid.IntRange(0, 2).Draw(t, "running"), Release: "old", Ready: "new"},
+			}
+		}
+		for range 10 * n {
+			serving := count(replicas)
+			permits := roller.Plan(c, replicas, roller.Grant{Epoch: 1, Until: time.Unix(1, 0)})
+			for _, p := range permits {
+				for i := range replicas {
+					if replicas[i].Host.Name == p.Host.Name {
+						replicas[i].Load.Serving = false
+					}
+				}
+			}
+			if after := count(replicas); after < serving && after < roller.Floor(n, percent) {
+				t.Fatalf("%d of %d serve, the floor is %d", after, n, roller.Floor(n, percent))
+			}
+			for _, p := range permits {
+				for i := range replicas {
+					if replicas[i].Host.Name == p.Host.Name {
+						replicas[i].Load = router.Load{Serving: true, Limit: 4, Release: "new", Ready: "new"}
+					}
+				}
+			}
+		}
+		for _, r := range replicas {
+			if r.Load.Release != "new" {
+				t.Fatalf("the rollout does not end: %+v", replicas)
+			}
+		}
+	})
+}
+
+func count(replicas []router.Replica) int {
+	n := 0
+	for _, r := range replicas {
+		if r.Load.Serving {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/storer/storer_test.go
@@ -0,0 +1,116 @@
+package storer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/imitator"
+	"filbertstile.example/filbertstile/journaler"
+	"filbertstile.example/filbertstile/shaper"
+	"filbertstile.example/filbertstile/storer"
+)
+
+// withStore runs a stand-in and a client in virtual time.
+func withStore(t *testing.T, f func(ctx context.Context, is *is.I, api *imitator.ObjectAPI, c *storer.Client)) {
+	t.Helper()
+	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+		ctx, cancel := context.WithCancel(ctx)
+		n := shaper.NewMemory()
+		l, err := n.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		api := imitator.NewObjectAPI()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = api.Serve(ctx, l)
+		}()
+		c := storer.New(storer.Config{Address: l.Addr().String(), Network: n, Metrics: metrics.NewRegistry()})
+		f(ctx, is.New(t), api, c)
+		c.Close()
+		cancel()
+		<-done
+	})
+}
+
+func TestConditionalUpdate(t *testing.T) {
+	withStore(t, func(ctx context.Context, is *is.I, _ *imitator.ObjectAPI, c *storer.Client) {
+		o, err := c.Put(ctx, "k", 0, []byte("a"))
+		is.NoErr(err)
+		_, err = c.Put(ctx, "k", 0, []byte("b"))
+		var conflict filbertstile.ErrConflict
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Have, o.Version)
+		o, err = c.Put(ctx, "k", o.Version, []byte("c"))
+		is.NoErr(err)
+		got, err := c.Get(ctx, "k")
+		is.NoErr(err)
+		is.Equal(string(got.Value), "c")
+		is.Equal(got.Version, o.Version)
+		is.NoErr(c.Delete(ctx, "k", o.Version))
+		_, err = c.Get(ctx, "k")
+		var none filbertstile.ErrNotFound
+		is.True(errors.As(err, &none))
+	})
+}
+
+func TestLostReplyIsResolved(t *testing.T) {
+	withStore(t, func(ctx context.Context, is *is.I, api *imitator.ObjectAPI, c *storer.Client) {
+		api.SetFaults(imitator.ObjectFaults{LoseReplies: 2})
+		_, err := c.Put(ctx, "k", 0, []byte("mine"))
+		is.NoErr(err) // it took effect, though the reply was lost
+		api.SetFaults(imitator.ObjectFaults{})
+		log := journaler.New(c, "log/")
+		_, err = log.Append(ctx, 1, []byte("one"))
+		is.NoErr(err)
+		_, err = log.Append(ctx, 1, []byte("other"))
+		var conflict filbertstile.ErrConflict
+		is.True(errors.As(err, &conflict)) // the number is the fence
+		entries, _, err := log.Read(ctx, 0)
+		is.NoErr(err)
+		is.Equal(len(entries), 1)
+		is.Equal(string(entries[0].Value), "one")
+	})
+}
+
+func TestOutageEndsAsUncertain(t *testing.T) {
+	withStore(t, func(ctx context.Context, is *is.I, api *imitator.ObjectAPI, c *storer.Client) {
+		api.SetFaults(imitator.ObjectFaults{Down: true})
+		short, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		_, err := c.Put(short, "k", 0, []byte("a"))
+		var uncertain filbertstile.ErrUncertain
+		is.True(errors.As(err, &uncertain))
+	})
+}
+
+func TestWatchResumes(t *testing.T) {
+	withStore(t, func(ctx context.Context, is *is.I, api *imitator.ObjectAPI, c *storer.Client) {
+		_, err := c.Put(ctx, "p/1", 0, []byte("a"))
+		is.NoErr(err)
+		b, err := c.Watch(ctx, "p/", 0)
+		is.NoErr(err)
+		is.Equal(len(b.Objects), 1)
+		go func() {
+			time.Sleep(3 * time.Second)
+			_, _ = c.Put(ctx, "p/2", 0, []byte("b"))
+		}()
+		began := time.Now()
+		b, err = c.Watch(ctx, "p/", b.Revision)
+		is.NoErr(err)
+		is.Equal(len(b.Objects), 1)
+		is.Equal(string(b.Objects[0].Value), "b")
+		is.True(time.Since(began) >= 3*time.Second) // it waited
+		b, err = c.Watch(ctx, "p/", b.Revision)
+		is.NoErr(err)
+		is.Equal(len(b.Objects), 0) // and gives up after a while
+	})
+}
