relayer: subscribers are told apart by sender and stream

Cause: with short ids two subscribers could have the same one, and hid each other: 12 of 25 processes were counted and watch never ended (the demo's test ran for 600 s).

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -591,18 +591,20 @@
 		name: sub.GetNode(), primary: sub.GetPrimary(), revision: sub.GetRevision(), members: sub.GetMembersVersion(),
 		min: sub.GetRevision(), slowest: sub.GetNode(), stamp: sub.GetStampMicroseconds(), stampAt: time.Now(), heardAt: time.Now(),
 	}
-	r.setChild(s.ID(), c)
-	defer r.dropChild(s.ID())
+	// Ids of requests are unique to their sender only.
+	key := sub.GetNode() + " " + s.ID()
+	r.setChild(key, c)
+	defer r.dropChild(key)
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
 		defer cancel()
-		r.hear(s, c)
+		r.hear(s, key, c)
 	}()
 	for {
 		changed := r.config.Holder.Changed()
 		vouched := r.config.Holder.Vouched()
-		if err := r.update(s); err != nil {
+		if err := r.update(s, key); err != nil {
 			return
 		}
 		select {
@@ -632,7 +634,7 @@
 	delete(r.children, id)
 }
 
-func (r *Relay) hear(s *messenger.Stream, c child) {
+func (r *Relay) hear(s *messenger.Stream, key string, c child) {
 	for {
 		f, err := s.Receive()
 		if err != nil {
@@ -644,21 +646,21 @@
 		}
 		r.mu.Lock()
 		// What was sent since may not be acknowledged yet.
-		sent := r.children[s.ID()]
+		sent := r.children[key]
 		c.revision = max(sent.revision, a.GetRevision())
 		c.members = a.GetMembersVersion()
 		c.min, c.nodes, c.slowest = a.GetMinRevision(), int(a.GetNodes()), a.GetSlowest()
 		c.stamp, c.stampAt, c.heardAt = a.GetStampMicroseconds(), time.Now(), time.Now()
-		r.children[s.ID()] = c
+		r.children[key] = c
 		r.mu.Unlock()
 	}
 }
 
 // update sends what the subscriber lacks, and how fresh the view is.
-func (r *Relay) update(s *messenger.Stream) error {
+func (r *Relay) update(s *messenger.Stream, key string) error {
 	v := r.config.Holder.View()
 	r.mu.Lock()
-	c := r.children[s.ID()]
+	c := r.children[key]
 	u := &wire.Update{
 		Revision: v.Config.Revision, MembersVersion: v.MembersVersion,
 		StoreOutOfReach: r.noStore, Outage: r.trust == voucher.Outage,
@@ -676,12 +678,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c = r.children[s.ID()]
+	c = r.children[key]
 	c.revision = max(c.revision, v.Config.Revision)
 	if c.members != unwanted {
 		c.members = v.MembersVersion
 	}
-	r.children[s.ID()] = c
+	r.children[key] = c
 	return nil
 }
 
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -75,6 +75,8 @@
 				ev.Executions = append(ev.Executions, h.Plain.Journal()...)
 			}
 		}
+		// Streams of different subscribers once shared a key, and hid them.
+		is.True(s.Entries[0].Entry.Node().Relay.Spread(ctx).Everywhere(2))
 		v := checker.Check(ev)
 		t.Logf("%+v", v)
 		is.Equal(v.Broken(), 0)
