--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -204,7 +204,7 @@
 		if t.imports >= c.config.Limits.ImportWindow || now.Before(t.nextImport) {
 			break
 		}
-		if t.have[i] || t.seen[i] || t.underway(i) {
+		if t.have[i] || t.underway(i) || c.inRegion(t, i) {
 			continue
 		}
 		p := c.least(usable, i)
@@ -230,6 +230,17 @@
 	t.nextImport = t.nextImport.Add(gap)
 }
 
+// inRegion tells whether a followed peer of the region holds the chunk now. One
+// that did and is gone does not count: it may have been the only one.
+func (c *Core) inRegion(t *transfer, index int) bool {
+	for _, p := range t.peers {
+		if p.member.Region == c.config.Self.Region && index < len(p.has) && p.has[index] {
+			return true
+		}
+	}
+	return false
+}
+
 // origin reads the chunks that this host is the designated reader of, and
 // those of readers that have shown no progress for too long.
 func (c *Core) origin(now time.Time, t *transfer) []Command {
@@ -241,7 +252,7 @@
 		if t.origins >= c.config.Limits.OriginWindow {
 			break
 		}
-		if t.have[i] || t.seen[i] || t.underway(i) || !c.mayRead(now, t, i) {
+		if t.have[i] || t.underway(i) || c.inRegion(t, i) || !c.mayRead(now, t, i) {
 			continue
 		}
 		out = append(out, c.start(now, t, i, nil))
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -239,3 +239,31 @@
 		s.step(t)
 	})
 }
+
+// TestOnlyHolderDies is for a chunk whose reader told of it and died before
+// anyone had it: it was taken to be in the region for ever.
+func TestOnlyHolderDies(t *testing.T) {
+	s := newSwarm(2, 1, 1, 4)
+	now := s.now
+	self, other := s.hosts[0], s.hosts[1]
+	core := distributor.New(distributor.Config{Self: self, SourceRegion: "r0", Limits: distributor.DefaultLimits(), Seed: 1})
+	core.Tick(now, []distributor.Event{
+		distributor.MembersSeen{Members: s.hosts},
+		distributor.Wanted{Wants: []distributor.Want{{Release: "r", Manifest: manifestName}}},
+	})
+	core.Tick(now, []distributor.Event{
+		distributor.ManifestArrived{Digest: manifestName, Manifest: s.m},
+		distributor.HoldingSeen{Peer: other.Name, Manifest: manifestName, Whole: true, Chunks: []int{0}},
+		distributor.ChunkFailed{Manifest: manifestName, Index: 0, Peer: other.Name, Failure: distributor.FailedLost},
+	})
+	out := core.Tick(now.Add(10*time.Second), []distributor.Event{
+		distributor.PeerLost{Peer: other.Name, Manifest: manifestName},
+		distributor.MembersSeen{Members: s.hosts[:1]},
+	})
+	for _, cmd := range out {
+		if fetch, ok := cmd.(distributor.FetchChunk); ok && fetch.Peer.Name == "" {
+			return
+		}
+	}
+	t.Fatalf("nobody reads the chunk again: %v", out)
+}
