measurer, stager: rollout under load, bad requests; shaper: a refused body's answer arrives

Cause: capacity floor, callers' latency during a transfer and bad requests had no measurement or test; in memory, a refusal of an oversized body was lost with its connection. Change: added; the shaped connection drops what the peer refuses and goes on reading.

--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -97,6 +97,7 @@
 func Catalogue() []Measure {
 	var out []Measure
 	out = append(out, distributionMeasures()...)
+	out = append(out, rolloutMeasures()...)
 	out = append(out, requestMeasures()...)
 	out = append(out, addedMeasures()...)
 	out = append(out, capacityMeasures()...)
--- a/shaper/conn.go
+++ b/shaper/conn.go
@@ -138,17 +138,20 @@
 	return c
 }
 
-// writeOut puts segments on the real connection when they are due.
+// writeOut puts segments on the real connection when they are due. What a peer
+// no longer reads is dropped: its last words may still be on their way here.
 func (c *conn) writeOut() {
 	defer func() { _ = c.Conn.Close() }()
+	refused := false
 	for s := range c.sending.out {
 		if !c.sending.until(s.at) {
 			return
 		}
-		if _, err := c.Conn.Write(s.data); err != nil {
-			c.cancel()
-			return
+		if refused {
+			continue
 		}
+		_, err := c.Conn.Write(s.data)
+		refused = err != nil
 	}
 }
 
--- /dev/null
+++ b/stager/input_test.go
@@ -0,0 +1,96 @@
+package stager_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/responder"
+	"filbertstile.example/filbertstile/shaper"
+	"filbertstile.example/filbertstile/stager"
+)
+
+// TestBadInputIsNamed sends every kind of wrong request: each gets a typed
+// error that says NotRun, and nothing runs.
+func TestBadInputIsNamed(t *testing.T) {
+	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Entries = 1
+	d.Services[0].Replicas = 1
+	chat := "/v1/chat/completions"
+	ask := `{"model": "filbert-models", "messages": [{"role": "user", "content": "x"}]}`
+	cases := []struct {
+		name, method, path, token, header, body string
+		status                                  int
+		code, field                             string
+	}{
+		{"no token", "POST", chat, "", "", ask, 401, "NoToken", "Authorization"},
+		{"wrong token", "POST", chat, "nobody", "", ask, 401, "NoToken", "Authorization"},
+		{"broken JSON", "POST", chat, "claims", "", `{"model": `, 400, "BadJSON", "body"},
+		{"wrong type", "POST", chat, "claims", "", `{"model": 3, "messages": [{}]}`, 400, "BadJSON", "model"},
+		{"no model", "POST", chat, "claims", "", `{"messages": [{}]}`, 400, "BadJSON", "model"},
+		{"no messages", "POST", chat, "claims", "", `{"model": "filbert-models"}`, 400, "BadJSON", "messages"},
+		{"unknown model", "POST", chat, "claims", "", `{"model": "none", "messages": [{}]}`, 404, "UnknownService", ""},
+		{"plain as model", "POST", chat, "claims", "", `{"model": "royalty-ledger", "messages": [{}]}`, 400, "BadRequest", "model"},
+		{"not allowed", "POST", chat, "payouts", "", ask, 403, "ServiceNotAllowed", ""},
+		{"GET", "GET", chat, "claims", "", "", 400, "BadRequest", "method"},
+		{"unknown service", "POST", "/services/none/x", "claims", "", "{}", 404, "UnknownService", "path"},
+		{"model as plain", "POST", "/services/filbert-models/x", "claims", "", "{}", 400, "BadRequest", "path"},
+		{"unknown path", "GET", "/else", "claims", "", "", 404, "NotFound", "path"},
+		{"timeout", "POST", chat, "claims", "X-Timeout-Seconds: NaN", ask, 400, "BadRequest", "X-Timeout-Seconds"},
+		{"negative timeout", "POST", chat, "claims", "X-Timeout-Seconds: -1", ask, 400, "BadRequest", "X-Timeout-Seconds"},
+		{"long key", "POST", "/services/royalty-ledger/x", "payouts", "Idempotency-Key: " + strings.Repeat("k", 300), "{}", 400, "BadRequest", "Idempotency-Key"},
+		{"too large", "POST", chat, "claims", "", strings.Repeat("x", 2<<20), 413, "BadRequest", "request"},
+		{"no replica", "POST", chat, "claims", "", ask, 503, "NoReplica", ""},
+	}
+	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := stager.New(stager.Config{Deployment: d, Base: shaper.NewMemory(), Logger: log})
+		defer s.Close()
+		if err := s.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.AwaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Install(ctx); err != nil {
+			t.Fatal(err)
+		}
+		client := s.HTTPClient(stager.CallerSite())
+		for _, c := range cases {
+			req, err := http.NewRequestWithContext(ctx, c.method, "http://"+s.Entries[0].Settings.HTTPAddress+c.path, strings.NewReader(c.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+c.token)
+			if name, value, ok := strings.Cut(c.header, ": "); ok {
+				req.Header.Set(name, value)
+			}
+			resp, err := client.Do(req)
+			if err != nil {
+				t.Errorf("%s: %v", c.name, err)
+				continue
+			}
+			var p responder.Problem
+			err = json.NewDecoder(resp.Body).Decode(&p)
+			_ = resp.Body.Close()
+			if err != nil || resp.StatusCode != c.status || p.Error.Code != c.code || p.Error.Field != c.field || p.Error.Run != "NotRun" {
+				t.Errorf("%s: status %d, %+v, %v", c.name, resp.StatusCode, p.Error, err)
+			}
+		}
+		for _, h := range s.Hosts {
+			if h.Plain != nil && len(h.Plain.Journal()) > 0 || h.Engine != nil && len(h.Engine.Journal()) > 0 {
+				t.Errorf("%s ran something", h.Settings.Identity.Name)
+			}
+		}
+	})
+}
