storer, messenger: a call budget; fewer writes a frame

Cause: the object API client counted its calls and held none back; each frame was two writes of yamux, each of which waits for the session's writer. Change: 50 reads and 100 writes a second a process, bursts of 100, the rest waits; a frame is one write, and a short plain answer goes out with its end.

--- a/hostrunner/work.go
+++ b/hostrunner/work.go
@@ -19,6 +19,7 @@
 
 const (
 	maxKeptBody = 64 << 10
+	maxHeldBack = 16 << 10
 	onceTimeout = 2 * time.Minute
 )
 
@@ -263,7 +264,7 @@
 	}
 	r.status = status
 	r.contentType = contentType
-	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{Status: int32(status), ContentType: contentType, Release: r.release}}})
+	return r.send(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{Status: int32(status), ContentType: contentType, Release: r.release}}}, true)
 }
 
 // Data passes on a piece: a token of a model, or bytes of a plain answer.
@@ -276,16 +277,23 @@
 	if r.once && r.body.Len() < maxKeptBody {
 		r.body.Write(piece)
 	}
-	return r.send(f)
+	// A short plain answer goes out together with its end; tokens go out as they
+	// come.
+	return r.send(f, r.kind == filbertstile.ServicePlain && r.length < maxHeldBack)
 }
 
-// send passes on a frame. The answer to a non-idempotent call is gathered also
+// send passes on a frame, or keeps it until the next if more is about to come.
+// The answer to a non-idempotent call is gathered also
 // when nobody listens any more.
-func (r *reply) send(f *wire.Frame) error {
+func (r *reply) send(f *wire.Frame, more bool) error {
 	if r.lost {
 		return nil
 	}
-	err := r.stream.Send(f)
+	pass := r.stream.Send
+	if more {
+		pass = r.stream.Queue
+	}
+	err := pass(f)
 	if err != nil && r.once {
 		r.lost = true
 		return nil
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/panjf2000/ants/v2"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/wire"
@@ -78,6 +80,9 @@
 	in   *bufio.Reader
 	stop func() bool
 	mu   sync.Mutex
+	// pending holds frames that go out with the next one that is sent: each
+	// write of yamux waits for its session's writer.
+	pending bytes.Buffer
 }
 
 func newStream(id, peer string, raw *yamux.Stream) *Stream {
@@ -87,17 +92,39 @@
 // ID returns the request's id.
 func (s *Stream) ID() string { return s.id }
 
-// Send writes one frame; it is safe for concurrent use.
+// Send writes one frame, after those that were queued; it is safe for
+// concurrent use.
 func (s *Stream) Send(f *wire.Frame) error {
-	f.Id = s.id
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, err := protodelim.MarshalTo(s.raw, f); err != nil {
+	f.Id = s.id
+	if err := s.write(f); err != nil {
 		return fmt.Errorf("send frame to %s: %w", s.peer, err)
 	}
 	return nil
 }
 
+// Queue keeps one frame until the next Send.
+func (s *Stream) Queue(f *wire.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.Id = s.id
+	if _, err := protodelim.MarshalTo(&s.pending, f); err != nil {
+		return fmt.Errorf("queue frame to %s: %w", s.peer, err)
+	}
+	return nil
+}
+
+// write sends the message and what was queued before it in one piece.
+func (s *Stream) write(m proto.Message) error {
+	if _, err := protodelim.MarshalTo(&s.pending, m); err != nil {
+		return err
+	}
+	_, err := s.raw.Write(s.pending.Bytes())
+	s.pending.Reset()
+	return err
+}
+
 // Receive reads the next frame and checks that it belongs to the request.
 func (s *Stream) Receive() (*wire.Frame, error) {
 	f := new(wire.Frame)
@@ -325,7 +352,7 @@
 	s := newStream(req.GetId(), address, raw)
 	req.Sender = c.sender
 	s.stop = context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Now()) })
-	if _, err := protodelim.MarshalTo(raw, req); err != nil {
+	if err := s.write(req); err != nil {
 		s.Close()
 		return nil, fmt.Errorf("send request to %s: %w", address, err)
 	}
--- a/stager/input_test.go
+++ b/stager/input_test.go
@@ -7,10 +7,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/caller"
+	"filbertstile.example/filbertstile/imitator"
 	"filbertstile.example/filbertstile/responder"
 	"filbertstile.example/filbertstile/shaper"
 	"filbertstile.example/filbertstile/stager"
@@ -94,3 +98,39 @@
 		}
 	})
 }
+
+// TestVanishingCallerFreesItsSlot has a caller go away in the midst of a
+// stream: the engine stops, and its slot serves the next.
+func TestVanishingCallerFreesItsSlot(t *testing.T) {
+	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Entries = 1
+	d.Services[0].Replicas = 1
+	d.Services[0].MaxRunning = 1
+	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+		is := is.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := stager.New(stager.Config{Deployment: d, Base: shaper.NewMemory(), Logger: log})
+		defer s.Close()
+		is.NoErr(s.Start(ctx))
+		is.NoErr(s.AwaitReady(ctx))
+		is.NoErr(s.Install(ctx))
+		_, err := s.AddRelease(ctx, "filbert-models", imitator.ReleaseConfig{Name: "filbert-1", Seed: 1, ChunkBytes: 1024, Chunks: 4})
+		is.NoErr(err)
+		is.NoErr(s.AwaitRelease(ctx, "filbert-models", "filbert-1", 1))
+		c := caller.New(caller.Config{Client: s.HTTPClient(stager.CallerSite()), Fixed: s.Entries[0].Settings.HTTPAddress, Token: "claims"})
+		gone, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		r := c.Complete(gone, "filbert-models", "long", 10_000, true)
+		is.Equal(r.Whole, false)
+		is.True(r.Text != "")
+		r = c.Complete(ctx, "filbert-models", "next", 4, true)
+		is.True(r.OK())
+		journal := s.Hosts[0].Engine.Journal()
+		is.Equal(journal[0].Finished, false)
+		is.Equal(journal[1].Finished, true)
+	})
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -13,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/requester"
@@ -23,7 +24,11 @@
 	callTimeout = 2 * time.Second
 	watchWait   = 10 * time.Second
 	retryPause  = 50 * time.Millisecond
-	maxPause    = 2 * time.Second
+	// The budget of one process, far under the platform's rates; more calls wait.
+	readsPerSecond  = 50
+	writesPerSecond = 100
+	budgetBurst     = 100
+	maxPause        = 2 * time.Second
 )
 
 // Config says where the object API is.
@@ -39,6 +44,9 @@
 	reads   metrics.Counter
 	writes  metrics.Counter
 	watches metrics.Counter
+	// readBudget and writeBudget hold back calls past the process's share.
+	readBudget  *rate.Limiter
+	writeBudget *rate.Limiter
 }
 
 // New returns a client of the object API at the configured address.
@@ -48,7 +56,19 @@
 		reads:   metrics.NewRegisteredCounter("Store.Reads", c.Metrics),
 		writes:  metrics.NewRegisteredCounter("Store.Writes", c.Metrics),
 		watches: metrics.NewRegisteredCounter("Store.Watches", c.Metrics),
+
+		readBudget:  rate.NewLimiter(readsPerSecond, budgetBurst),
+		writeBudget: rate.NewLimiter(writesPerSecond, budgetBurst),
+	}
+}
+
+// spend waits until the budget has room for a call, and counts it.
+func (c *Client) spend(ctx context.Context, budget *rate.Limiter, counter metrics.Counter, step string) error {
+	if err := budget.Wait(ctx); err != nil {
+		return fmt.Errorf("%s: peer %s: call budget: %w", step, c.http.Address(), err)
 	}
+	counter.Inc(1)
+	return nil
 }
 
 // Close drops the client's idle connections.
@@ -75,7 +95,9 @@
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, key string) (filbertstile.Object, error) {
 	const step = "get object"
-	c.reads.Inc(1)
+	if err := c.spend(ctx, c.readBudget, c.reads, step); err != nil {
+		return filbertstile.Object{}, err
+	}
 	a, err := c.http.Do(ctx, requester.Call{Step: step, Method: "GET", Path: objectPath(key)})
 	if err != nil {
 		return filbertstile.Object{}, err
@@ -111,20 +133,26 @@
 
 // List returns the objects under the prefix.
 func (c *Client) List(ctx context.Context, prefix, after string) (filbertstile.Batch, error) {
-	c.reads.Inc(1)
+	const step = "list objects"
+	if err := c.spend(ctx, c.readBudget, c.reads, step); err != nil {
+		return filbertstile.Batch{}, err
+	}
 	q := url.Values{"prefix": {prefix}, "after": {after}}
-	return c.batch(ctx, requester.Call{Step: "list objects", Method: "GET", Path: "/objects", Query: q})
+	return c.batch(ctx, requester.Call{Step: step, Method: "GET", Path: "/objects", Query: q})
 }
 
 // Watch waits for objects written after the revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (filbertstile.Batch, error) {
-	c.watches.Inc(1)
+	const step = "watch objects"
+	if err := c.spend(ctx, c.readBudget, c.watches, step); err != nil {
+		return filbertstile.Batch{}, err
+	}
 	q := url.Values{
 		"prefix": {prefix},
 		"after":  {strconv.FormatUint(after, 10)},
 		"wait":   {watchWait.String()},
 	}
-	call := requester.Call{Step: "watch objects", Method: "GET", Path: "/watch", Query: q, Timeout: callTimeout + watchWait}
+	call := requester.Call{Step: step, Method: "GET", Path: "/watch", Query: q, Timeout: callTimeout + watchWait}
 	return c.batch(ctx, call)
 }
 
@@ -150,7 +178,9 @@
 // attempt writes once, and tells whether the outcome is final.
 func (c *Client) attempt(ctx context.Context, key string, version uint64, value []byte, lost bool) (filbertstile.Object, bool, error) {
 	const step = "put object"
-	c.writes.Inc(1)
+	if err := c.spend(ctx, c.writeBudget, c.writes, step); err != nil {
+		return filbertstile.Object{}, false, err
+	}
 	a, err := c.http.Do(ctx, requester.Call{Step: step, Method: "PUT", Path: objectPath(key), Query: versionQuery(version), Body: value})
 	if err != nil {
 		return filbertstile.Object{}, false, err
@@ -196,7 +226,9 @@
 // Delete removes the object on condition of the version.
 func (c *Client) Delete(ctx context.Context, key string, version uint64) error {
 	const step = "delete object"
-	c.writes.Inc(1)
+	if err := c.spend(ctx, c.writeBudget, c.writes, step); err != nil {
+		return err
+	}
 	a, err := c.http.Do(ctx, requester.Call{Step: step, Method: "DELETE", Path: objectPath(key), Query: versionQuery(version)})
 	if err != nil {
 		return err
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -114,3 +114,16 @@
 		is.Equal(len(b.Objects), 0) // and gives up after a while
 	})
 }
+
+// TestCallBudget sends more than a process may: the rest waits.
+func TestCallBudget(t *testing.T) {
+	withStore(t, func(ctx context.Context, is *is.I, _ *imitator.ObjectAPI, c *storer.Client) {
+		began := time.Now()
+		for range 300 {
+			_, err := c.List(ctx, "none/", "")
+			is.NoErr(err)
+		}
+		// 100 at once, then 50 a second.
+		is.True(time.Since(began) >= 4*time.Second-time.Millisecond)
+	})
+}
