docs: release notes of both deployments and a rollback, run by the pages' test

Cause: the page had notes of one deployment and told of rolling back without a command. Change: examples and commands, run against the stand-ins as they stand on the page.

--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -81,6 +81,13 @@
 	return out
 }
 
+// pageFiles are the files that the page's commands name.
+var pageFiles = map[string]string{
+	"notes.jsonc":    "../examples/separate/notes.jsonc",
+	"rollback.jsonc": "../examples/separate/rollback.jsonc",
+	"society.jsonc":  "../examples/graffiti-society/notes.jsonc",
+}
+
 // TestPageCommandsRun runs each command of docs/OPERATING.md as it stands there.
 func TestPageCommandsRun(t *testing.T) {
 	withSystem(t, func(run func(args ...string) (string, error)) {
@@ -90,8 +97,8 @@
 		}
 		for _, args := range commands {
 			for i := range args {
-				if args[i] == "notes.jsonc" {
-					args[i] = "../examples/separate/notes.jsonc"
+				if file, ok := pageFiles[args[i]]; ok {
+					args[i] = file
 				}
 			}
 			if out, err := run(args...); err != nil {
