--- a/entryrunner/admin.go
+++ b/entryrunner/admin.go
@@ -234,15 +234,5 @@
 		return nil, err
 	}
 	defer s.Close()
-	var data []byte
-	for {
-		f, err := s.Receive()
-		if err != nil {
-			return nil, err
-		}
-		if f.GetEnd() != nil {
-			return data, nil
-		}
-		data = append(data, f.GetData().GetPiece()...)
-	}
+	return s.ReceiveContent()
 }
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -221,10 +221,10 @@
 
 func (t *Fetcher) failure(cmd distributor.FetchChunk, err error) distributor.ChunkFailed {
 	out := distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name, Failure: distributor.FailedLost}
-	var refused errRefused
+	var refused messenger.ErrRefused
 	var bad filbertstile.ErrDigest
 	switch {
-	case errors.As(err, &refused) && refused.code == codeBusy:
+	case errors.As(err, &refused) && refused.Code == codeBusy:
 		out.Failure = distributor.FailedBusy
 	case errors.As(err, &bad):
 		out.Failure = distributor.FailedCorrupt
@@ -236,17 +236,6 @@
 	return out
 }
 
-// errRefused is a peer's refusal to send content.
-type errRefused struct {
-	peer string
-	code string
-}
-
-// Error names the peer's reason.
-func (e errRefused) Error() string {
-	return fmt.Sprintf("ask for content: peer %s: %s", e.peer, e.code)
-}
-
 // ask gets content by digest from a peer.
 func (t *Fetcher) ask(ctx context.Context, peer filbertstile.Member, digest filbertstile.Digest) ([]byte, error) {
 	s, err := t.config.Client.Open(ctx, peer.Address, &wire.Request{
@@ -257,28 +246,14 @@
 		return nil, err
 	}
 	defer s.Close()
-	var data []byte
-	for {
-		f, err := s.Receive()
-		if err != nil {
-			return nil, err
-		}
-		switch k := f.GetKind().(type) {
-		case *wire.Frame_Data:
-			data = append(data, k.Data.GetPiece()...)
-		case *wire.Frame_End:
-			return data, nil
-		case *wire.Frame_Refusal:
-			return nil, errRefused{peer: peer.Name, code: k.Refusal.GetCode()}
-		}
-	}
+	return s.ReceiveContent()
 }
 
 // HandleChunk sends a chunk or a manifest, if a slot is free.
 func (t *Fetcher) HandleChunk(req *wire.Request, s *messenger.Stream) {
 	digest := filbertstile.Digest(req.GetChunk().GetDigest())
 	if doc := t.shelf.Manifest(digest); doc != nil {
-		send(s, doc)
+		_ = s.SendContent(doc, pieceBytes)
 		return
 	}
 	data := t.shelf.Chunk(digest)
@@ -297,18 +272,7 @@
 		_ = s.Send(refusal(codeBusy))
 		return
 	}
-	send(s, data)
-}
-
-// send passes on content in pieces, so that other streams get their turn.
-func send(s *messenger.Stream, data []byte) {
-	for off := 0; off < len(data); off += pieceBytes {
-		piece := data[off:min(off+pieceBytes, len(data))]
-		if s.Send(&wire.Frame{Kind: &wire.Frame_Data{Data: &wire.Data{Offset: int64(off), Piece: piece}}}) != nil {
-			return
-		}
-	}
-	_ = s.Send(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Length: int64(len(data))}}})
+	_ = s.SendContent(data, pieceBytes)
 }
 
 func refusal(code string) *wire.Frame {
--- a/imitator/settings.go
+++ b/imitator/settings.go
@@ -80,6 +80,18 @@
 	Serve(ctx context.Context, l net.Listener) error
 }
 
+// Start serves a stand-in at a free address until the context ends, and returns
+// the address and a function that waits for the end.
+func Start(ctx context.Context, n filbertstile.Network, v Server) (string, func(), error) {
+	l, err := n.Listen("127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = v.Serve(ctx, l) })
+	return l.Addr().String(), wg.Wait, nil
+}
+
 // place is a stand-in and its address.
 type place struct {
 	address string
--- a/imitator/weights.go
+++ b/imitator/weights.go
@@ -95,6 +95,13 @@
 	w.down = down
 }
 
+// Chunk returns a chunk as it truly is, or nil.
+func (w *WeightStore) Chunk(digest filbertstile.Digest) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.chunks[digest]
+}
+
 // Bytes returns the chunk bytes that were read so far.
 func (w *WeightStore) Bytes() int64 {
 	w.mu.Lock()
--- a/joiner/joiner.go
+++ b/joiner/joiner.go
@@ -199,13 +199,8 @@
 		n.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "dump", "Error": err})
 		return
 	}
-	for off := 0; off < len(data); off += dumpPieceBytes {
-		piece := data[off:min(off+dumpPieceBytes, len(data))]
-		if s.Send(&wire.Frame{Kind: &wire.Frame_Data{Data: &wire.Data{Offset: int64(off), Piece: piece}}}) != nil {
-			return
-		}
-	}
-	_ = s.Send(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{Length: int64(len(data))}}})
+	// A reader that goes away needs no dump.
+	_ = s.SendContent(data, dumpPieceBytes)
 }
 
 // HandleHTTP answers /metrics and /dump, and reports whether it did.
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -26,24 +26,19 @@
 	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
 		ctx, cancel := context.WithCancel(ctx)
 		n := shaper.NewMemory()
-		l, err := n.Listen("127.0.0.1:0")
+		api := imitator.NewObjectAPI()
+		address, wait, err := imitator.Start(ctx, n, api)
 		if err != nil {
 			t.Fatal(err)
 		}
-		api := imitator.NewObjectAPI()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = api.Serve(ctx, l)
-		}()
-		store := storer.New(storer.Config{Address: l.Addr().String(), Network: n, Metrics: metrics.NewRegistry()})
+		store := storer.New(storer.Config{Address: address, Network: n, Metrics: metrics.NewRegistry()})
 		lease := func(holder string) *leaser.Lease {
 			return leaser.New(leaser.Config{Store: store, Key: "lease", Holder: holder, Term: term, Margin: margin})
 		}
 		f(ctx, is.New(t), api, lease("a"), lease("b"))
 		store.Close()
 		cancel()
-		<-done
+		wait()
 	})
 }
 
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -23,21 +23,16 @@
 	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
 		ctx, cancel := context.WithCancel(ctx)
 		n := shaper.NewMemory()
-		l, err := n.Listen("127.0.0.1:0")
+		api := imitator.NewObjectAPI()
+		address, wait, err := imitator.Start(ctx, n, api)
 		if err != nil {
 			t.Fatal(err)
 		}
-		api := imitator.NewObjectAPI()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = api.Serve(ctx, l)
-		}()
-		c := storer.New(storer.Config{Address: l.Addr().String(), Network: n, Metrics: metrics.NewRegistry()})
+		c := storer.New(storer.Config{Address: address, Network: n, Metrics: metrics.NewRegistry()})
 		f(ctx, is.New(t), api, c)
 		c.Close()
 		cancel()
-		<-done
+		wait()
 	})
 }
 
