relayer: the last entry stays a root while it leaves

Cause: seen by hand: a single entry that was stopped as planned went stale, and refused its callers for the seconds in which it should have served them: an entry that leaves is no root, and there was no other to subscribe to. Change: where no other entry is left, those that leave ask the store. Tests: TestLastEntryStaysRoot (failed before), TestTreeReachesEveryone (any fleet: everyone comes to a root, no process has more first children than the fan-out).

--- a/relayer/place.go
+++ b/relayer/place.go
@@ -56,12 +56,20 @@
 
 // Roots returns the processes that ask the store, in all regions.
 func Roots(members filbertstile.Table[filbertstile.Member], l Limits) []filbertstile.Member {
-	entries := make([]filbertstile.Member, 0, members.Len())
+	var entries, leaving []filbertstile.Member
 	for _, m := range members.All() {
-		if m.Role == filbertstile.RoleEntry && !m.Leaving {
+		switch {
+		case m.Role != filbertstile.RoleEntry:
+		case m.Leaving:
+			leaving = append(leaving, m)
+		default:
 			entries = append(entries, m)
 		}
 	}
+	if len(entries) == 0 {
+		// The last entries ask the store to their end.
+		entries = leaving
+	}
 	taken := make(map[string]int)
 	var roots []filbertstile.Member
 	for _, m := range order(entries) {
--- /dev/null
+++ b/relayer/place_test.go
@@ -0,0 +1,74 @@
+package relayer_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/relayer"
+)
+
+func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
+
+// TestTreeReachesEveryone draws fleets: following first parents, every process
+// comes to a root, and no process has more first children than the fan-out.
+func TestTreeReachesEveryone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := relayer.DefaultLimits()
+		regions := rapid.IntRange(1, 4).Draw(t, "regions")
+		rows := []filbertstile.Member{{Name: "entry", Role: filbertstile.RoleEntry, Region: "r0"}}
+		for i := range rapid.IntRange(0, 150).Draw(t, "processes") {
+			role := filbertstile.RoleHost
+			if rapid.IntRange(0, 3).Draw(t, "role") == 0 {
+				role = filbertstile.RoleEntry
+			}
+			rows = append(rows, filbertstile.Member{Name: fmt.Sprint("p", i), Role: role, Region: fmt.Sprint("r", i%regions), Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0})
+		}
+		members := filbertstile.NewTable(rows...)
+		children := make(map[string]int)
+		for _, m := range members.All() {
+			at := m
+			for hops := 0; !relayer.PlaceOf(at, members, l).Root; hops++ {
+				p := relayer.PlaceOf(at, members, l)
+				if len(p.Parents) == 0 || hops > members.Len() {
+					t.Fatalf("%s does not come to a root: %+v", m.Name, p)
+				}
+				if hops == 0 && !m.Leaving && hasRoot(members, m.Region, l) {
+					children[p.Parents[0].Name]++
+				}
+				at = p.Parents[0]
+			}
+		}
+		for name, n := range children {
+			if n > l.FanOut {
+				t.Fatalf("%s has %d first children", name, n)
+			}
+		}
+	})
+}
+
+// hasRoot tells whether the region has a root of its own; others share those of
+// all regions.
+func hasRoot(members filbertstile.Table[filbertstile.Member], region string, l relayer.Limits) bool {
+	for _, r := range relayer.Roots(members, l) {
+		if r.Region == region {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLastEntryStaysRoot is for a single entry that went stale, and refused its
+// callers, while it left as planned.
+func TestLastEntryStaysRoot(t *testing.T) {
+	is := is.New(t)
+	last := filbertstile.Member{Name: "entry", Role: filbertstile.RoleEntry, Region: "r", Leaving: true}
+	is.True(relayer.PlaceOf(last, filbertstile.NewTable(last), relayer.DefaultLimits()).Root)
+	next := filbertstile.Member{Name: "next", Role: filbertstile.RoleEntry, Region: "r"}
+	is.Equal(relayer.PlaceOf(last, filbertstile.NewTable(last, next), relayer.DefaultLimits()).Root, false)
+}
