--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -21,7 +21,7 @@
 
 const (
 	idleTick       = 5 * time.Millisecond
-	pieceBytes     = 8 << 10
+	pieceBytes     = 4 << 10
 	followPause    = 200 * time.Millisecond
 	manifestWait   = 5 * time.Second
 	holdingPause   = 2 * time.Millisecond
