dispatcher: the core no longer takes in what it never used

Cause: read once more: the core was told whether its entry leaves, kept it and never looked; a code for it could reach no caller, yet the operators' page named it. Behaviour stays.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -96,7 +96,6 @@
 	rng      *rand.Rand
 	view     viewer.View
 	trust    voucher.Trust
-	leaving  bool
 	requests map[string]*row
 	lines    map[string]*line
 	replicas filbertstile.Table[router.Replica]
@@ -178,7 +177,6 @@
 func (c *Core) viewSeen(e ViewSeen) {
 	c.view = e.View
 	c.trust = e.Trust
-	c.leaving = e.Leaving
 	c.entries = 0
 	for _, m := range e.View.Members.All() {
 		if m.Role == filbertstile.RoleEntry && !m.Leaving {
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -25,7 +25,6 @@
 	CodeBroken         = "BackendFailed"
 	CodeLost           = "ContactLost"
 	CodeRetryBudget    = "RetryBudgetSpent"
-	CodeLeaving        = "Leaving"
 )
 
 // Request is a caller's request as the core sees it.
@@ -104,9 +103,8 @@
 type ViewSeen struct {
 	View viewer.View
 	// Hosts are those that the entry sends requests to.
-	Hosts   []filbertstile.Member
-	Trust   voucher.Trust
-	Leaving bool
+	Hosts []filbertstile.Member
+	Trust voucher.Trust
 }
 
 // Granted brings the owner's grant for an account.
--- a/entryrunner/entryrunner.go
+++ b/entryrunner/entryrunner.go
@@ -221,7 +221,7 @@
 			controls = controller
 		}
 		if v.Config.Revision != last.Config.Revision || v.MembersVersion != last.MembersVersion || trust != lastTrust {
-			e.loop.Post(dispatcher.ViewSeen{View: v, Trust: trust, Hosts: hosts, Leaving: e.node.Leaving()})
+			e.loop.Post(dispatcher.ViewSeen{View: v, Trust: trust, Hosts: hosts})
 			e.accounts.Store(newAccountIndex(v.Config))
 			last, lastTrust = v, trust
 		}
