--- a/cmd/filbertstile-entry/main.go
+++ b/cmd/filbertstile-entry/main.go
@@ -11,6 +11,7 @@
 	"filbertstile.example/filbertstile/connector"
 	"filbertstile.example/filbertstile/entryrunner"
 	"filbertstile.example/filbertstile/launcher"
+	"filbertstile.example/filbertstile/platform"
 	"filbertstile.example/filbertstile/recorder"
 	"filbertstile.example/filbertstile/relayer"
 	"filbertstile.example/filbertstile/voucher"
@@ -18,6 +19,7 @@
 
 func main() {
 	os.Exit(launcher.Main(launcher.Program{
+		Platform: platform.RunEntry,
 		Name:     "filbertstile-entry",
 		Usage:    "answer callers and operators",
 		Settings: func() configurer.Checker { return configurer.DefaultEntry() },
--- a/cmd/filbertstile-host/main.go
+++ b/cmd/filbertstile-host/main.go
@@ -10,12 +10,14 @@
 	"filbertstile.example/filbertstile/connector"
 	"filbertstile.example/filbertstile/hostrunner"
 	"filbertstile.example/filbertstile/launcher"
+	"filbertstile.example/filbertstile/platform"
 	"filbertstile.example/filbertstile/relayer"
 	"filbertstile.example/filbertstile/voucher"
 )
 
 func main() {
 	os.Exit(launcher.Main(launcher.Program{
+		Platform: platform.RunHost,
 		Name:     "filbertstile-host",
 		Usage:    "guard one backend server",
 		Settings: func() configurer.Checker { return configurer.DefaultHost() },
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,7 +13,9 @@
 }
 
 // NewTCP returns the machine's network.
-func NewTCP() *TCP { return &TCP{} }
+func NewTCP() *TCP {
+	return &TCP{dialer: net.Dialer{KeepAliveConfig: keepAlives, Control: setUserTimeout}}
+}
 
 // Dial connects to an IP and port.
 func (t *TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -26,7 +28,8 @@
 
 // Listen accepts connections at an IP and port; port 0 picks one.
 func (t *TCP) Listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	lc := net.ListenConfig{KeepAliveConfig: keepAlives}
+	l, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
--- /dev/null
+++ b/edgerunner/edgerunner.go
@@ -0,0 +1,349 @@
+// Package edgerunner runs an entry that sends requests straight to replicas: it
+// holds the entry's view of configuration, replicas and peers, and judges what
+// callers may do by it.
+package edgerunner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/forwarder"
+	"filbertstile.example/filbertstile/matcher"
+	"filbertstile.example/filbertstile/placer"
+	"filbertstile.example/filbertstile/pulser"
+	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/tracker"
+	"filbertstile.example/filbertstile/wire"
+)
+
+const (
+	// pulseEvery is the time between two heartbeats of an entry; a killed entry
+	// is noticed after pulser.HeardFor.
+	pulseEvery = 400 * time.Millisecond
+	// revokeMargin is kept from the time within which a withdrawn key must stop
+	// working: timers fire late on a busy machine.
+	revokeMargin = 400 * time.Millisecond
+	// versionMargin is kept from the time within which a version must be in
+	// force: a request may wait in the replica before it begins.
+	versionMargin = 900 * time.Millisecond
+	// currentFor is how old the store's last confirmation may be for an entry to
+	// be named to callers.
+	currentFor = 2500 * time.Millisecond
+	// sweepEvery is the time between two looks for what has expired.
+	sweepEvery = 500 * time.Millisecond
+	// drainShare is the part of the time to stop in which new requests are
+	// still taken, as callers may hold the address.
+	drainShare = 0.8
+)
+
+// Sources are the entry's copies of what the store holds.
+type Sources struct {
+	Routing  *tracker.Tracker[filbertstile.Routing]
+	Replicas *tracker.Tracker[filbertstile.Replica]
+	Marks    *tracker.Tracker[filbertstile.Mark]
+	Weights  *tracker.Tracker[filbertstile.NamedWeights]
+	Members  *tracker.Tracker[filbertstile.Member]
+}
+
+// Bounds are the times that operators set.
+type Bounds struct {
+	// Revoke is how long after its withdrawal a key may still work.
+	Revoke time.Duration
+	// Version is the time within which a named version must be in force.
+	Version time.Duration
+	// Stop is the time from the signal to stop until the process is killed.
+	Stop time.Duration
+	// Settle is the time that an entry has after its start until it must keep
+	// the other bounds.
+	Settle time.Duration
+}
+
+// Config puts an entry together.
+type Config struct {
+	Self    filbertstile.Member
+	Regions map[string]string
+	Bounds  Bounds
+	Budget  forwarder.BudgetConfig
+	Placer  placer.Config
+	Link    forwarder.Link
+	Log     *reporter.Log
+	Metrics metrics.Registry
+	// Sweep is called now and then to close unused connections.
+	Sweep func()
+}
+
+// Edge is an entry.
+type Edge struct {
+	config    Config
+	sources   Sources
+	placer    *placer.Placer
+	forwarder *forwarder.Forwarder
+	pulser    *pulser.Pulser
+	matcher   atomic.Pointer[matcher.Matcher]
+	leaving   atomic.Bool
+	inHand    atomic.Int64
+	started   time.Time
+
+	mu     sync.Mutex
+	named  map[string][]naming
+	digest map[filbertstile.NamedWeights]string
+	ready  bool
+}
+
+// naming is when this entry learned of a version.
+type naming struct {
+	version int64
+	at      time.Time
+}
+
+// New returns an entry without sources.
+func New(c Config) *Edge {
+	e := &Edge{
+		config: c, placer: placer.New(c.Placer), started: time.Now(),
+		named: make(map[string][]naming), digest: make(map[filbertstile.NamedWeights]string),
+	}
+	e.forwarder = forwarder.New(forwarder.Config{
+		Placer: e.placer, Link: c.Link, Budget: c.Budget, Log: c.Log, Version: e.version, Observe: e.observe,
+	})
+	return e
+}
+
+// Connect gives the entry its sources and its heartbeats. It is called once,
+// before Run.
+func (e *Edge) Connect(s Sources, conn pulser.Conn, incarnation int64) {
+	e.sources = s
+	e.pulser = pulser.New(pulser.Config{
+		Self: e.config.Self, Conn: conn, Log: e.config.Log, Incarnation: incarnation, Compose: e.compose,
+		Every: pulseEvery, Heard: e.heard, Changed: e.Refresh,
+	})
+}
+
+// Run keeps the entry's view until the context ends.
+func (e *Edge) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { e.sources.Routing.Run(ctx) })
+	wg.Go(func() { e.sources.Replicas.Run(ctx) })
+	wg.Go(func() { e.sources.Marks.Run(ctx) })
+	wg.Go(func() { e.sources.Weights.Run(ctx) })
+	wg.Go(func() { e.sources.Members.Run(ctx) })
+	wg.Go(func() { e.pulser.Run(ctx) })
+	for sleeper.Sleep(ctx, sweepEvery) == nil {
+		e.config.Sweep()
+		e.noteReady()
+	}
+	wg.Wait()
+}
+
+// Refresh brings routes, replicas and peers into force. Trackers call it after
+// each change.
+func (e *Edge) Refresh() {
+	now := time.Now()
+	if e.pulser == nil {
+		return
+	}
+	routing, known := e.routing()
+	if known {
+		if m := e.matcher.Load(); m == nil || m.Routing().Version < routing.Version {
+			e.matcher.Store(matcher.New(routing))
+			e.config.Log.Event(reporter.ChangeApplied, reporter.Fields{"Config": routing.Version, "Routes": routing.Routes.Len()})
+		}
+	}
+	e.learnVersions(now)
+	out := make(map[string]bool)
+	for _, m := range e.sources.Marks.View().Rows.All() {
+		out[m.Name] = m.Out
+	}
+	entries := e.entries()
+	replicas := e.sources.Replicas.View()
+	e.placer.SetFleet(now, placer.Fleet{
+		Replicas: replicas.Rows, Pools: routing.Pools, Out: out, Regions: e.config.Regions, Entries: entries,
+	})
+	e.forwarder.SetEntries(entries)
+	e.config.Log.Event(reporter.ReplicasChanged, reporter.Fields{
+		"Replicas": replicas.Rows.Len(), "Revision": replicas.Revision, "Out": len(out), "Entries": entries,
+	})
+}
+
+// routing returns the configuration in force: versions never go back.
+func (e *Edge) routing() (filbertstile.Routing, bool) {
+	r, ok := e.sources.Routing.View().Rows.Get(filbertstile.Routing{}.Key())
+	if m := e.matcher.Load(); m != nil && (!ok || r.Version < m.Routing().Version) {
+		return m.Routing(), true
+	}
+	return r, ok
+}
+
+// entries counts the entries that send to replicas, as far as is known.
+func (e *Edge) entries() int {
+	heard := e.pulser.Heard()
+	n := 1
+	for _, m := range e.sources.Members.View().Rows.All() {
+		if _, ok := heard[m.Name]; ok && m.Role == filbertstile.RoleEntry && m.Name != e.config.Self.Name {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Edge) learnVersions(now time.Time) {
+	view := e.sources.Weights.View()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, w := range view.Rows.All() {
+		list := e.named[w.Model]
+		if len(list) > 0 && list[len(list)-1].version >= w.Version {
+			continue
+		}
+		at := now
+		if len(list) == 0 {
+			// It may have been named long before this start.
+			at = e.started.Add(e.config.Bounds.Settle - e.config.Bounds.Version)
+		}
+		e.named[w.Model] = append(list, naming{version: w.Version, at: at})
+		e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision})
+	}
+}
+
+// version returns the least version of the weights that replicas of the
+// service may run now.
+func (e *Edge) version(service string) (int64, bool) {
+	m := e.matcher.Load()
+	if m == nil {
+		return 0, false
+	}
+	spec, ok := m.Routing().Pools.Get(service)
+	if !ok || spec.Engine == nil {
+		return 0, false
+	}
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	floor := int64(0)
+	for _, n := range e.named[spec.Engine.Model] {
+		if now.Sub(n.at) >= e.config.Bounds.Version-versionMargin {
+			floor = n.version
+		}
+	}
+	return floor, floor > 0
+}
+
+// heard takes in a heartbeat.
+func (e *Edge) heard(p *wire.Pulse) {
+	e.mu.Lock()
+	for _, w := range p.GetWeights() {
+		e.digest[filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}] = w.GetManifest()
+	}
+	e.mu.Unlock()
+	if r := p.GetReplica(); r != nil {
+		e.placer.Report(time.Now(), r.GetAddress(), placer.Load{
+			Born: time.UnixMilli(r.GetBorn()), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
+			Version: r.GetVersion(), Loading: r.GetLoading(),
+		})
+	}
+}
+
+// compose says what this entry tells the other entries, and the hosts of its
+// region.
+func (e *Edge) compose() (*wire.Pulse, []filbertstile.Member) {
+	p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Heard: e.pulser.Names()}
+	e.mu.Lock()
+	for w, manifest := range e.digest {
+		if list := e.named[w.Model]; len(list) == 0 || w.Version+1 >= list[len(list)-1].version {
+			p.Weights = append(p.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: manifest})
+		}
+	}
+	e.mu.Unlock()
+	var to []filbertstile.Member
+	for _, m := range e.sources.Members.View().Rows.All() {
+		if m.Name != e.config.Self.Name && (m.Role == filbertstile.RoleEntry || m.Region == e.config.Self.Region) {
+			to = append(to, m)
+		}
+	}
+	return p, to
+}
+
+// current tells whether the store confirmed this entry's view a moment ago.
+func (e *Edge) current() bool {
+	age, known := e.sources.Routing.Age()
+	return known && age < currentFor
+}
+
+// Ready tells whether the entry takes requests.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.matcher.Load() != nil && e.sources.Replicas.View().Known && e.current()
+}
+
+func (e *Edge) noteReady() {
+	ready := e.Ready()
+	e.mu.Lock()
+	changed := ready != e.ready
+	e.ready = ready
+	e.mu.Unlock()
+	if !changed {
+		return
+	}
+	age, known := e.sources.Routing.Age()
+	event := reporter.ViewStale
+	if ready {
+		event = reporter.ProcessReady
+	}
+	e.config.Log.Event(event, reporter.Fields{"Age": age.String(), "Known": known, "Leaving": e.leaving.Load()})
+}
+
+// Leaving tells whether a planned stop has begun.
+func (e *Edge) Leaving() bool { return e.leaving.Load() }
+
+// Leave begins a planned stop, and returns when the entry may end: callers no
+// longer hold its address and nothing is in hand, or the time is over.
+func (e *Edge) Leave(ctx context.Context, hold time.Duration) {
+	e.leaving.Store(true)
+	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inHand.Load()})
+	e.pulser.Nudge()
+	most := time.Duration(float64(e.config.Bounds.Stop) * drainShare)
+	if sleeper.Sleep(ctx, min(hold, most)) != nil {
+		return
+	}
+	last := time.Now().Add(e.config.Bounds.Stop - most - stopMargin)
+	for e.inHand.Load() > 0 && time.Now().Before(last) {
+		if sleeper.Sleep(ctx, drainPoll) != nil {
+			return
+		}
+	}
+}
+
+const (
+	drainPoll = 20 * time.Millisecond
+	// stopMargin is kept from the moment at which the process is killed.
+	stopMargin = 300 * time.Millisecond
+)
+
+func (e *Edge) observe(c *forwarder.Call, status string, took time.Duration) {
+	metrics.GetOrRegisterCounter("Requests."+status, e.config.Metrics).Inc(1)
+	metrics.GetOrRegisterTimer("Requests.Took."+string(c.Route.Kind), e.config.Metrics).Update(took)
+}
+
+// Dump is the state of an entry.
+type Dump struct {
+	Self     filbertstile.Member
+	Config   int64
+	Ready    bool
+	Heard    []string
+	Waiting  int
+	Replicas []placer.State
+}
+
+// Dump returns the entry's tables.
+func (e *Edge) Dump() Dump {
+	d := Dump{Self: e.config.Self, Ready: e.Ready(), Heard: e.pulser.Names()}
+	if m := e.matcher.Load(); m != nil {
+		d.Config = m.Routing().Version
+	}
+	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
+	return d
+}
--- a/errors.go
+++ b/errors.go
@@ -106,3 +106,14 @@
 	}
 	return fmt.Sprintf("%s: %s: %s", e.Step, e.Field, e.Problem)
 }
+
+// ErrHistoryGone is a watch from a revision that the store no longer keeps.
+type ErrHistoryGone struct {
+	Step string
+	Peer string
+}
+
+// Error names the store.
+func (e ErrHistoryGone) Error() string {
+	return fmt.Sprintf("%s: peer %q: the history from there is gone", e.Step, e.Peer)
+}
--- a/fetcher/shelf.go
+++ b/fetcher/shelf.go
@@ -160,23 +160,10 @@
 // Whole returns all chunks of a release in order, after checking the digest
 // over them.
 func (s *Shelf) Whole(digest filbertstile.Digest) (filbertstile.Manifest, [][]byte, error) {
-	s.mu.Lock()
-	d := s.docs[digest]
-	if d == nil {
-		s.mu.Unlock()
+	m, chunks, ok := s.All(digest)
+	if !ok {
 		return filbertstile.Manifest{}, nil, filbertstile.ErrNotFound{Step: "gather weights", Key: string(digest)}
 	}
-	chunks := make([][]byte, 0, len(d.manifest.Chunks))
-	for _, ref := range d.manifest.Chunks {
-		data, ok := s.chunks[ref.Digest]
-		if !ok {
-			s.mu.Unlock()
-			return filbertstile.Manifest{}, nil, filbertstile.ErrNotFound{Step: "gather weights", Key: string(ref.Digest)}
-		}
-		chunks = append(chunks, data)
-	}
-	m := d.manifest
-	s.mu.Unlock()
 	h := sha256.New()
 	for _, data := range chunks {
 		h.Write(data)
@@ -187,3 +174,23 @@
 	}
 	return m, chunks, nil
 }
+
+// All returns the manifest and its chunks in order, or false until all are
+// held. Each chunk was verified when it was taken in.
+func (s *Shelf) All(digest filbertstile.Digest) (filbertstile.Manifest, [][]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.docs[digest]
+	if d == nil {
+		return filbertstile.Manifest{}, nil, false
+	}
+	chunks := make([][]byte, 0, len(d.manifest.Chunks))
+	for _, ref := range d.manifest.Chunks {
+		c := s.chunks[ref.Digest]
+		if c == nil {
+			return filbertstile.Manifest{}, nil, false
+		}
+		chunks = append(chunks, c)
+	}
+	return d.manifest, chunks, true
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -17,6 +17,8 @@
 	// Version is the store's revision at which the object was last written.
 	Version uint64
 	Value   []byte
+	// Removed is true in a watch's batch where the object is gone.
+	Removed bool
 }
 
 // Batch is what a watch saw.
@@ -24,6 +26,8 @@
 	// Revision is the store's revision up to which the batch is complete.
 	Revision uint64
 	Objects  []Object
+	// More tells that a list goes on after its last object.
+	More bool
 }
 
 // Store is the platform's object API.
@@ -113,3 +117,24 @@
 	// State asks the backend server for its state.
 	State(ctx context.Context) (EngineState, error)
 }
+
+// Engine is a model engine that loads the weights that lie beside it.
+type Engine interface {
+	// Report asks the engine for its state.
+	Report(ctx context.Context) (EngineReport, error)
+	// Stage puts a chunk beside the engine.
+	Stage(ctx context.Context, model string, index int, data []byte) error
+	// Staged returns a chunk that lies beside the engine, or ErrNotFound.
+	Staged(ctx context.Context, model string, index int) ([]byte, error)
+	// Load orders the engine to run what lies beside it, if it has begun as many
+	// orders as expected.
+	Load(ctx context.Context, w NamedWeights, orders int64) error
+}
+
+// Origin gives out the digests and chunks of versions of weights.
+type Origin interface {
+	// Manifest returns the list of chunks of a version; version 0 is the newest.
+	Manifest(ctx context.Context, w NamedWeights) (NamedWeights, Manifest, error)
+	// Chunk returns one chunk of a version.
+	Chunk(ctx context.Context, w NamedWeights, index int) ([]byte, error)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -39,6 +39,9 @@
 	Level func(configurer.Checker) string
 	// New puts the role together.
 	New func(s configurer.Checker, log *logrus.Logger) (Role, error)
+	// Platform runs the role on the users' platform, where its settings and its
+	// peers come from; nil where the role is not run there.
+	Platform func(ctx context.Context, out io.Writer) error
 }
 
 const flagSettings = "settings"
@@ -65,6 +68,12 @@
 			},
 		},
 	}
+	if p.Platform != nil {
+		app.Commands = append(app.Commands, &cli.Command{
+			Name: "platform", Usage: "run on the users' platform, which fills in the settings",
+			Action: func(ctx context.Context, _ *cli.Command) error { return p.Platform(ctx, out) },
+		})
+	}
 	if err := app.Run(context.Background(), args); err != nil {
 		fmt.Fprintln(errs, err)
 		return 1
--- /dev/null
+++ b/peerrunner/peerrunner.go
@@ -0,0 +1,426 @@
+// Package peerrunner runs the host process beside a model engine: it reports the
+// engine's load to the entries, moves weights among the hosts, and has the
+// installer bring the engine to the version that operators have named.
+package peerrunner
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/distributor"
+	"filbertstile.example/filbertstile/fetcher"
+	"filbertstile.example/filbertstile/installer"
+	"filbertstile.example/filbertstile/messenger"
+	"filbertstile.example/filbertstile/pulser"
+	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/tracker"
+	"filbertstile.example/filbertstile/wire"
+)
+
+const (
+	// pulseEvery is the time between two reports of the engine's load.
+	pulseEvery = 100 * time.Millisecond
+	// syncEvery is the time between two looks at what the host should hold.
+	syncEvery = 100 * time.Millisecond
+	// learnPause is the time before the origin is asked again for a manifest.
+	learnPause = 250 * time.Millisecond
+	// learnTimeout bounds reading a manifest.
+	learnTimeout = 3 * time.Second
+	// weightMemory bounds the chunks held, as a part of the process's memory.
+	weightMemoryShare = 4
+)
+
+// Sources are the host's copies of what the store holds.
+type Sources struct {
+	Weights *tracker.Tracker[filbertstile.NamedWeights]
+	Members *tracker.Tracker[filbertstile.Member]
+	// Routing reads the configuration once.
+	Routing func(ctx context.Context) (filbertstile.Routing, error)
+}
+
+// Config puts a host process together.
+type Config struct {
+	Self    filbertstile.Member
+	Regions map[string]string
+	Network filbertstile.Network
+	// EngineAddress is where entries reach the engine.
+	EngineAddress string
+	Engine        filbertstile.Engine
+	// Origin returns a client of the origin at the address.
+	Origin func(address string) filbertstile.Origin
+	// Within is the time within which a named version must be in force.
+	Within time.Duration
+	// MemoryBytes is the memory of the process.
+	MemoryBytes int64
+	Log         *reporter.Log
+	Metrics     metrics.Registry
+}
+
+// Peer is the host process beside an engine.
+type Peer struct {
+	config    Config
+	sources   Sources
+	library   *library
+	client    *messenger.Client
+	pulser    *pulser.Pulser
+	installer *installer.Installer
+	fetcher   atomic.Pointer[fetcher.Fetcher]
+	report    atomic.Pointer[filbertstile.EngineReport]
+	started   time.Time
+
+	mu      sync.Mutex
+	model   string
+	named   map[filbertstile.NamedWeights]time.Time
+	wanted  filbertstile.NamedWeights
+	alive   map[string]time.Time
+	heardAt time.Time
+	seeded  bool
+}
+
+// New returns a host process that does not run yet.
+func New(c Config) *Peer {
+	p := &Peer{
+		config: c, library: newLibrary(c.Log), started: time.Now(),
+		client: messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
+		named:  make(map[filbertstile.NamedWeights]time.Time), alive: make(map[string]time.Time),
+	}
+	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.due, Chunks: p.chunks, Seen: p.seen})
+	return p
+}
+
+// Connect gives the process its sources and its heartbeats. It is called once,
+// before Run.
+func (p *Peer) Connect(s Sources, conn pulser.Conn, incarnation int64) {
+	p.sources = s
+	p.pulser = pulser.New(pulser.Config{
+		Self: p.config.Self, Conn: conn, Log: p.config.Log, Incarnation: incarnation, Compose: p.compose,
+		Every: pulseEvery, Heard: p.heard, Changed: func() {},
+	})
+}
+
+// Run serves the other hosts at the listener until the context ends.
+func (p *Peer) Run(ctx context.Context, l net.Listener) error {
+	server, err := messenger.NewServer(messenger.ServerConfig{Handler: p.handle, Concurrency: handlers})
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { p.sources.Weights.Run(ctx) })
+	wg.Go(func() { p.sources.Members.Run(ctx) })
+	wg.Go(func() { p.pulser.Run(ctx) })
+	wg.Go(func() { p.installer.Run(ctx) })
+	wg.Go(func() { p.keep(ctx) })
+	err = server.Serve(ctx, l)
+	wg.Wait()
+	p.client.Close()
+	return err
+}
+
+// handlers bounds the requests of other hosts that are answered at a time.
+const handlers = 256
+
+func (p *Peer) handle(ctx context.Context, req *wire.Request, s *messenger.Stream) {
+	f := p.fetcher.Load()
+	if f == nil {
+		return
+	}
+	switch req.GetKind().(type) {
+	case *wire.Request_Chunk:
+		f.HandleChunk(req, s)
+	case *wire.Request_Holdings:
+		f.HandleHoldings(ctx, req, s)
+	}
+}
+
+// keep makes the fetcher hold what the host should hold.
+func (p *Peer) keep(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	pause := syncEvery
+	for sleeper.Sleep(ctx, pause) == nil {
+		pause = syncEvery
+		if p.fetcher.Load() == nil {
+			if err := p.begin(ctx, &wg); err != nil {
+				p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "read configuration", "Error": err})
+				pause = learnPause
+			}
+			continue
+		}
+		if err := p.sync(ctx); err != nil {
+			p.config.Log.Event(reporter.SourceFailed, reporter.Fields{"Step": "learn manifest", "Error": err})
+			pause = learnPause
+		}
+	}
+}
+
+// begin reads the configuration and starts the fetcher.
+func (p *Peer) begin(ctx context.Context, wg *sync.WaitGroup) error {
+	r, err := p.sources.Routing(ctx)
+	if err != nil {
+		return err
+	}
+	spec, _ := r.Pools.Get(p.config.Self.Service)
+	if spec.Engine == nil {
+		return filbertstile.ErrField{Step: "read configuration", Field: p.config.Self.Service, Problem: "has no engine"}
+	}
+	region := ""
+	for _, s := range r.Pools.All() {
+		if s.Origin != "" {
+			p.library.setOrigin(p.config.Origin(s.Origin))
+			region = p.config.Regions[s.OriginDomain]
+		}
+	}
+	p.mu.Lock()
+	p.model = spec.Engine.Model
+	p.mu.Unlock()
+	f, err := fetcher.New(fetcher.Config{
+		Self: p.config.Self, Client: p.client, Source: p.library, Log: p.config.Log, Metrics: p.config.Metrics,
+		Core: distributor.Config{
+			Self: p.config.Self, SourceRegion: region, Limits: distributor.DefaultLimits(), Seed: uint64(p.started.UnixNano()),
+		},
+		MemoryBytes: p.config.MemoryBytes / weightMemoryShare, Completed: func(distributor.Completed) {},
+	})
+	if err != nil {
+		return err
+	}
+	wg.Go(func() { f.Run(ctx) })
+	p.fetcher.Store(f)
+	return nil
+}
+
+// sync tells the fetcher which versions to hold and which hosts live.
+func (p *Peer) sync(ctx context.Context) error {
+	f := p.fetcher.Load()
+	f.SetMembers(p.members())
+	w, ok := p.target()
+	if !ok || w.Version == 0 {
+		// Nothing is named: the origin knows the newest version.
+		ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+		defer cancel()
+		named, _, err := p.library.learn(ctx, filbertstile.NamedWeights{Model: p.model})
+		if err != nil {
+			return err
+		}
+		p.name(named)
+		w = named
+	}
+	err := p.learn(ctx, w)
+	p.library.forget(w.Model, w.Version-keptVersions+1)
+	p.seed(ctx, w)
+	f.SetWanted(p.wants(w))
+	return err
+}
+
+// learn makes sure that the manifest of a version is known.
+func (p *Peer) learn(ctx context.Context, w filbertstile.NamedWeights) error {
+	if p.library.read(w) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	_, _, err := p.library.learn(ctx, w)
+	return err
+}
+
+func (p *Peer) wants(w filbertstile.NamedWeights) []distributor.Want {
+	var out []distributor.Want
+	for v := w.Version; v > 0 && v > w.Version-keptVersions; v-- {
+		named := filbertstile.NamedWeights{Model: w.Model, Version: v}
+		if d, ok := p.library.digest(named); ok {
+			out = append(out, distributor.Want{Release: named.Model, Manifest: d})
+		}
+	}
+	return out
+}
+
+// seed takes over what lies beside the engine since before this process
+// started, so that it need not come over the link.
+func (p *Peer) seed(ctx context.Context, w filbertstile.NamedWeights) {
+	digest, ok := p.library.digest(w)
+	r := p.report.Load()
+	if p.seeded || !ok || r == nil {
+		return
+	}
+	doc := p.library.document(digest)
+	if doc == nil {
+		return
+	}
+	p.seeded = true
+	f := p.fetcher.Load()
+	for i, ref := range doc.Chunks {
+		data, err := p.config.Engine.Staged(ctx, w.Model, i)
+		if err != nil {
+			return // nothing lies there
+		}
+		if f.Shelf().AddChunk(ref, data, "engine") != nil {
+			continue // it is of another version, or spoilt
+		}
+	}
+}
+
+// document returns a manifest that this process has read.
+func (l *library) document(digest filbertstile.Digest) *filbertstile.Manifest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d, ok := l.docs[digest]; ok {
+		return &d.manifest
+	}
+	return nil
+}
+
+// target returns the newest version that is known to be named.
+func (p *Peer) target() (filbertstile.NamedWeights, bool) {
+	p.mu.Lock()
+	model := p.model
+	p.mu.Unlock()
+	if w, ok := p.sources.Weights.View().Rows.Get(model); ok {
+		p.name(w)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wanted, p.wanted.Version > 0
+}
+
+// name notes that a version is named; older ones than the newest do not count.
+func (p *Peer) name(w filbertstile.NamedWeights) {
+	p.mu.Lock()
+	known := w.Version <= p.wanted.Version
+	if !known {
+		p.wanted = w
+		p.named[w] = time.Now()
+		delete(p.named, filbertstile.NamedWeights{Model: w.Model, Version: w.Version - keptVersions})
+	}
+	p.mu.Unlock()
+	if !known {
+		p.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version})
+	}
+}
+
+// due returns what the engine should run.
+func (p *Peer) due() (installer.Wanted, bool) {
+	w, ok := p.target()
+	if !ok {
+		return installer.Wanted{}, false
+	}
+	p.mu.Lock()
+	at := p.named[w]
+	p.mu.Unlock()
+	return installer.Wanted{Weights: w, NamedAt: at, Within: p.config.Within, Rank: p.rank()}, true
+}
+
+// rank is the place of this host among those of its service, so that the
+// groups that switch are of equal size in each failure domain.
+func (p *Peer) rank() float64 {
+	var names []string
+	for _, m := range p.members() {
+		if m.Domain == p.config.Self.Domain {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	i, _ := slices.BinarySearch(names, p.config.Self.Name)
+	return float64(i) / float64(max(1, len(names)))
+}
+
+// members returns the hosts of the service that an entry hears; where no entry
+// is heard, all that are registered.
+func (p *Peer) members() []filbertstile.Member {
+	now := time.Now()
+	p.mu.Lock()
+	blind := now.Sub(p.heardAt) > pulser.HeardFor
+	alive := make(map[string]bool, len(p.alive))
+	for name, at := range p.alive {
+		alive[name] = now.Sub(at) <= pulser.HeardFor
+	}
+	p.mu.Unlock()
+	var out []filbertstile.Member
+	for _, m := range p.sources.Members.View().Rows.All() {
+		own := m.Name == p.config.Self.Name
+		if m.Role == filbertstile.RoleHost && m.Service == p.config.Self.Service && (own || blind || alive[m.Name]) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (p *Peer) chunks(w filbertstile.NamedWeights) (filbertstile.Manifest, [][]byte, bool) {
+	digest, ok := p.library.digest(w)
+	f := p.fetcher.Load()
+	if !ok || f == nil {
+		return filbertstile.Manifest{}, nil, false
+	}
+	return f.Shelf().All(digest)
+}
+
+// seen takes in the engine's report.
+func (p *Peer) seen(r filbertstile.EngineReport) {
+	old := p.report.Swap(&r)
+	if old == nil || old.Loading != r.Loading || old.Version != r.Version {
+		if old != nil && old.Version != r.Version && r.Version > 0 {
+			p.config.Log.Event(reporter.SwitchDone, reporter.Fields{"Version": r.Version, "From": old.Version, "Born": r.Born.UnixMilli()})
+		}
+		p.pulser.Nudge()
+	}
+}
+
+// heard takes in an entry's heartbeat.
+func (p *Peer) heard(x *wire.Pulse) {
+	now := time.Now()
+	for _, w := range x.GetWeights() {
+		p.library.hear(filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}, filbertstile.Digest(w.GetManifest()))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heardAt = now
+	for _, name := range x.GetHeard() {
+		p.alive[name] = now
+	}
+}
+
+// compose says what this host tells the entries.
+func (p *Peer) compose() (*wire.Pulse, []filbertstile.Member) {
+	out := &wire.Pulse{}
+	if r := p.report.Load(); r != nil {
+		out.Replica = &wire.ReplicaLoad{
+			Address: p.config.EngineAddress, Born: r.Born.UnixMilli(), Running: int32(r.Running), Waiting: int32(r.Waiting),
+			Version: r.Version, Loading: r.Loading,
+		}
+	}
+	for w, digest := range p.library.known() {
+		out.Weights = append(out.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: string(digest)})
+	}
+	var to []filbertstile.Member
+	for _, m := range p.sources.Members.View().Rows.All() {
+		if m.Role == filbertstile.RoleEntry {
+			to = append(to, m)
+		}
+	}
+	return out, to
+}
+
+// Dump is the state of a host process.
+type Dump struct {
+	Self    filbertstile.Member
+	Report  *filbertstile.EngineReport
+	Wanted  filbertstile.NamedWeights
+	Members []filbertstile.Member
+	Weights []distributor.Progress
+}
+
+// Dump returns the process's tables.
+func (p *Peer) Dump() Dump {
+	d := Dump{Self: p.config.Self, Report: p.report.Load(), Members: p.members()}
+	d.Wanted, _ = p.target()
+	if f := p.fetcher.Load(); f != nil {
+		d.Weights = f.Progress()
+	}
+	return d
+}
--- /dev/null
+++ b/peerrunner/weights.go
@@ -0,0 +1,169 @@
+package peerrunner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/reporter"
+)
+
+// keptVersions is the number of versions whose chunks a host keeps: the one
+// that replicas run and the one that is on its way.
+const keptVersions = 2
+
+// library knows the manifests of versions, and reads what the host lacks from
+// the origin. It is the source that the fetcher asks.
+type library struct {
+	log *reporter.Log
+
+	mu       sync.Mutex
+	origin   filbertstile.Origin
+	versions map[filbertstile.NamedWeights]filbertstile.Digest
+	docs     map[filbertstile.Digest]document
+	chunks   map[filbertstile.Digest]place
+}
+
+type document struct {
+	weights  filbertstile.NamedWeights
+	manifest filbertstile.Manifest
+	raw      []byte
+}
+
+// place is where the origin has a chunk.
+type place struct {
+	weights filbertstile.NamedWeights
+	index   int
+}
+
+func newLibrary(log *reporter.Log) *library {
+	return &library{
+		log: log, versions: make(map[filbertstile.NamedWeights]filbertstile.Digest),
+		docs: make(map[filbertstile.Digest]document), chunks: make(map[filbertstile.Digest]place),
+	}
+}
+
+func (l *library) setOrigin(o filbertstile.Origin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.origin = o
+}
+
+func (l *library) source() (filbertstile.Origin, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.origin == nil {
+		return nil, fmt.Errorf("ask the origin: its address is not known yet")
+	}
+	return l.origin, nil
+}
+
+// learn reads the manifest of a version from the origin, twice, as nothing else
+// tells a corrupted list of digests; version 0 is the newest.
+func (l *library) learn(ctx context.Context, w filbertstile.NamedWeights) (filbertstile.NamedWeights, filbertstile.Digest, error) {
+	o, err := l.source()
+	if err != nil {
+		return w, "", err
+	}
+	named, m, err := o.Manifest(ctx, w)
+	if err != nil {
+		return w, "", err
+	}
+	again, m2, err := o.Manifest(ctx, named)
+	if err != nil {
+		return w, "", err
+	}
+	digest := filbertstile.DigestOf(m.Encode())
+	if other := filbertstile.DigestOf(m2.Encode()); named != again || digest != other {
+		return w, "", filbertstile.ErrDigest{Step: "read manifest twice", Peer: "origin", Want: digest, Got: other}
+	}
+	l.add(named, digest, m)
+	return named, digest, nil
+}
+
+func (l *library) add(w filbertstile.NamedWeights, digest filbertstile.Digest, m filbertstile.Manifest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions[w] = digest
+	l.docs[digest] = document{weights: w, manifest: m, raw: m.Encode()}
+	for i, c := range m.Chunks {
+		l.chunks[c.Digest] = place{weights: w, index: i}
+	}
+}
+
+// hear takes in the digest of a manifest that another process has read.
+func (l *library) hear(w filbertstile.NamedWeights, digest filbertstile.Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.versions[w]; !ok && digest != "" {
+		l.versions[w] = digest
+	}
+}
+
+// forget drops what has become old, so that the tables stay bounded.
+func (l *library) forget(model string, before int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for w, digest := range l.versions {
+		if w.Model == model && w.Version < before {
+			delete(l.versions, w)
+			delete(l.docs, digest)
+		}
+	}
+	for digest, p := range l.chunks {
+		if p.weights.Model == model && p.weights.Version < before {
+			delete(l.chunks, digest)
+		}
+	}
+}
+
+func (l *library) digest(w filbertstile.NamedWeights) (filbertstile.Digest, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, ok := l.versions[w]
+	return d, ok
+}
+
+// read tells whether this process has the manifest itself.
+func (l *library) read(w filbertstile.NamedWeights) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.docs[l.versions[w]]
+	return ok
+}
+
+func (l *library) known() map[filbertstile.NamedWeights]filbertstile.Digest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[filbertstile.NamedWeights]filbertstile.Digest, len(l.versions))
+	for w, d := range l.versions {
+		out[w] = d
+	}
+	return out
+}
+
+// Manifest returns a manifest's document that the origin gave out.
+func (l *library) Manifest(_ context.Context, digest filbertstile.Digest) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d, ok := l.docs[digest]; ok {
+		return d.raw, nil
+	}
+	return nil, filbertstile.ErrNotFound{Step: "find manifest", Peer: "origin", Key: string(digest)}
+}
+
+// Chunk reads a chunk from the origin.
+func (l *library) Chunk(ctx context.Context, digest filbertstile.Digest) ([]byte, error) {
+	o, err := l.source()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	p, ok := l.chunks[digest]
+	l.mu.Unlock()
+	if !ok {
+		return nil, filbertstile.ErrNotFound{Step: "find chunk", Peer: "origin", Key: string(digest)}
+	}
+	return o.Chunk(ctx, p.weights, p.index)
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,358 @@
+// Package placer decides at an entry which replica runs a request, which
+// requests wait for one, and which are refused at once. It serves entries that
+// send straight to replicas whose engines run a batch and queue by themselves:
+// a request that waits in a replica cannot be taken back, so what exceeds the
+// replicas' slots waits here, first by priority, and what cannot be answered
+// within its objective is refused while the caller can still come back.
+package placer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"filbertstile.example/filbertstile"
+)
+
+const (
+	// waitShare is the part of the objective that a request may wait here; the
+	// rest is for reading its prompt and the first pass.
+	waitShare = 0.55
+	// rateWeight is the share of the newest second in the rate of placements.
+	rateWeight = 0.5
+	// leastRetry and mostRetry bound the Retry-After of refusals: a request
+	// takes about a second, and callers honour a third of their time left.
+	leastRetry = 300 * time.Millisecond
+	mostRetry  = 1500 * time.Millisecond
+	// noReplicaRetry is the hint while no replica may run the request.
+	noReplicaRetry = 800 * time.Millisecond
+)
+
+// Config puts a placer together.
+type Config struct {
+	// Region is that of the entry.
+	Region string
+	Seed   uint64
+	// ColdBurst and ColdSlack bound the requests to a cold replica in one
+	// second: its rate x ColdBurst + ColdSlack.
+	ColdBurst float64
+	ColdSlack float64
+}
+
+// Fleet is what the entry knows of the replicas.
+type Fleet struct {
+	Replicas filbertstile.Table[filbertstile.Replica]
+	Pools    filbertstile.Table[filbertstile.PoolSpec]
+	// Out lists the failure domains that are out of service.
+	Out map[string]bool
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
+	// Entries is the number of entries that send to the replicas.
+	Entries int
+}
+
+// Query is a request that wants a replica.
+type Query struct {
+	Service  string
+	Regions  []string
+	Priority int
+	// Version is the least version of the weights.
+	Version int64
+	// Tried lists replicas that the request must not go to.
+	Tried []string
+	// Arrived is when the caller's request came in.
+	Arrived time.Time
+	// Objective is the time within which the caller expects the answer to
+	// begin; Deadline is when it gives up.
+	Objective time.Duration
+	Deadline  time.Time
+}
+
+// Grant is a place at a replica. Release must be called once.
+type Grant struct {
+	Replica filbertstile.Replica
+	Count   float64
+	// Waited is how long the request waited here.
+	Waited time.Duration
+}
+
+// ErrNoRoom is a request that gets no replica.
+type ErrNoRoom struct {
+	Step       string
+	Reason     string
+	RetryAfter time.Duration
+	// Queue is the number of requests that wait, Fitting whether any replica
+	// could run the request.
+	Queue   int
+	Fitting bool
+}
+
+// Error names the reason.
+func (e ErrNoRoom) Error() string { return e.Step + ": " + e.Reason }
+
+type waiter struct {
+	query Query
+	since time.Time
+	grant chan Grant
+}
+
+// Placer owns the entry's picture of the replicas.
+type Placer struct {
+	config Config
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	fleet   Fleet
+	rows    map[string]*row
+	byAddr  map[string]*row
+	waiting []*waiter
+	// perSecond is the recent rate of placements by service.
+	perSecond map[string]float64
+	placed    map[string]int
+	countedAt time.Time
+}
+
+// New returns a placer without replicas.
+func New(c Config) *Placer {
+	return &Placer{
+		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), rows: make(map[string]*row), byAddr: make(map[string]*row),
+		perSecond: make(map[string]float64), placed: make(map[string]int),
+	}
+}
+
+// SetFleet replaces the replicas; what is known of those that stay is kept.
+func (p *Placer) SetFleet(now time.Time, f Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := make(map[string]*row, f.Replicas.Len())
+	byAddr := make(map[string]*row, f.Replicas.Len())
+	for _, x := range f.Replicas.All() {
+		r := p.rows[x.ID]
+		if r == nil || !r.replica.Born.Equal(x.Born) {
+			r = &row{}
+		}
+		if x.ColdFor > 0 && r.replica.ColdFor != x.ColdFor {
+			r.coldUntil = now.Add(x.ColdFor)
+		}
+		r.replica, r.region = x, f.Regions[x.Domain]
+		rows[x.ID] = r
+		byAddr[x.Address] = r
+	}
+	p.fleet, p.rows, p.byAddr = f, rows, byAddr
+	p.serveWaiting(now)
+}
+
+// Report takes in what a host process says of the replica at the address.
+func (p *Placer) Report(now time.Time, address string, l Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.byAddr[address]
+	if r == nil || !r.replica.Born.IsZero() && !l.Born.IsZero() && !r.replica.Born.Equal(l.Born) {
+		return
+	}
+	r.load, r.loadAt, r.ownAtLoad = l, now, r.own
+	p.serveWaiting(now)
+}
+
+// Acquire returns a place for the request, at once or after a while, or
+// ErrNoRoom.
+func (p *Placer) Acquire(ctx context.Context, q Query) (Grant, error) {
+	now := time.Now()
+	p.mu.Lock()
+	if best, fitting := p.choose(now, q); best != nil {
+		g := p.place(now, best, q.Service)
+		p.mu.Unlock()
+		return g, nil
+	} else if err := p.hopeless(now, q, fitting); err != nil {
+		p.mu.Unlock()
+		return Grant{}, err
+	}
+	w := &waiter{query: q, since: now, grant: make(chan Grant, 1)}
+	p.enqueue(w)
+	p.mu.Unlock()
+	timer := time.NewTimer(q.Arrived.Add(patience(q)).Sub(now))
+	defer timer.Stop()
+	select {
+	case g := <-w.grant:
+		return g, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return p.giveUp(ctx, w)
+}
+
+// patience is how long after its arrival the request may still be placed in
+// time.
+func patience(q Query) time.Duration {
+	out := time.Duration(float64(q.Objective) * waitShare)
+	if left := q.Deadline.Sub(q.Arrived) / 2; left < out {
+		return left
+	}
+	return out
+}
+
+// giveUp takes the request out of the line; a place granted meanwhile counts,
+// unless the caller has left.
+func (p *Placer) giveUp(ctx context.Context, w *waiter) (Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, x := range p.waiting {
+		if x == w {
+			p.waiting = append(p.waiting[:i:i], p.waiting[i+1:]...)
+			break
+		}
+	}
+	select {
+	case g := <-w.grant:
+		if ctx.Err() == nil {
+			return g, nil
+		}
+		p.release(time.Now(), g.Replica.ID, Abandoned)
+	default:
+	}
+	if ctx.Err() != nil {
+		return Grant{}, ctx.Err()
+	}
+	_, fitting := p.choose(time.Now(), w.query)
+	return Grant{}, p.refusal(w.query, "waited as long as the objective allows", fitting)
+}
+
+// hopeless tells why a request should not wait: the line before it is longer
+// than what is placed within its patience.
+func (p *Placer) hopeless(now time.Time, q Query, fitting bool) error {
+	if !now.Before(q.Arrived.Add(patience(q))) {
+		return p.refusal(q, "no room, and too late to wait", fitting)
+	}
+	if !fitting {
+		return p.refusal(q, "no replica may run it", fitting)
+	}
+	rate := p.perSecond[q.Service]
+	ahead := p.ahead(q)
+	if ahead > 0 && rate > 0 && float64(ahead)/rate > (patience(q)-now.Sub(q.Arrived)).Seconds() {
+		return p.refusal(q, "the line is longer than what is placed in time", fitting)
+	}
+	return nil
+}
+
+func (p *Placer) ahead(q Query) int {
+	n := 0
+	for _, w := range p.waiting {
+		if w.query.Service == q.Service && w.query.Priority <= q.Priority {
+			n++
+		}
+	}
+	return n
+}
+
+// refusal spreads the callers' return over the time in which places become
+// free.
+func (p *Placer) refusal(q Query, reason string, fitting bool) error {
+	after := noReplicaRetry
+	if fitting {
+		after = leastRetry
+		if rate := p.perSecond[q.Service]; rate > 0 {
+			after += time.Duration(float64(p.ahead(q)) / rate * float64(time.Second))
+		}
+	}
+	after = min(mostRetry, after) * time.Duration(75+p.rng.IntN(50)) / 100
+	return ErrNoRoom{Step: "place request", Reason: reason, RetryAfter: after, Queue: len(p.waiting), Fitting: fitting}
+}
+
+// enqueue keeps the line ordered by priority, then by arrival.
+func (p *Placer) enqueue(w *waiter) {
+	i := len(p.waiting)
+	for i > 0 && p.waiting[i-1].query.Priority > w.query.Priority {
+		i--
+	}
+	p.waiting = append(p.waiting, nil)
+	copy(p.waiting[i+1:], p.waiting[i:])
+	p.waiting[i] = w
+}
+
+func (p *Placer) place(now time.Time, r *row, service string) Grant {
+	count := r.count(now, p.fleet.Entries)
+	r.own++
+	r.tokens--
+	p.countPlaced(now, service)
+	return Grant{Replica: r.replica, Count: count}
+}
+
+func (p *Placer) countPlaced(now time.Time, service string) {
+	p.placed[service]++
+	if now.Sub(p.countedAt) < time.Second {
+		return
+	}
+	for s, n := range p.placed {
+		rate := float64(n)
+		if p.countedAt.IsZero() {
+			p.perSecond[s] = rate
+		} else {
+			seconds := now.Sub(p.countedAt).Seconds()
+			p.perSecond[s] = p.perSecond[s]*(1-rateWeight) + rate/seconds*rateWeight
+		}
+		p.placed[s] = 0
+	}
+	p.countedAt = now
+}
+
+// Release ends the use of a place.
+func (p *Placer) Release(g Grant, o Outcome) (heldUntil time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.release(time.Now(), g.Replica.ID, o)
+}
+
+func (p *Placer) release(now time.Time, id string, o Outcome) time.Time {
+	r := p.rows[id]
+	if r == nil {
+		return time.Time{}
+	}
+	r.ended(now, o)
+	p.serveWaiting(now)
+	return r.holdUntil
+}
+
+// serveWaiting places requests from the head of the line. One that no replica
+// has room for lets later ones of other services and regions pass.
+func (p *Placer) serveWaiting(now time.Time) {
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		best, _ := p.choose(now, w.query)
+		if best == nil {
+			kept = append(kept, w)
+			continue
+		}
+		g := p.place(now, best, w.query.Service)
+		g.Waited = now.Sub(w.since)
+		w.grant <- g
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+// State is a replica as the placer sees it, for dumps.
+type State struct {
+	Replica  filbertstile.Replica
+	Own      int
+	Load     Load
+	LoadAge  time.Duration
+	Failures int
+	Rate     float64
+	Held     time.Duration
+}
+
+// Dump returns all replicas and the length of the line.
+func (p *Placer) Dump(now time.Time) ([]State, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []State
+	for _, x := range p.fleet.Replicas.All() {
+		r := p.rows[x.ID]
+		out = append(out, State{
+			Replica: x, Own: r.own, Load: r.load, LoadAge: now.Sub(r.loadAt), Failures: r.failures, Rate: r.rate,
+			Held: max(0, r.holdUntil.Sub(now)),
+		})
+	}
+	return out, len(p.waiting)
+}
--- /dev/null
+++ b/placer/score.go
@@ -0,0 +1,217 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"filbertstile.example/filbertstile"
+)
+
+const (
+	// reportFresh is how long a host process's report counts; hosts report
+	// every 100 ms.
+	reportFresh = 600 * time.Millisecond
+	// firstHold and mostHold bound how long a replica that failed is passed
+	// over; the time doubles with each failure in a row.
+	firstHold = 250 * time.Millisecond
+	mostHold  = 4 * time.Second
+	// fullHold is the pause after a replica said that it is full: the lag of
+	// its reports.
+	fullHold = 120 * time.Millisecond
+	// failureWeight is the share of the newest outcome in the failure rate.
+	failureWeight = 0.15
+	// failureCost is what a failure rate of one adds to the load, in requests.
+	failureCost = 24.0
+	// abroadCost is what another region adds to the load, in requests.
+	abroadCost = 0.4
+	// tieSpread is the width of the random part of the load, in requests, so
+	// that entries with the same reports choose differently.
+	tieSpread = 1.5
+	// blindEntries bounds by how many entries the own count is multiplied
+	// where no report says what the others send.
+	blindEntries = 3
+	// overfill is how many requests beyond its slots a replica is given, so
+	// that a slot that becomes free is taken within the same pass.
+	overfill = 1
+	// coldMargin is the share of the bound on cold replicas that is used.
+	coldMargin = 0.85
+)
+
+// Load is what a host process reported of the replica beside it.
+type Load struct {
+	Born    time.Time
+	Running int
+	Waiting int
+	// Version is that of the weights that run; 0 for none.
+	Version int64
+	Loading bool
+}
+
+// Outcome tells how a replica ended a request.
+type Outcome int
+
+// Outcomes.
+const (
+	// Answered is a whole answer.
+	Answered Outcome = iota
+	// Failed is an answer that says that the replica failed.
+	Failed
+	// Broken is an answer that broke off, or was none.
+	Broken
+	// Unreached is a replica that could not be connected to.
+	Unreached
+	// Full is the replica's word that it did not run the request.
+	Full
+	// Moved is the word of another replica at that address.
+	Moved
+	// Abandoned is a request whose caller left.
+	Abandoned
+)
+
+// row is a replica with what this entry knows of it.
+type row struct {
+	replica   filbertstile.Replica
+	region    string
+	coldUntil time.Time
+	own       int
+	load      Load
+	loadAt    time.Time
+	// ownAtLoad is what own was when the load arrived.
+	ownAtLoad int
+	failures  int
+	rate      float64
+	holdUntil time.Time
+	tokens    float64
+	filledAt  time.Time
+}
+
+func (r *row) reported(now time.Time) bool { return now.Sub(r.loadAt) < reportFresh }
+
+// version returns the version of the weights that the replica runs: the newer
+// word of the host process and the platform's list.
+func (r *row) version(now time.Time) int64 {
+	if r.reported(now) {
+		return r.load.Version
+	}
+	return r.replica.Version
+}
+
+// count estimates the requests that the replica has in hand.
+func (r *row) count(now time.Time, entries int) float64 {
+	if r.reported(now) {
+		return float64(max(r.own, r.load.Running+r.load.Waiting+r.own-r.ownAtLoad))
+	}
+	return float64(r.own * min(max(1, entries), blindEntries))
+}
+
+// fill brings the replica's share of the cold rate up to date.
+func (r *row) fill(now time.Time, rate, burst float64) {
+	if r.filledAt.IsZero() {
+		r.tokens = burst
+	} else {
+		r.tokens = min(burst, r.tokens+now.Sub(r.filledAt).Seconds()*rate)
+	}
+	r.filledAt = now
+}
+
+// ended takes in how a request ended.
+func (r *row) ended(now time.Time, o Outcome) {
+	r.own = max(0, r.own-1)
+	switch o {
+	case Answered:
+		r.failures = 0
+		r.rate *= 1 - failureWeight
+	case Failed:
+		r.rate = r.rate*(1-failureWeight) + failureWeight
+	case Broken, Unreached, Moved:
+		r.failures++
+		r.rate = r.rate*(1-failureWeight) + failureWeight
+		r.holdUntil = now.Add(min(mostHold, firstHold<<min(r.failures-1, 6)))
+	case Full:
+		r.holdUntil = now.Add(fullHold)
+	case Abandoned:
+	}
+}
+
+// fits tells whether the replica may run the request at all.
+func (p *Placer) fits(now time.Time, q Query, r *row) bool {
+	x := r.replica
+	if x.Service != q.Service || x.Leaving || p.fleet.Out[x.Domain] || slices.Contains(q.Tried, x.ID) {
+		return false
+	}
+	if len(q.Regions) > 0 && !slices.Contains(q.Regions, r.region) {
+		return false
+	}
+	if !p.modelled(q.Service) {
+		return true
+	}
+	if r.reported(now) && r.load.Loading {
+		return false
+	}
+	v := r.version(now)
+	return v > 0 && v >= q.Version
+}
+
+func (p *Placer) modelled(service string) bool {
+	spec, ok := p.fleet.Pools.Get(service)
+	return ok && spec.Engine != nil
+}
+
+// choose returns the least loaded replica with room; among failing ones only
+// where all others fail as well. Any tells whether some replica fits.
+func (p *Placer) choose(now time.Time, q Query) (best *row, any bool) {
+	least := 0.0
+	var held *row
+	for _, r := range p.rows {
+		if !p.fits(now, q, r) {
+			continue
+		}
+		any = true
+		count := r.count(now, p.fleet.Entries)
+		if count >= float64(max(1, r.replica.Slots)+overfill) || !p.coldRoom(now, r) {
+			continue
+		}
+		if now.Before(r.holdUntil) {
+			if held == nil || r.holdUntil.Before(held.holdUntil) {
+				held = r
+			}
+			continue
+		}
+		score := count + r.rate*failureCost + p.rng.Float64()*tieSpread
+		if r.region != p.config.Region {
+			score += abroadCost
+		}
+		if best == nil || score < least {
+			best, least = r, score
+		}
+	}
+	if best == nil && held != nil && !p.othersFit(now, q) {
+		best = held
+	}
+	return best, any
+}
+
+// othersFit tells whether a replica that does not fail fits, though it has no
+// room now.
+func (p *Placer) othersFit(now time.Time, q Query) bool {
+	for _, r := range p.rows {
+		if p.fits(now, q, r) && !now.Before(r.holdUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// coldRoom keeps the requests of all entries together below what a cold replica
+// bears. Replicas turn cold without warning, so the share holds at all times.
+func (p *Placer) coldRoom(now time.Time, r *row) bool {
+	spec, ok := p.fleet.Pools.Get(r.replica.Service)
+	if !ok || spec.ColdRate <= 0 {
+		return true
+	}
+	entries := float64(max(1, p.fleet.Entries))
+	bound := (spec.ColdRate*p.config.ColdBurst + p.config.ColdSlack) * coldMargin
+	rate := min(spec.ColdRate, bound/2) / entries
+	r.fill(now, rate, max(1, bound/entries-rate))
+	return r.tokens >= 1
+}
--- a/reporter/events.go
+++ b/reporter/events.go
@@ -33,16 +33,28 @@
 	ChangeRefused       Event = 208
 	PushIncomplete      Event = 209
 	SnapshotFailed      Event = 210
+	HistoryGone         Event = 211
+	ObjectUnreadable    Event = 212
+	SettingsReloaded    Event = 213
 	HostLost            Event = 301
 	HostFound           Event = 302
 	RequestFailed       Event = 303
 	StreamResumed       Event = 304
 	BackendCold         Event = 305
+	AttemptEnded        Event = 306
+	RequestRefused      Event = 307
+	RequestDone         Event = 308
+	CallerLeft          Event = 309
+	ReplicaHeld         Event = 310
+	ReplicasChanged     Event = 311
+	PeersChanged        Event = 312
 	TransferStarted     Event = 401
 	TransferDone        Event = 402
 	ChunkRefused        Event = 403
 	PeerSetAside        Event = 404
 	SourceFailed        Event = 405
+	ChunkRestaged       Event = 406
+	VersionNamed        Event = 407
 	SwitchStarted       Event = 501
 	SwitchDone          Event = 502
 	SwitchFailed        Event = 503
@@ -85,16 +97,28 @@
 	{ChangeRefused, "ChangeRefused", "config", logrus.InfoLevel, "An operator's change was refused; nothing of it is in force.", "The operator's answer names the fields."},
 	{PushIncomplete, "PushIncomplete", "config", logrus.WarnLevel, "An accepted change has not reached more than half of the relays directly.", "Use watch to see where it is not in force."},
 	{SnapshotFailed, "SnapshotFailed", "config", logrus.WarnLevel, "The snapshot of the configuration was not written; the log grows until the next one.", "Check the object API."},
+	{HistoryGone, "HistoryGone", "config", logrus.InfoLevel, "The store no longer keeps the history that a watch started from; the objects are listed again.", nothing},
+	{ObjectUnreadable, "ObjectUnreadable", "config", logrus.WarnLevel, "An object of the store cannot be read and is left out.", "Look at the object and at who wrote it."},
+	{SettingsReloaded, "SettingsReloaded", "process", logrus.InfoLevel, "The settings file was read again on SIGHUP.", nothing},
 	{HostLost, "HostLost", "requests", logrus.WarnLevel, "A host process no longer answers; no work goes there.", "Check the host if it stays away."},
 	{HostFound, "HostFound", "requests", logrus.InfoLevel, "A host process answers.", nothing},
 	{RequestFailed, "RequestFailed", "requests", logrus.InfoLevel, "A request ended without a whole answer.", "The line names the code, the step and the peer."},
 	{StreamResumed, "StreamResumed", "requests", logrus.InfoLevel, "A broken stream goes on at another replica of the same release.", nothing},
 	{BackendCold, "BackendCold", "requests", logrus.InfoLevel, "A backend server is cold; its limit starts at one again.", nothing},
+	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "A request was sent to a replica and came back without a whole answer; the line says what follows.", nothing},
+	{RequestRefused, "RequestRefused", "requests", logrus.InfoLevel, "A request was refused and has not run; the line names what decided it.", nothing},
+	{RequestDone, "RequestDone", "requests", logrus.InfoLevel, "A request was answered.", nothing},
+	{CallerLeft, "CallerLeft", "requests", logrus.InfoLevel, "The caller closed its connection before the answer was complete.", nothing},
+	{ReplicaHeld, "ReplicaHeld", "requests", logrus.InfoLevel, "A replica failed and gets no requests until the moment in the line.", "Look at the replica if this repeats."},
+	{ReplicasChanged, "ReplicasChanged", "requests", logrus.InfoLevel, "The replicas that take requests have changed.", nothing},
+	{PeersChanged, "PeersChanged", "process", logrus.InfoLevel, "The processes that are heard have changed.", nothing},
 	{TransferStarted, "TransferStarted", "weights", logrus.InfoLevel, "A host starts to fetch a release.", nothing},
 	{TransferDone, "TransferDone", "weights", logrus.InfoLevel, "All chunks of a release are held and verified.", nothing},
 	{ChunkRefused, "ChunkRefused", "weights", logrus.WarnLevel, "A chunk did not match its digest and was dropped.", "Check the peer or source named in the line."},
 	{PeerSetAside, "PeerSetAside", "weights", logrus.WarnLevel, "A peer that sent a bad chunk is not asked for a while.", "Check the peer's memory and network."},
 	{SourceFailed, "SourceFailed", "weights", logrus.WarnLevel, "The weight store and the origin did not give a manifest or a chunk.", "Check the weight store."},
+	{ChunkRestaged, "ChunkRestaged", "weights", logrus.WarnLevel, "A chunk beside the engine did not match its digest and was put there again.", "Check the replica's machine if this repeats."},
+	{VersionNamed, "VersionNamed", "weights", logrus.InfoLevel, "Operators have named a version of the weights.", nothing},
 	{SwitchStarted, "SwitchStarted", "rollout", logrus.InfoLevel, "A replica stops taking work in order to load another release.", nothing},
 	{SwitchDone, "SwitchDone", "rollout", logrus.InfoLevel, "The engine confirmed the release's digest; the replica takes work.", nothing},
 	{SwitchFailed, "SwitchFailed", "rollout", logrus.ErrorLevel, "The engine did not load the release; it is ordered again.", "Look at the engine's own log."},
