installer: one replica after the other switches; strict versions only after their bound

Cause: an entry took the first version it saw named for an old one and held replicas to it at once, so all were refused from 20 s on; all hosts held the chunks at the same moment and switched together. Ruled out: slow loading (0.3 s from order to done).

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -68,7 +68,7 @@
 		ChunkTimeout:  4 * time.Second,
 		SetAside:      30 * time.Second,
 		BusyPause:     10 * time.Millisecond,
-		ManifestRetry: 200 * time.Millisecond,
+		ManifestRetry: 50 * time.Millisecond,
 		Importers:     2,
 	}
 }
--- a/edgerunner/edgerunner.go
+++ b/edgerunner/edgerunner.go
@@ -94,6 +94,8 @@
 	named  map[string][]naming
 	digest map[filbertstile.NamedWeights]string
 	ready  bool
+	// listed tells that the versions named before this start are known.
+	listed bool
 }
 
 // naming is when this entry learned of a version.
@@ -201,13 +203,14 @@
 			continue
 		}
 		at := now
-		if len(list) == 0 {
+		if !e.listed {
 			// It may have been named long before this start.
 			at = e.started.Add(e.config.Bounds.Settle - e.config.Bounds.Version)
 		}
 		e.named[w.Model] = append(list, naming{version: w.Version, at: at})
 		e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision})
 	}
+	e.listed = e.listed || view.Known
 }
 
 // version returns the least version of the weights that replicas of the
@@ -235,11 +238,9 @@
 
 // heard takes in a heartbeat.
 func (e *Edge) heard(p *wire.Pulse) {
-	e.mu.Lock()
-	for _, w := range p.GetWeights() {
-		e.digest[filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}] = w.GetManifest()
+	if e.hearWeights(p.GetWeights()) {
+		e.pulser.Nudge()
 	}
-	e.mu.Unlock()
 	if r := p.GetReplica(); r != nil {
 		e.placer.Report(time.Now(), r.GetAddress(), placer.Load{
 			Born: time.UnixMilli(r.GetBorn()), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
@@ -248,6 +249,22 @@
 	}
 }
 
+// hearWeights takes in the digests of manifests, and reports whether one is
+// news that hosts wait for.
+func (e *Edge) hearWeights(list []*wire.WeightsVersion) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	news := false
+	for _, w := range list {
+		key := filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}
+		if e.digest[key] == "" {
+			e.digest[key] = w.GetManifest()
+			news = true
+		}
+	}
+	return news
+}
+
 // compose says what this entry tells the other entries, and the hosts of its
 // region.
 func (e *Edge) compose() (*wire.Pulse, []filbertstile.Member) {
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -18,14 +18,11 @@
 	// pollEvery is the time between two looks at the engine, which is asked on
 	// its own machine.
 	pollEvery = 50 * time.Millisecond
-	// groups is the number of groups in which replicas that serve switch to
-	// another version, and groupGap the time between two: a replica waits for
-	// the streams that run, which take a second or two, and then loads.
-	groups   = 3
-	groupGap = 900 * time.Millisecond
-	// latestShare is the part of the time to be in force after which nobody
-	// waits for its turn any more.
-	latestShare = 0.55
+	// switchTime is what a replica takes from the order until it serves again:
+	// the streams that run end within some two seconds, then it loads.
+	switchTime = 2200 * time.Millisecond
+	// spread bounds the time over which replicas switch one after the other.
+	spread = 3 * time.Second
 	// failedPause is the time before an order that failed is given again.
 	failedPause = 300 * time.Millisecond
 )
@@ -46,8 +43,8 @@
 type Config struct {
 	Engine filbertstile.Engine
 	Log    *reporter.Log
-	// Wanted returns the version to run; false where it is not known.
-	Wanted func() (Wanted, bool)
+	// Wanted returns the versions that may run, newest first.
+	Wanted func() []Wanted
 	// Chunks returns the manifest and all chunks of a version; false until all
 	// are held and verified.
 	Chunks func(w filbertstile.NamedWeights) (filbertstile.Manifest, [][]byte, bool)
@@ -60,11 +57,15 @@
 	config Config
 	// staged is the version that lies beside the engine as a whole.
 	staged filbertstile.NamedWeights
-	lost   bool
+	// heldSince is when all chunks of a version were first here.
+	heldSince map[filbertstile.NamedWeights]time.Time
+	lost      bool
 }
 
 // New returns an installer that does not run yet.
-func New(c Config) *Installer { return &Installer{config: c} }
+func New(c Config) *Installer {
+	return &Installer{config: c, heldSince: make(map[filbertstile.NamedWeights]time.Time)}
+}
 
 // Run brings the engine to the wanted version until the context ends.
 func (i *Installer) Run(ctx context.Context) {
@@ -91,15 +92,27 @@
 		i.config.Log.Event(reporter.HostFound, reporter.Fields{"Peer": "engine", "Born": r.Born.UnixMilli()})
 	}
 	i.config.Seen(r)
-	w, ok := i.config.Wanted()
-	if !ok || !Due(time.Now(), r, w) {
-		return nil
+	for _, w := range i.config.Wanted() {
+		m, chunks, ok := i.config.Chunks(w.Weights)
+		if !ok {
+			continue
+		}
+		if !Due(time.Now(), r, w, i.since(w.Weights)) {
+			return nil
+		}
+		return i.install(ctx, r, w, m, chunks)
 	}
-	m, chunks, ok := i.config.Chunks(w.Weights)
+	return nil
+}
+
+// since returns when all chunks of the version were first here.
+func (i *Installer) since(w filbertstile.NamedWeights) time.Time {
+	at, ok := i.heldSince[w]
 	if !ok {
-		return nil
+		at = time.Now()
+		i.heldSince[w] = at
 	}
-	return i.install(ctx, r, w, m, chunks)
+	return at
 }
 
 func (i *Installer) unreached(err error) {
@@ -110,17 +123,19 @@
 	i.config.Log.Event(reporter.HostLost, reporter.Fields{"Peer": "engine", "Error": err})
 }
 
-// Due tells whether the engine is to load the wanted version now.
-func Due(now time.Time, r filbertstile.EngineReport, w Wanted) bool {
+// Due tells whether the engine is to load the wanted version now, all of which
+// has been here since the moment. A replica that serves waits for its turn, so
+// that the others go on serving; the turns end early enough for the last one to
+// be in force in time.
+func Due(now time.Time, r filbertstile.EngineReport, w Wanted, heldSince time.Time) bool {
 	if r.Loading || r.Version >= w.Weights.Version {
 		return false
 	}
 	if r.Version == 0 || w.Within == 0 {
 		return true
 	}
-	turn := time.Duration(int(w.Rank*groups)) * groupGap
-	latest := time.Duration(float64(w.Within) * latestShare)
-	return now.Sub(w.NamedAt) >= min(turn, latest)
+	window := min(spread, w.NamedAt.Add(w.Within-switchTime).Sub(heldSince))
+	return now.Sub(heldSince) >= time.Duration(w.Rank*float64(max(0, window)))
 }
 
 // install stages what is not staged soundly, and orders the engine to load it.
--- a/peerrunner/peerrunner.go
+++ b/peerrunner/peerrunner.go
@@ -78,6 +78,8 @@
 
 	mu      sync.Mutex
 	model   string
+	// originRegion is where the origin of weights stands.
+	originRegion string
 	named   map[filbertstile.NamedWeights]time.Time
 	wanted  filbertstile.NamedWeights
 	alive   map[string]time.Time
@@ -179,7 +181,7 @@
 		}
 	}
 	p.mu.Lock()
-	p.model = spec.Engine.Model
+	p.model, p.originRegion = spec.Engine.Model, region
 	p.mu.Unlock()
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.library, Log: p.config.Log, Metrics: p.config.Metrics,
@@ -201,7 +203,7 @@
 	f := p.fetcher.Load()
 	f.SetMembers(p.members())
 	w, ok := p.target()
-	if !ok || w.Version == 0 {
+	if !ok {
 		// Nothing is named: the origin knows the newest version.
 		ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 		defer cancel()
@@ -219,28 +221,93 @@
 	return err
 }
 
-// learn makes sure that the manifest of a version is known.
+// learn makes sure that the manifest of a version is known. Two hosts near the
+// origin read it from there; the others hear of it and get it from them, which
+// leaves the origin's link to the chunks.
 func (p *Peer) learn(ctx context.Context, w filbertstile.NamedWeights) error {
 	if p.library.read(w) {
 		return nil
 	}
+	if _, heard := p.library.digest(w); heard || !p.learnsNow(w) {
+		p.takeManifest(w)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
 	_, _, err := p.library.learn(ctx, w)
+	p.pulser.Nudge()
 	return err
 }
 
+// takeManifest keeps a manifest that the fetcher got from another host.
+func (p *Peer) takeManifest(w filbertstile.NamedWeights) {
+	digest, ok := p.library.digest(w)
+	if !ok {
+		return
+	}
+	raw := p.fetcher.Load().Shelf().Manifest(digest)
+	if raw == nil {
+		return
+	}
+	if m, err := filbertstile.ParseManifest(digest, raw); err == nil {
+		p.library.take(w, digest, m)
+	}
+}
+
+// learnsNow tells whether this host is to read the manifest itself.
+func (p *Peer) learnsNow(w filbertstile.NamedWeights) bool {
+	p.mu.Lock()
+	waited := time.Since(p.named[w])
+	p.mu.Unlock()
+	if waited >= hearWait {
+		return true
+	}
+	var near []string
+	for _, m := range p.members() {
+		if m.Region == p.originRegion {
+			near = append(near, m.Name)
+		}
+	}
+	i := slices.Index(near, p.config.Self.Name)
+	return i >= 0 && i < firstReaders
+}
+
+const (
+	// firstReaders is the number of hosts that read a new manifest at once.
+	firstReaders = 2
+	// hearWait is how long the others wait to hear of it.
+	hearWait = 600 * time.Millisecond
+)
+
+// wants lists the versions to hold, in the order in which they must be in force.
 func (p *Peer) wants(w filbertstile.NamedWeights) []distributor.Want {
 	var out []distributor.Want
-	for v := w.Version; v > 0 && v > w.Version-keptVersions; v-- {
+	for v := max(1, w.Version-keptVersions+1); v <= w.Version; v++ {
 		named := filbertstile.NamedWeights{Model: w.Model, Version: v}
-		if d, ok := p.library.digest(named); ok {
+		d, ok := p.library.digest(named)
+		if ok && (v == w.Version || p.held(d) || p.stillWanted(named)) {
 			out = append(out, distributor.Want{Release: named.Model, Manifest: d})
 		}
 	}
 	return out
 }
 
+// held tells whether all chunks of the version are here.
+func (p *Peer) held(d filbertstile.Digest) bool {
+	_, _, ok := p.fetcher.Load().Shelf().All(d)
+	return ok
+}
+
+// stillWanted tells whether an older version than the newest is worth fetching:
+// it was named so shortly before that it must be in force before the newer one
+// can be.
+func (p *Peer) stillWanted(w filbertstile.NamedWeights) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, named := p.named[w]
+	return named && time.Since(at) < p.config.Within/2
+}
+
 // seed takes over what lies beside the engine since before this process
 // started, so that it need not come over the link.
 func (p *Peer) seed(ctx context.Context, w filbertstile.NamedWeights) {
@@ -266,16 +333,6 @@
 	}
 }
 
-// document returns a manifest that this process has read.
-func (l *library) document(digest filbertstile.Digest) *filbertstile.Manifest {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if d, ok := l.docs[digest]; ok {
-		return &d.manifest
-	}
-	return nil
-}
-
 // target returns the newest version that is known to be named.
 func (p *Peer) target() (filbertstile.NamedWeights, bool) {
 	p.mu.Lock()
@@ -296,7 +353,11 @@
 	if !known {
 		p.wanted = w
 		p.named[w] = time.Now()
-		delete(p.named, filbertstile.NamedWeights{Model: w.Model, Version: w.Version - keptVersions})
+		for old := range p.named {
+			if old.Version <= w.Version-keptVersions {
+				delete(p.named, old)
+			}
+		}
 	}
 	p.mu.Unlock()
 	if !known {
@@ -304,16 +365,23 @@
 	}
 }
 
-// due returns what the engine should run.
-func (p *Peer) due() (installer.Wanted, bool) {
+// due returns the versions that the engine may run, newest first.
+func (p *Peer) due() []installer.Wanted {
 	w, ok := p.target()
 	if !ok {
-		return installer.Wanted{}, false
+		return nil
 	}
+	rank := p.rank()
 	p.mu.Lock()
-	at := p.named[w]
-	p.mu.Unlock()
-	return installer.Wanted{Weights: w, NamedAt: at, Within: p.config.Within, Rank: p.rank()}, true
+	defer p.mu.Unlock()
+	var out []installer.Wanted
+	for v := w.Version; v > w.Version-keptVersions; v-- {
+		named := filbertstile.NamedWeights{Model: w.Model, Version: v}
+		if at, ok := p.named[named]; ok {
+			out = append(out, installer.Wanted{Weights: named, NamedAt: at, Within: p.config.Within, Rank: rank})
+		}
+	}
+	return out
 }
 
 // rank is the place of this host among those of its service, so that the
--- a/peerrunner/weights.go
+++ b/peerrunner/weights.go
@@ -10,8 +10,8 @@
 )
 
 // keptVersions is the number of versions whose chunks a host keeps: the one
-// that replicas run and the one that is on its way.
-const keptVersions = 2
+// that replicas run and two that may be on their way.
+const keptVersions = 3
 
 // library knows the manifests of versions, and reads what the host lacks from
 // the origin. It is the source that the fetcher asks.
@@ -133,6 +133,16 @@
 	return ok
 }
 
+// document returns a manifest that this process has.
+func (l *library) document(digest filbertstile.Digest) *filbertstile.Manifest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d, ok := l.docs[digest]; ok {
+		return &d.manifest
+	}
+	return nil
+}
+
 func (l *library) known() map[filbertstile.NamedWeights]filbertstile.Digest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -143,14 +153,50 @@
 	return out
 }
 
-// Manifest returns a manifest's document that the origin gave out.
-func (l *library) Manifest(_ context.Context, digest filbertstile.Digest) ([]byte, error) {
+// Manifest returns a manifest's document; where only its digest is known, it is
+// read from the origin and checked against that.
+func (l *library) Manifest(ctx context.Context, digest filbertstile.Digest) ([]byte, error) {
+	w, raw, err := l.find(digest)
+	if raw != nil || err != nil {
+		return raw, err
+	}
+	o, err := l.source()
+	if err != nil {
+		return nil, err
+	}
+	_, m, err := o.Manifest(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	if got := filbertstile.DigestOf(m.Encode()); got != digest {
+		return nil, filbertstile.ErrDigest{Step: "read manifest", Peer: "origin", Want: digest, Got: got}
+	}
+	l.add(w, digest, m)
+	return m.Encode(), nil
+}
+
+// find returns the document if this process has it, or else the version that
+// the digest stands for.
+func (l *library) find(digest filbertstile.Digest) (filbertstile.NamedWeights, []byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if d, ok := l.docs[digest]; ok {
-		return d.raw, nil
+		return d.weights, d.raw, nil
+	}
+	for w, d := range l.versions {
+		if d == digest {
+			return w, nil, nil
+		}
+	}
+	return filbertstile.NamedWeights{}, nil, filbertstile.ErrNotFound{Step: "find manifest", Peer: "origin", Key: string(digest)}
+}
+
+// take keeps a manifest that came from another host, so that its chunks can be
+// asked for at the origin.
+func (l *library) take(w filbertstile.NamedWeights, digest filbertstile.Digest, m filbertstile.Manifest) {
+	if !l.read(w) {
+		l.add(w, digest, m)
 	}
-	return nil, filbertstile.ErrNotFound{Step: "find manifest", Peer: "origin", Key: string(digest)}
 }
 
 // Chunk reads a chunk from the origin.
