fetcher: a manifest that comes twice no longer hides chunks; distributor: imports divided among hosts

Cause: a version took over 5 s to reach the hosts of the origin's region and 8 s the others. Traced with a line for each chunk: (1) a second arrival of a manifest replaced the document on which followers wait, so peers never heard of chunks; (2) one importer's link carried a whole region; (3) hosts dropped out of each other's lists, as heartbeats are lost while links are full. Ruled out: processor time (0.03 of a core), slow loading, links that carry one direction at a time. Change: the document stays; chunks are dealt in equal shares to importers and readers; uploads are paced below the link's rate; hosts stay members for 6 s unheard. TestManifestTwice failed before.

--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -7,16 +7,6 @@
 	"filbertstile.example/filbertstile"
 )
 
-// isImporter tells whether this host should bring chunks into its region now:
-// the first in order, or a later one after as many times without progress.
-func (c *Core) isImporter(now time.Time, t *transfer) bool {
-	rank := t.ring.importRank
-	if rank < 0 || c.config.Self.Region == c.config.SourceRegion {
-		return false
-	}
-	return now.Sub(t.progress) >= time.Duration(rank)*c.config.Limits.TakeOver
-}
-
 // follow keeps the subscriptions to the peers that the host should know.
 func (c *Core) follow(now time.Time, t *transfer) []Command {
 	want := slices.Clone(t.ring.neighbours)
@@ -47,7 +37,7 @@
 // holds: the first importers do, and later ones once there is no progress.
 func (c *Core) followsSource(now time.Time, t *transfer) bool {
 	rank := t.ring.importRank
-	if rank < 0 || c.config.Self.Region == c.config.SourceRegion {
+	if rank < 0 || c.atSource() {
 		return false
 	}
 	beyond := max(0, rank-c.config.Limits.Importers+1)
@@ -189,7 +179,7 @@
 // imports brings chunks into the region that nobody of it is known to hold,
 // no faster than the share of the link allows.
 func (c *Core) imports(now time.Time, t *transfer) []Command {
-	if !t.known || t.missing == 0 || !c.isImporter(now, t) {
+	if !t.known || t.missing == 0 || !c.followsSource(now, t) {
 		return nil
 	}
 	var usable []*peerRow
@@ -204,7 +194,7 @@
 		if t.imports >= c.config.Limits.ImportWindow || now.Before(t.nextImport) {
 			break
 		}
-		if t.have[i] || t.underway(i) || c.inRegion(t, i) {
+		if t.have[i] || t.underway(i) || c.inRegion(t, i) || !c.mayBring(now, t, i) {
 			continue
 		}
 		p := c.least(usable, i)
@@ -218,7 +208,7 @@
 }
 
 func (c *Core) pace(now time.Time, t *transfer, index int) {
-	rate := c.config.RegionBytesPerSecond * c.config.Limits.ImportShare
+	rate := c.config.RegionBytesPerSecond * c.config.Limits.ImportShare / float64(max(1, len(t.ring.importers)))
 	if rate <= 0 {
 		return
 	}
@@ -244,7 +234,7 @@
 // origin reads the chunks that this host is the designated reader of, and
 // those of readers that have shown no progress for too long.
 func (c *Core) origin(now time.Time, t *transfer) []Command {
-	if !t.known || t.missing == 0 || now.Before(c.busyUntil[""]) {
+	if !t.known || t.missing == 0 || !c.atSource() || now.Before(c.busyUntil[""]) {
 		return nil
 	}
 	var out []Command
@@ -252,7 +242,7 @@
 		if t.origins >= c.config.Limits.OriginWindow {
 			break
 		}
-		if t.have[i] || t.underway(i) || c.inRegion(t, i) || !c.mayRead(now, t, i) {
+		if t.have[i] || t.underway(i) || c.inRegion(t, i) || !c.mayBring(now, t, i) {
 			continue
 		}
 		out = append(out, c.start(now, t, i, nil))
@@ -260,22 +250,25 @@
 	return out
 }
 
-func (c *Core) mayRead(now time.Time, t *transfer, index int) bool {
-	reader := c.readerOf(t, index)
-	if reader == c.config.Self.Name {
+// mayBring tells whether this host is to bring the chunk into its region: it
+// is its designated reader or importer, or those before it have shown no
+// progress for too long.
+func (c *Core) mayBring(now time.Time, t *transfer, index int) bool {
+	owner := c.ownerOf(t, index)
+	if owner == c.config.Self.Name {
 		return true
 	}
-	s := t.share(now, reader)
+	s := t.share(now, owner)
 	wait := c.config.Limits.TakeOver
 	if s.seen > 0 {
-		// A reader that is slow but steady is left alone.
+		// One that is slow but steady is left alone.
 		wait = max(wait, 4*s.last.Sub(s.first)/time.Duration(s.seen))
 	}
 	idle := now.Sub(s.last)
 	if idle < wait {
 		return false
 	}
-	rank := c.readerRank(t, index)
+	rank := c.ownerRank(t, index)
 	return rank >= 0 && idle >= time.Duration(rank)*wait
 }
 
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -50,7 +50,8 @@
 	BusyPause time.Duration
 	// ManifestRetry is the time between two requests for a manifest.
 	ManifestRetry time.Duration
-	// Importers is the number of hosts in order that follow other regions.
+	// Importers is the number of hosts among which the chunks that come from other
+	// regions are divided.
 	Importers int
 }
 
@@ -214,7 +215,7 @@
 	underway int
 }
 
-// share is the progress of one designated reader's chunks.
+// share is the progress of the chunks of one reader or importer.
 type share struct {
 	last  time.Time
 	first time.Time
@@ -231,7 +232,7 @@
 	have     []bool
 	missing  int
 	seen     []bool
-	reader   []string
+	owner    []string
 	fetching map[int]fetch
 	peers    map[string]*peerRow
 	shares   map[string]*share
@@ -253,6 +254,9 @@
 	neighbours []filbertstile.Member
 	source     []filbertstile.Member
 	importRank int
+	importers  []filbertstile.Member
+	// turns are the names of the owners of chunks, in the order of their turns.
+	turns []string
 }
 
 // Core owns a host's transfers.
@@ -379,7 +383,7 @@
 	n := len(e.Manifest.Chunks)
 	t.have = make([]bool, n)
 	t.seen = make([]bool, n)
-	t.reader = make([]string, n)
+	t.owner = make([]string, n)
 	t.missing = n
 	t.progress = now
 	for _, p := range t.peers {
@@ -448,16 +452,16 @@
 	}
 	t.seen[index] = true
 	t.progress = now
-	s := t.share(now, c.readerOf(t, index))
+	s := t.share(now, c.ownerOf(t, index))
 	s.last = now
 	s.seen++
 }
 
-func (t *transfer) share(now time.Time, reader string) *share {
-	s, ok := t.shares[reader]
+func (t *transfer) share(now time.Time, owner string) *share {
+	s, ok := t.shares[owner]
 	if !ok {
 		s = &share{last: now, first: now}
-		t.shares[reader] = s
+		t.shares[owner] = s
 	}
 	return s
 }
--- a/distributor/order.go
+++ b/distributor/order.go
@@ -64,31 +64,64 @@
 	if t.ring.version == c.version {
 		return
 	}
-	t.ring = ring{version: c.version, neighbours: c.neighbours(t), source: c.sourcePeers(t), importRank: c.importRank(t)}
+	t.ring = ring{version: c.version, neighbours: c.neighbours(t), source: c.sourcePeers(t), importRank: c.importRank(t), importers: c.importers(t)}
+	for _, m := range ordered(c.owners(t), string(t.want.Manifest)) {
+		t.ring.turns = append(t.ring.turns, m.Name)
+	}
 }
 
-// readerOf returns the designated reader of a chunk.
-func (c *Core) readerOf(t *transfer, index int) string {
-	if t.reader[index] != "" && c.alive(t.reader[index]) {
-		return t.reader[index]
+// ownerOf returns the host that brings a chunk into this host's region: its
+// designated reader at the origin, or its designated importer.
+func (c *Core) ownerOf(t *transfer, index int) string {
+	if t.owner[index] != "" && c.alive(t.owner[index]) {
+		return t.owner[index]
+	}
+	owners := c.owners(t)
+	if first := t.ring.turns; len(first) > 0 && t.owner[index] == "" {
+		// Equal shares: whoever has most is what all wait for.
+		t.owner[index] = first[index%len(first)]
+		return t.owner[index]
 	}
 	best := uint64(0)
 	name := ""
-	for _, m := range c.origins {
+	for _, m := range owners {
 		if h := hashOf(string(t.manifest.Chunks[index].Digest), m.Name); name == "" || h < best {
 			best, name = h, m.Name
 		}
 	}
-	t.reader[index] = name
+	t.owner[index] = name
 	return name
 }
 
+// owners returns the hosts among which the chunks of this region are divided.
+func (c *Core) owners(t *transfer) []filbertstile.Member {
+	if c.atSource() {
+		return c.origins
+	}
+	return t.ring.importers
+}
+
+// atSource tells whether this host's region reads from the origin itself.
+func (c *Core) atSource() bool {
+	return c.config.Self.Region == c.config.SourceRegion || len(of(c.members, c.config.SourceRegion)) == 0
+}
+
+// importers returns the hosts that bring chunks into this host's region.
+func (c *Core) importers(t *transfer) []filbertstile.Member {
+	near := ordered(of(c.members, c.config.Self.Region), string(t.want.Manifest)+c.config.Self.Region)
+	return near[:min(len(near), c.config.Limits.Importers)]
+}
+
 func (c *Core) alive(name string) bool { return c.live[name] }
 
-// readerRank is the place of this host in the order of a chunk's readers; -1
-// if it may not read from the origin.
-func (c *Core) readerRank(t *transfer, index int) int {
-	return rankIn(c.origins, string(t.manifest.Chunks[index].Digest), c.config.Self.Name)
+// ownerRank is the place of this host in the order of those that may bring a
+// chunk into the region; -1 if it may not.
+func (c *Core) ownerRank(t *transfer, index int) int {
+	among := c.origins
+	if !c.atSource() {
+		among = of(c.members, c.config.Self.Region)
+	}
+	return rankIn(among, string(t.manifest.Chunks[index].Digest), c.config.Self.Name)
 }
 
 // importRank is the place of this host in the order of its region's importers.
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/distributor"
@@ -33,6 +34,8 @@
 	// not idle while the region itself is being served.
 	abroadUploads = 3
 	fetchPool     = 64
+	// paceBurst is what may be sent at once, in bytes: a chunk of usual size.
+	paceBurst = 32 << 10
 )
 
 // Config puts a fetcher together.
@@ -46,7 +49,13 @@
 	MemoryBytes int64
 	// Uploads bounds the chunks that are sent at the same time.
 	Uploads int
-	Metrics metrics.Registry
+	// UploadBytesPerSecond bounds what is sent to other hosts, so that their data
+	// waits here and not in the link's queue, before requests and heartbeats; 0
+	// is no bound.
+	UploadBytesPerSecond float64
+	Metrics              metrics.Registry
+	// Learned is told of each manifest that came, before its chunks are fetched.
+	Learned func(digest filbertstile.Digest, m filbertstile.Manifest)
 	// Completed is told when a release is whole; it must not block.
 	Completed func(distributor.Completed)
 }
@@ -60,6 +69,7 @@
 	pool    *ants.Pool
 	uploads chan struct{}
 	abroad  chan struct{}
+	pace    *rate.Limiter
 	ctx     context.Context
 	wg      sync.WaitGroup
 
@@ -97,6 +107,10 @@
 		imported: metrics.NewRegisteredCounter("Weights.ImportedBytes", c.Metrics),
 		sourced:  metrics.NewRegisteredCounter("Weights.SourceBytes", c.Metrics),
 	}
+	t.pace = rate.NewLimiter(rate.Inf, 0)
+	if c.UploadBytesPerSecond > 0 {
+		t.pace = rate.NewLimiter(rate.Limit(c.UploadBytesPerSecond), paceBurst)
+	}
 	t.loop = ticker.New(ticker.Config[distributor.Event, distributor.Command]{Core: t.core, Execute: t.execute, Idle: idleTick})
 	return t, nil
 }
@@ -175,6 +189,9 @@
 		t.loop.Post(distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
 		return
 	}
+	if t.config.Learned != nil {
+		t.config.Learned(cmd.Digest, m)
+	}
 	held := t.shelf.AddManifest(cmd.Digest, raw, m)
 	t.loop.Post(distributor.ManifestArrived{Digest: cmd.Digest, Manifest: m, Held: held})
 }
@@ -250,7 +267,7 @@
 }
 
 // HandleChunk sends a chunk or a manifest, if a slot is free.
-func (t *Fetcher) HandleChunk(req *wire.Request, s *messenger.Stream) {
+func (t *Fetcher) HandleChunk(ctx context.Context, req *wire.Request, s *messenger.Stream) {
 	digest := filbertstile.Digest(req.GetChunk().GetDigest())
 	if doc := t.shelf.Manifest(digest); doc != nil {
 		_ = s.SendContent(doc, pieceBytes)
@@ -272,6 +289,9 @@
 		_ = s.Send(refusal(codeBusy))
 		return
 	}
+	if t.pace.WaitN(ctx, min(len(data), paceBurst)) != nil {
+		return
+	}
 	_ = s.SendContent(data, pieceBytes)
 }
 
--- a/fetcher/shelf.go
+++ b/fetcher/shelf.go
@@ -58,12 +58,23 @@
 func (s *Shelf) AddManifest(digest filbertstile.Digest, raw []byte, m filbertstile.Manifest) []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d := s.docs[digest]; d != nil {
+		// Whoever waits for more chunks of it waits on this document.
+		return d.indexes()
+	}
 	d := &document{raw: raw, manifest: m, held: make([]bool, len(m.Chunks)), changed: make(chan struct{})}
 	s.docs[digest] = d
-	var held []int
 	for i, ref := range m.Chunks {
-		if _, ok := s.chunks[ref.Digest]; ok {
-			d.held[i] = true
+		_, d.held[i] = s.chunks[ref.Digest]
+	}
+	return d.indexes()
+}
+
+// indexes lists the chunks that are held.
+func (d *document) indexes() []int {
+	var held []int
+	for i, h := range d.held {
+		if h {
 			held = append(held, i)
 		}
 	}
--- a/fetcher/shelf_test.go
+++ b/fetcher/shelf_test.go
@@ -67,3 +67,24 @@
 		is.True(errors.As(s.AddChunk(filbertstile.ChunkRef{Digest: filbertstile.DigestOf(large), Size: 700}, large, ""), &full))
 	})
 }
+
+// TestManifestTwice has a manifest arrive again while a peer waits for news of
+// its chunks: the peer must still hear of them.
+func TestManifestTwice(t *testing.T) {
+	is := is.New(t)
+	s := fetcher.NewShelf(1 << 20)
+	data := []byte("one chunk")
+	m := filbertstile.Manifest{Name: "a", Chunks: []filbertstile.ChunkRef{{Digest: filbertstile.DigestOf(data), Size: len(data)}}}
+	raw := m.Encode()
+	digest := filbertstile.DigestOf(raw)
+	is.Equal(len(s.AddManifest(digest, raw, m)), 0)
+	_, changed := s.Held(digest)
+	s.AddManifest(digest, raw, m)
+	is.NoErr(s.AddChunk(m.Chunks[0], data, "peer"))
+	select {
+	case <-changed:
+	default:
+		t.Fatal("whoever waited for chunks of the manifest was not told")
+	}
+	is.Equal(s.AddManifest(digest, raw, m), []int{0})
+}
--- a/hostrunner/hostrunner.go
+++ b/hostrunner/hostrunner.go
@@ -366,7 +366,7 @@
 		h.handlePermit(ctx, k.Permit, s)
 	case *wire.Request_Chunk:
 		if h.weights != nil {
-			h.weights.HandleChunk(req, s)
+			h.weights.HandleChunk(ctx, req, s)
 		}
 	case *wire.Request_Holdings:
 		if h.weights != nil {
--- a/peerrunner/peerrunner.go
+++ b/peerrunner/peerrunner.go
@@ -34,7 +34,15 @@
 	learnPause = 250 * time.Millisecond
 	// learnTimeout bounds reading a manifest.
 	learnTimeout = 3 * time.Second
-	// weightMemory bounds the chunks held, as a part of the process's memory.
+	// missedFor is how long a host may go unheard before chunks are asked of
+	// others: heartbeats are lost while links are full, and a host that is gone
+	// costs one time-out of a chunk.
+	missedFor = 6 * time.Second
+	// uploadShare is the part of the link's rate that uploads of weights use.
+	uploadShare = 0.88
+	// uploads bounds the chunks that wait to be sent.
+	uploads = 8
+	// weightMemoryShare bounds the chunks held, as a part of the process's memory.
 	weightMemoryShare = 4
 )
 
@@ -58,6 +66,8 @@
 	Origin func(address string) filbertstile.Origin
 	// Within is the time within which a named version must be in force.
 	Within time.Duration
+	// LinkBytesPerSecond is the rate of the host's link; 0 if it is not known.
+	LinkBytesPerSecond float64
 	// MemoryBytes is the memory of the process.
 	MemoryBytes int64
 	Log         *reporter.Log
@@ -72,19 +82,21 @@
 	client    *messenger.Client
 	pulser    *pulser.Pulser
 	installer *installer.Installer
+	// told are the hosts that the fetcher was told of last.
+	told []filbertstile.Member
 	fetcher   atomic.Pointer[fetcher.Fetcher]
 	report    atomic.Pointer[filbertstile.EngineReport]
 	started   time.Time
 
-	mu      sync.Mutex
-	model   string
+	mu    sync.Mutex
+	model string
 	// originRegion is where the origin of weights stands.
 	originRegion string
-	named   map[filbertstile.NamedWeights]time.Time
-	wanted  filbertstile.NamedWeights
-	alive   map[string]time.Time
-	heardAt time.Time
-	seeded  bool
+	named        map[filbertstile.NamedWeights]time.Time
+	wanted       filbertstile.NamedWeights
+	alive        map[string]time.Time
+	heardAt      time.Time
+	seeded       bool
 }
 
 // New returns a host process that does not run yet.
@@ -136,7 +148,7 @@
 	}
 	switch req.GetKind().(type) {
 	case *wire.Request_Chunk:
-		f.HandleChunk(req, s)
+		f.HandleChunk(ctx, req, s)
 	case *wire.Request_Holdings:
 		f.HandleHoldings(ctx, req, s)
 	}
@@ -186,9 +198,10 @@
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.library, Log: p.config.Log, Metrics: p.config.Metrics,
 		Core: distributor.Config{
-			Self: p.config.Self, SourceRegion: region, Limits: distributor.DefaultLimits(), Seed: uint64(p.started.UnixNano()),
+			Self: p.config.Self, SourceRegion: region, Limits: limits(), Seed: uint64(p.started.UnixNano()),
 		},
-		MemoryBytes: p.config.MemoryBytes / weightMemoryShare, Completed: func(distributor.Completed) {},
+		MemoryBytes: p.config.MemoryBytes / weightMemoryShare, Uploads: uploads, UploadBytesPerSecond: p.config.LinkBytesPerSecond * uploadShare, Completed: func(distributor.Completed) {},
+		Learned: p.library.take,
 	})
 	if err != nil {
 		return err
@@ -198,10 +211,23 @@
 	return nil
 }
 
+// limits follow every host of a region of up to a dozen, and divide what comes
+// from other regions among as many: at a few megabytes a version, the links of
+// single importers would be what the region waits for.
+func limits() distributor.Limits {
+	l := distributor.DefaultLimits()
+	l.PeersEachWay, l.SourcePeers, l.Importers, l.OriginWindow = 6, 12, 12, 2
+	l.Outstanding, l.PerPeer = 5, 2
+	return l
+}
+
 // sync tells the fetcher which versions to hold and which hosts live.
 func (p *Peer) sync(ctx context.Context) error {
 	f := p.fetcher.Load()
-	f.SetMembers(p.members())
+	if m := p.members(); !slices.Equal(m, p.told) {
+		p.told = m
+		f.SetMembers(m)
+	}
 	w, ok := p.target()
 	if !ok {
 		// Nothing is named: the origin knows the newest version.
@@ -229,7 +255,6 @@
 		return nil
 	}
 	if _, heard := p.library.digest(w); heard || !p.learnsNow(w) {
-		p.takeManifest(w)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
@@ -239,21 +264,6 @@
 	return err
 }
 
-// takeManifest keeps a manifest that the fetcher got from another host.
-func (p *Peer) takeManifest(w filbertstile.NamedWeights) {
-	digest, ok := p.library.digest(w)
-	if !ok {
-		return
-	}
-	raw := p.fetcher.Load().Shelf().Manifest(digest)
-	if raw == nil {
-		return
-	}
-	if m, err := filbertstile.ParseManifest(digest, raw); err == nil {
-		p.library.take(w, digest, m)
-	}
-}
-
 // learnsNow tells whether this host is to read the manifest itself.
 func (p *Peer) learnsNow(w filbertstile.NamedWeights) bool {
 	p.mu.Lock()
@@ -305,7 +315,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at, named := p.named[w]
-	return named && time.Since(at) < p.config.Within/2
+	return named && time.Since(at) < p.config.Within*3/4
 }
 
 // seed takes over what lies beside the engine since before this process
@@ -406,7 +416,7 @@
 	blind := now.Sub(p.heardAt) > pulser.HeardFor
 	alive := make(map[string]bool, len(p.alive))
 	for name, at := range p.alive {
-		alive[name] = now.Sub(at) <= pulser.HeardFor
+		alive[name] = now.Sub(at) <= missedFor
 	}
 	p.mu.Unlock()
 	var out []filbertstile.Member
--- a/peerrunner/weights.go
+++ b/peerrunner/weights.go
@@ -193,8 +193,9 @@
 
 // take keeps a manifest that came from another host, so that its chunks can be
 // asked for at the origin.
-func (l *library) take(w filbertstile.NamedWeights, digest filbertstile.Digest, m filbertstile.Manifest) {
-	if !l.read(w) {
+func (l *library) take(digest filbertstile.Digest, m filbertstile.Manifest) {
+	w, raw, err := l.find(digest)
+	if err == nil && raw == nil {
 		l.add(w, digest, m)
 	}
 }
