placer: entries tell each other what they have in hand; answers placed where they begin first

Cause: a quarter of the answers came late with replicas at two thirds of their capacity. Reports are 200 ms old and know nothing of prompts that wait to be read, which is what delays a first event (48 ms for 900 tokens). Ruled out: processor time (0.03 of a core), waiting at the entry. Change: each entry tells the others its requests and unread prompt tokens by replica, at most every 25 ms; the placer takes the replica where the answer begins first, and keeps requests that would be late anywhere in line.

--- a/edgerunner/edgerunner.go
+++ b/edgerunner/edgerunner.go
@@ -26,6 +26,10 @@
 	// pulseEvery is the time between two heartbeats of an entry; a killed entry
 	// is noticed after pulser.HeardFor.
 	pulseEvery = 400 * time.Millisecond
+	// shareEvery bounds how often an entry tells the others what it has in hand,
+	// and shareAgain how long it is silent; the bytes between regions are dear.
+	shareEvery = 25 * time.Millisecond
+	shareAgain = 500 * time.Millisecond
 	// revokeMargin is kept from the time within which a withdrawn key must stop
 	// working: timers fire late on a busy machine.
 	revokeMargin = 400 * time.Millisecond
@@ -135,6 +139,7 @@
 	wg.Go(func() { e.sources.Weights.Run(ctx) })
 	wg.Go(func() { e.sources.Members.Run(ctx) })
 	wg.Go(func() { e.pulser.Run(ctx) })
+	wg.Go(func() { e.share(ctx) })
 	for sleeper.Sleep(ctx, sweepEvery) == nil {
 		e.config.Sweep()
 		e.noteReady()
@@ -161,7 +166,9 @@
 	for _, m := range e.sources.Marks.View().Rows.All() {
 		out[m.Name] = m.Out
 	}
-	entries := e.entries()
+	others := e.otherEntries()
+	entries := 1 + len(others)
+	e.placer.KeepOthers(now, others)
 	replicas := e.sources.Replicas.View()
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, Out: out, Regions: e.config.Regions, Entries: entries,
@@ -181,18 +188,6 @@
 	return r, ok
 }
 
-// entries counts the entries that send to replicas, as far as is known.
-func (e *Edge) entries() int {
-	heard := e.pulser.Heard()
-	n := 1
-	for _, m := range e.sources.Members.View().Rows.All() {
-		if _, ok := heard[m.Name]; ok && m.Role == filbertstile.RoleEntry && m.Name != e.config.Self.Name {
-			n++
-		}
-	}
-	return n
-}
-
 func (e *Edge) learnVersions(now time.Time) {
 	view := e.sources.Weights.View()
 	e.mu.Lock()
@@ -241,6 +236,13 @@
 	if e.hearWeights(p.GetWeights()) {
 		e.pulser.Nudge()
 	}
+	if p.GetLoadsTold() {
+		hands := make(map[uint32]placer.Hand, len(p.GetLoads()))
+		for _, l := range p.GetLoads() {
+			hands[l.GetReplica()] = placer.Hand{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens())}
+		}
+		e.placer.SetOthers(time.Now(), p.GetName(), hands)
+	}
 	if r := p.GetReplica(); r != nil {
 		e.placer.Report(time.Now(), r.GetAddress(), placer.Load{
 			Born: time.UnixMilli(r.GetBorn()), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
@@ -249,6 +251,35 @@
 	}
 }
 
+// share tells the other entries what this one has in hand at the replicas.
+func (e *Edge) share(ctx context.Context) {
+	last := time.Now()
+	for sleeper.Sleep(ctx, shareEvery) == nil {
+		hands, changed := e.placer.Hands()
+		if !changed && time.Since(last) < shareAgain {
+			continue
+		}
+		last = time.Now()
+		p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), LoadsTold: true}
+		for id, h := range hands {
+			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(h.Requests), Tokens: int32(h.Tokens)})
+		}
+		e.pulser.Tell(p, e.otherEntries())
+	}
+}
+
+// otherEntries returns the entries that are heard.
+func (e *Edge) otherEntries() []filbertstile.Member {
+	heard := e.pulser.Heard()
+	var out []filbertstile.Member
+	for _, m := range e.sources.Members.View().Rows.All() {
+		if _, ok := heard[m.Name]; ok && m.Role == filbertstile.RoleEntry && m.Name != e.config.Self.Name {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // hearWeights takes in the digests of manifests, and reports whether one is
 // news that hosts wait for.
 func (e *Edge) hearWeights(list []*wire.WeightsVersion) bool {
--- a/edgerunner/judge.go
+++ b/edgerunner/judge.go
@@ -45,7 +45,9 @@
 	// Within is the time that the caller waits; 0 if it does not say.
 	Within    time.Duration
 	LastEvent int64
-	Arrived   time.Time
+	// Prompt is the length of the prompt in tokens.
+	Prompt  int
+	Arrived time.Time
 }
 
 // Judge returns the call that the caller may make.
@@ -77,7 +79,7 @@
 	}
 	call := &forwarder.Call{
 		ID: a.ID, Route: route, Priority: route.Priority, Regions: route.Regions, Arrived: a.Arrived,
-		LastEvent: a.LastEvent, Config: m.Routing().Version, ConfigAge: age,
+		LastEvent: a.LastEvent, Prompt: a.Prompt, Config: m.Routing().Version, ConfigAge: age,
 	}
 	if m.Routing().Keyed() && !route.Public {
 		if age >= e.config.Bounds.Revoke-revokeMargin {
--- a/fleet.go
+++ b/fleet.go
@@ -69,6 +69,28 @@
 	Chunks int
 	// ChunkSize is in bytes.
 	ChunkSize int
+	// ReadPerSecond is the rate at which prompt tokens are read.
+	ReadPerSecond float64
+	// Step is the time of one step of a batch, PerRequest what each request in
+	// the batch adds.
+	Step       time.Duration
+	PerRequest time.Duration
+	// Stride is the number of steps between two events of a stream.
+	Stride int
+}
+
+// Pass returns the time between two events of a stream while the engine writes
+// for so many requests.
+func (e EngineSpec) Pass(requests int) time.Duration {
+	return time.Duration(max(1, e.Stride)) * (e.Step + time.Duration(requests)*e.PerRequest)
+}
+
+// Reading returns the time that prompt tokens take.
+func (e EngineSpec) Reading(tokens int) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
 }
 
 // PoolSpec describes the replicas of a service.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,8 @@
 	Deadline time.Time
 	// LastEvent is the last event that the caller has; 0 for none.
 	LastEvent int64
+	// Prompt is the length of the prompt in tokens; 0 for plain services.
+	Prompt int
 	// Config is the version of the routing that decided, ConfigAge how long ago
 	// the store had confirmed it.
 	Config    int64
@@ -177,13 +179,13 @@
 	}
 	x.waited += g.Waited
 	if x.sends > 0 && !x.f.budget.take(x.call.Service, time.Now()) {
-		x.f.config.Placer.Release(g, placer.Abandoned)
+		x.f.config.Placer.Release(&g, placer.Abandoned)
 		x.end("RetryBudgetSpent", "the budget for repeats is spent", x.retryAfter())
 		return false
 	}
 	left := time.Until(x.call.Deadline)
 	if left < leastLeft {
-		x.f.config.Placer.Release(g, placer.Abandoned)
+		x.f.config.Placer.Release(&g, placer.Abandoned)
 		x.end("DeadlineExceeded", "no time is left to run it", 0)
 		return false
 	}
@@ -192,13 +194,13 @@
 	if strict {
 		a.Version = floor
 	}
-	return x.attempt(g, a)
+	return x.attempt(&g, a)
 }
 
 func (x *flight) query(floor int64, strict bool) placer.Query {
 	q := placer.Query{
 		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, Tried: x.tried,
-		Arrived: x.call.Arrived, Objective: x.call.Route.Objective, Deadline: x.call.Deadline,
+		Arrived: x.call.Arrived, Objective: x.call.Route.Objective, Deadline: x.call.Deadline, Tokens: x.call.Prompt,
 	}
 	if strict {
 		q.Version = floor
@@ -217,7 +219,7 @@
 }
 
 // attempt sends the request to the replica of the grant.
-func (x *flight) attempt(g placer.Grant, a Attempt) bool {
+func (x *flight) attempt(g *placer.Grant, a Attempt) bool {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	x.sends++
@@ -261,7 +263,7 @@
 }
 
 // unanswered takes in a send without an answer.
-func (x *flight) unanswered(ctx context.Context, g placer.Grant, err error, started time.Time) bool {
+func (x *flight) unanswered(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
 	var unsent exchanger.ErrNotSent
 	if errors.As(err, &unsent) {
 		x.sends--
@@ -278,7 +280,7 @@
 }
 
 // unsent goes on to another replica, as nothing was sent.
-func (x *flight) unsent(g placer.Grant, err error, started time.Time) bool {
+func (x *flight) unsent(g *placer.Grant, err error, started time.Time) bool {
 	if x.ctx.Err() != nil {
 		return x.over(g, started)
 	}
@@ -292,7 +294,7 @@
 }
 
 // over ends an attempt whose caller has left or whose time is over.
-func (x *flight) over(g placer.Grant, started time.Time) bool {
+func (x *flight) over(g *placer.Grant, started time.Time) bool {
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		x.release(g, placer.Broken)
 		x.note(g, "DeadlineExceeded", "no whole answer in time", started)
@@ -305,7 +307,7 @@
 }
 
 // notRun takes in a replica's word that it did not run the request.
-func (x *flight) notRun(g placer.Grant, ans Answer, started time.Time) bool {
+func (x *flight) notRun(g *placer.Grant, ans Answer, started time.Time) bool {
 	outcome := placer.Full
 	if ans.Verdict == NotThere {
 		outcome = placer.Moved
@@ -320,7 +322,7 @@
 }
 
 // broke takes in an attempt that broke after the request may have run.
-func (x *flight) broke(g placer.Grant, o placer.Outcome, detail string, started time.Time) bool {
+func (x *flight) broke(g *placer.Grant, o placer.Outcome, detail string, started time.Time) bool {
 	x.release(g, o)
 	x.note(g, "Broken", detail, started)
 	if x.mayRepeat() {
@@ -331,7 +333,7 @@
 }
 
 // whole passes an answer on after all of it has come.
-func (x *flight) whole(ctx context.Context, g placer.Grant, ans Answer, started time.Time) bool {
+func (x *flight) whole(ctx context.Context, g *placer.Grant, ans Answer, started time.Time) bool {
 	body, err := ans.Exchange.ReadAll(maxAnswer)
 	if err != nil {
 		if x.ctx.Err() != nil {
@@ -361,11 +363,13 @@
 }
 
 // stream passes events on as they come.
-func (x *flight) stream(ctx context.Context, g placer.Grant, ans Answer, first *time.Timer, started time.Time) bool {
+func (x *flight) stream(ctx context.Context, g *placer.Grant, ans Answer, first *time.Timer, started time.Time) bool {
 	events := newEventReader(ans.Exchange)
 	for {
 		e, err := events.next()
-		first.Stop()
+		if first.Stop() {
+			x.f.config.Placer.Began(g)
+		}
 		if errors.Is(err, io.EOF) {
 			return x.streamEnded(g, ans)
 		}
@@ -409,7 +413,7 @@
 	return x.reply.Flush()
 }
 
-func (x *flight) streamEnded(g placer.Grant, ans Answer) bool {
+func (x *flight) streamEnded(g *placer.Grant, ans Answer) bool {
 	x.release(g, placer.Answered)
 	if !x.begun {
 		x.begun = true
@@ -422,7 +426,7 @@
 	return false
 }
 
-func (x *flight) streamBroke(ctx context.Context, g placer.Grant, err error, started time.Time) bool {
+func (x *flight) streamBroke(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
 	if x.ctx.Err() != nil {
 		return x.over(g, started)
 	}
@@ -432,7 +436,7 @@
 	return x.broke(g, placer.Broken, "read event: "+err.Error(), started)
 }
 
-func (x *flight) release(g placer.Grant, o placer.Outcome) {
+func (x *flight) release(g *placer.Grant, o placer.Outcome) {
 	held := x.f.config.Placer.Release(g, o)
 	if left := time.Until(held); left > 0 && (o == placer.Broken || o == placer.Unreached || o == placer.Moved) {
 		x.f.config.Log.Event(reporter.ReplicaHeld, reporter.Fields{
@@ -501,15 +505,15 @@
 	x.reply.Abort()
 }
 
-func (x *flight) done(g placer.Grant, status int) {
-	x.f.config.Log.Event(reporter.RequestDone, x.fields(reporter.Fields{"Peer": g.Replica.ID, "Status": status, "Load": g.Count}))
+func (x *flight) done(g *placer.Grant, status int) {
+	x.f.config.Log.Event(reporter.RequestDone, x.fields(reporter.Fields{"Peer": g.Replica.ID, "Status": status, "Load": g.Count, "Tokens": g.Tokens}))
 	x.f.config.Observe(x.call, "Done", time.Since(x.call.Arrived))
 }
 
-func (x *flight) note(g placer.Grant, what, detail string, started time.Time) {
+func (x *flight) note(g *placer.Grant, what, detail string, started time.Time) {
 	x.f.config.Log.Event(reporter.AttemptEnded, x.fields(reporter.Fields{
 		"Peer": g.Replica.ID, "Address": g.Replica.Address, "Outcome": what, "Detail": detail,
-		"Load": g.Count, "AttemptTook": time.Since(started).String(),
+		"Load": g.Count, "Tokens": g.Tokens, "AttemptTook": time.Since(started).String(),
 	}))
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,9 +9,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertstile.example/filbertstile"
 )
 
@@ -21,6 +24,11 @@
 	waitShare = 0.55
 	// rateWeight is the share of the newest second in the rate of placements.
 	rateWeight = 0.5
+	// wayMargin is kept from the objective for the way to the caller and back.
+	wayMargin = 25 * time.Millisecond
+	// lateFactor is the number of objectives within which an answer that comes
+	// late must begin for the request to be sent.
+	lateFactor = 2
 	// leastRetry and mostRetry bound the Retry-After of refusals: a request
 	// takes about a second, and callers honour a third of their time left.
 	leastRetry = 300 * time.Millisecond
@@ -67,12 +75,26 @@
 	// begin; Deadline is when it gives up.
 	Objective time.Duration
 	Deadline  time.Time
+	// Tokens is the length of the prompt.
+	Tokens int
+}
+
+// Hand is what entries have in hand at a replica.
+type Hand struct {
+	Requests int
+	// Tokens are prompt tokens of requests whose answer has not begun.
+	Tokens int
 }
 
 // Grant is a place at a replica. Release must be called once.
 type Grant struct {
 	Replica filbertstile.Replica
-	Count   float64
+	// Count is the number of requests that the replica had in hand, Tokens the
+	// prompt tokens that it had still to read.
+	Count  int
+	Tokens int
+	// prompt is the request's own prompt.
+	prompt int
 	// Waited is how long the request waited here.
 	Waited time.Duration
 }
@@ -107,6 +129,10 @@
 	rows    map[string]*row
 	byAddr  map[string]*row
 	waiting []*waiter
+	// told is what the other entries last said, by entry and replica hash.
+	told map[string]map[uint32]Hand
+	// dirty tells that this entry's own hand has changed since it was shared.
+	dirty bool
 	// perSecond is the recent rate of placements by service.
 	perSecond map[string]float64
 	placed    map[string]int
@@ -117,7 +143,7 @@
 func New(c Config) *Placer {
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), rows: make(map[string]*row), byAddr: make(map[string]*row),
-		perSecond: make(map[string]float64), placed: make(map[string]int),
+		perSecond: make(map[string]float64), placed: make(map[string]int), told: make(map[string]map[uint32]Hand),
 	}
 }
 
@@ -140,6 +166,7 @@
 		byAddr[x.Address] = r
 	}
 	p.fleet, p.rows, p.byAddr = f, rows, byAddr
+	p.sumOthers()
 	p.serveWaiting(now)
 }
 
@@ -160,11 +187,13 @@
 func (p *Placer) Acquire(ctx context.Context, q Query) (Grant, error) {
 	now := time.Now()
 	p.mu.Lock()
-	if best, fitting := p.choose(now, q); best != nil {
-		g := p.place(now, best, q.Service)
+	best, fitting := p.choose(now, q, p.left(now, q))
+	if best != nil {
+		g := p.place(now, best, q)
 		p.mu.Unlock()
 		return g, nil
-	} else if err := p.hopeless(now, q, fitting); err != nil {
+	}
+	if err := p.hopeless(now, q, fitting); err != nil {
 		p.mu.Unlock()
 		return Grant{}, err
 	}
@@ -192,8 +221,20 @@
 	return out
 }
 
+// left returns the time that remains for the answer to begin in time; at least
+// what an idle replica takes, as nothing better can be hoped for.
+func (p *Placer) left(now time.Time, q Query) time.Duration {
+	spec := p.engine(q.Service)
+	if spec == nil {
+		return 0
+	}
+	idle := (&row{}).begins(*spec, 1, q.Tokens)
+	return max(idle+spec.Pass(1), q.Objective-wayMargin-now.Sub(q.Arrived))
+}
+
 // giveUp takes the request out of the line; a place granted meanwhile counts,
-// unless the caller has left.
+// unless the caller has left. Where replicas are not much behind, it is answered
+// late rather than not at all.
 func (p *Placer) giveUp(ctx context.Context, w *waiter) (Grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -208,13 +249,19 @@
 		if ctx.Err() == nil {
 			return g, nil
 		}
-		p.release(time.Now(), g.Replica.ID, Abandoned)
+		p.release(time.Now(), &g, Abandoned)
 	default:
 	}
 	if ctx.Err() != nil {
 		return Grant{}, ctx.Err()
 	}
-	_, fitting := p.choose(time.Now(), w.query)
+	now := time.Now()
+	best, fitting := p.choose(now, w.query, w.query.Objective*lateFactor)
+	if best != nil {
+		g := p.place(now, best, w.query)
+		g.Waited = now.Sub(w.since)
+		return g, nil
+	}
 	return Grant{}, p.refusal(w.query, "waited as long as the objective allows", fitting)
 }
 
@@ -270,12 +317,87 @@
 	p.waiting[i] = w
 }
 
-func (p *Placer) place(now time.Time, r *row, service string) Grant {
-	count := r.count(now, p.fleet.Entries)
+func (p *Placer) place(now time.Time, r *row, q Query) Grant {
+	g := Grant{Replica: r.replica, Count: r.count(now, p.fleet.Entries), Tokens: r.tokensAhead(), prompt: q.Tokens}
 	r.own++
+	r.ownTokens += q.Tokens
 	r.tokens--
-	p.countPlaced(now, service)
-	return Grant{Replica: r.replica, Count: count}
+	p.dirty = true
+	p.countPlaced(now, q.Service)
+	return g
+}
+
+// Began tells that the answer of the request has begun: its prompt is read.
+func (p *Placer) Began(g *Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.read(g)
+	p.serveWaiting(time.Now())
+}
+
+func (p *Placer) read(g *Grant) {
+	if r := p.rows[g.Replica.ID]; r != nil && g.prompt > 0 {
+		r.ownTokens = max(0, r.ownTokens-g.prompt)
+		p.dirty = true
+	}
+	g.prompt = 0
+}
+
+// HashOf shortens a replica's id for what entries tell each other.
+func HashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// Hands returns what this entry has in hand at each replica, and whether that
+// has changed since the last call.
+func (p *Placer) Hands() (map[string]Hand, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	dirty := p.dirty
+	p.dirty = false
+	out := make(map[string]Hand)
+	for id, r := range p.rows {
+		if r.own > 0 {
+			out[id] = Hand{Requests: r.own, Tokens: r.ownTokens}
+		}
+	}
+	return out, dirty
+}
+
+// SetOthers replaces what another entry has in hand; nil forgets the entry.
+func (p *Placer) SetOthers(now time.Time, entry string, hands map[uint32]Hand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if hands == nil {
+		delete(p.told, entry)
+	} else {
+		p.told[entry] = hands
+	}
+	p.sumOthers()
+	p.serveWaiting(now)
+}
+
+// KeepOthers forgets what entries said that are no longer heard.
+func (p *Placer) KeepOthers(now time.Time, entries []filbertstile.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.told {
+		if !slices.ContainsFunc(entries, func(m filbertstile.Member) bool { return m.Name == name }) {
+			delete(p.told, name)
+		}
+	}
+	p.sumOthers()
+	p.serveWaiting(now)
+}
+
+func (p *Placer) sumOthers() {
+	for id, r := range p.rows {
+		r.others = Hand{}
+		hash := HashOf(id)
+		for _, hands := range p.told {
+			h := hands[hash]
+			r.others.Requests += h.Requests
+			r.others.Tokens += h.Tokens
+		}
+	}
 }
 
 func (p *Placer) countPlaced(now time.Time, service string) {
@@ -297,17 +419,19 @@
 }
 
 // Release ends the use of a place.
-func (p *Placer) Release(g Grant, o Outcome) (heldUntil time.Time) {
+func (p *Placer) Release(g *Grant, o Outcome) (heldUntil time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.release(time.Now(), g.Replica.ID, o)
+	return p.release(time.Now(), g, o)
 }
 
-func (p *Placer) release(now time.Time, id string, o Outcome) time.Time {
-	r := p.rows[id]
+func (p *Placer) release(now time.Time, g *Grant, o Outcome) time.Time {
+	r := p.rows[g.Replica.ID]
 	if r == nil {
 		return time.Time{}
 	}
+	p.read(g)
+	p.dirty = true
 	r.ended(now, o)
 	p.serveWaiting(now)
 	return r.holdUntil
@@ -318,12 +442,12 @@
 func (p *Placer) serveWaiting(now time.Time) {
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
-		best, _ := p.choose(now, w.query)
+		best, _ := p.choose(now, w.query, p.left(now, w.query))
 		if best == nil {
 			kept = append(kept, w)
 			continue
 		}
-		g := p.place(now, best, w.query.Service)
+		g := p.place(now, best, w.query)
 		g.Waited = now.Sub(w.since)
 		w.grant <- g
 	}
--- a/placer/score.go
+++ b/placer/score.go
@@ -22,6 +22,10 @@
 	failureWeight = 0.15
 	// failureCost is what a failure rate of one adds to the load, in requests.
 	failureCost = 24.0
+	// tokenCost is what a prompt token that is still to be read adds to the load,
+	// in requests: a prompt of some 900 tokens delays the next answer like some
+	// eight requests that write.
+	tokenCost = 8.0 / 900
 	// abroadCost is what another region adds to the load, in requests.
 	abroadCost = 0.4
 	// tieSpread is the width of the random part of the load, in requests, so
@@ -30,6 +34,9 @@
 	// blindEntries bounds by how many entries the own count is multiplied
 	// where no report says what the others send.
 	blindEntries = 3
+	// reportSlack is by how much a report must exceed what the entries told to be
+	// believed: it is some 200 ms older.
+	reportSlack = 4
 	// overfill is how many requests beyond its slots a replica is given, so
 	// that a slot that becomes free is taken within the same pass.
 	overfill = 1
@@ -78,6 +85,10 @@
 	loadAt    time.Time
 	// ownAtLoad is what own was when the load arrived.
 	ownAtLoad int
+	// ownTokens are prompt tokens of own requests whose answer has not begun.
+	ownTokens int
+	// others is what the other entries have in hand here.
+	others    Hand
 	failures  int
 	rate      float64
 	holdUntil time.Time
@@ -96,12 +107,30 @@
 	return r.replica.Version
 }
 
-// count estimates the requests that the replica has in hand.
-func (r *row) count(now time.Time, entries int) float64 {
+// count estimates the requests that the replica has in hand: what all entries
+// told, or more where the replica's own report, which is older, has far more.
+func (r *row) count(now time.Time, entries int) int {
+	told := r.own + r.others.Requests
 	if r.reported(now) {
-		return float64(max(r.own, r.load.Running+r.load.Waiting+r.own-r.ownAtLoad))
+		reported := r.load.Running + r.load.Waiting + r.own - r.ownAtLoad
+		if reported > told+reportSlack {
+			return reported
+		}
+		return told
+	}
+	if r.others.Requests > 0 {
+		return told
 	}
-	return float64(r.own * min(max(1, entries), blindEntries))
+	return r.own * min(max(1, entries), blindEntries)
+}
+
+// tokens returns the prompt tokens that the replica has still to read.
+func (r *row) tokensAhead() int { return r.ownTokens + r.others.Tokens }
+
+// begins estimates how long it takes until the answer to a request begins: the
+// pass that runs, the prompts that are read before and with it, and a pass.
+func (r *row) begins(e filbertstile.EngineSpec, count, tokens int) time.Duration {
+	return e.Pass(count)*3/2 + e.Reading(r.tokensAhead()+tokens)
 }
 
 // fill brings the replica's share of the cold rate up to date.
@@ -157,18 +186,23 @@
 	return ok && spec.Engine != nil
 }
 
-// choose returns the least loaded replica with room; among failing ones only
-// where all others fail as well. Any tells whether some replica fits.
-func (p *Placer) choose(now time.Time, q Query) (best *row, any bool) {
+// choose returns the replica where the answer begins first, within the limit
+// if that is not 0; among failing ones only where all others fail as well. Any
+// tells whether some replica fits.
+func (p *Placer) choose(now time.Time, q Query, within time.Duration) (best *row, any bool) {
 	least := 0.0
 	var held *row
+	spec := p.engine(q.Service)
 	for _, r := range p.rows {
 		if !p.fits(now, q, r) {
 			continue
 		}
 		any = true
 		count := r.count(now, p.fleet.Entries)
-		if count >= float64(max(1, r.replica.Slots)+overfill) || !p.coldRoom(now, r) {
+		if count >= max(1, r.replica.Slots)+overfill || !p.coldRoom(now, r) {
+			continue
+		}
+		if within > 0 && spec != nil && r.begins(*spec, count, q.Tokens) > within {
 			continue
 		}
 		if now.Before(r.holdUntil) {
@@ -177,7 +211,10 @@
 			}
 			continue
 		}
-		score := count + r.rate*failureCost + p.rng.Float64()*tieSpread
+		score := float64(count) + r.rate*failureCost + p.rng.Float64()*tieSpread
+		if spec != nil {
+			score += float64(r.tokensAhead()) * tokenCost
+		}
 		if r.region != p.config.Region {
 			score += abroadCost
 		}
@@ -191,6 +228,11 @@
 	return best, any
 }
 
+func (p *Placer) engine(service string) *filbertstile.EngineSpec {
+	spec, _ := p.fleet.Pools.Get(service)
+	return spec.Engine
+}
+
 // othersFit tells whether a replica that does not fail fits, though it has no
 // room now.
 func (p *Placer) othersFit(now time.Time, q Query) bool {
--- a/pulser/pulser.go
+++ b/pulser/pulser.go
@@ -101,8 +101,10 @@
 	wg.Wait()
 }
 
-func (p *Pulser) send() {
-	pulse, to := p.config.Compose()
+func (p *Pulser) send() { p.Tell(p.config.Compose()) }
+
+// Tell sends a heartbeat out of turn.
+func (p *Pulser) Tell(pulse *wire.Pulse, to []filbertstile.Member) {
 	p.mu.Lock()
 	p.sequence++
 	pulse.Sequence = p.sequence
