--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -250,6 +250,25 @@
 	return out
 }
 
+// drawn tells whether all chunks that this host is to read from the origin are
+// here or on their way, so that a version that is less urgent may be drawn. One
+// that makes no progress holds up nobody.
+func (c *Core) drawn(now time.Time, t *transfer) bool {
+	stuck := now.Sub(t.progress) > c.config.Limits.ChunkTimeout
+	if t.done || stuck || !c.atSource() {
+		return true
+	}
+	if !t.known {
+		return false
+	}
+	for i := range t.have {
+		if !t.have[i] && !t.underway(i) && !c.inRegion(t, i) && c.ownerOf(t, i) == c.config.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // mayBring tells whether this host is to bring the chunk into its region: it
 // is its designated reader or importer, or those before it have shown no
 // progress for too long.
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -289,6 +289,7 @@
 	for _, e := range inbox {
 		out = append(out, c.take(now, e)...)
 	}
+	drawn := true
 	for _, t := range c.transfers {
 		c.placeIn(t)
 		out = append(out, c.expire(now, t)...)
@@ -296,7 +297,10 @@
 		out = append(out, c.manifests(now, t)...)
 		out = append(out, c.spread(now, t)...)
 		out = append(out, c.imports(now, t)...)
-		out = append(out, c.origin(now, t)...)
+		if drawn {
+			out = append(out, c.origin(now, t)...)
+		}
+		drawn = drawn && c.drawn(now, t)
 	}
 	return out
 }
--- a/edgerunner/edgerunner.go
+++ b/edgerunner/edgerunner.go
@@ -26,8 +26,8 @@
 	// pulseEvery is the time between two heartbeats of an entry; a killed entry
 	// is noticed after pulser.HeardFor.
 	pulseEvery = 400 * time.Millisecond
-	// shareEvery bounds how often an entry tells the others what it has in hand,
-	// and shareAgain how long it is silent; the bytes between regions are dear.
+	// shareEvery bounds how often an entry tells the others what has changed of
+	// what it has in hand; every shareAgain it tells all, as datagrams are lost.
 	shareEvery = 25 * time.Millisecond
 	shareAgain = 500 * time.Millisecond
 	// revokeMargin is kept from the time within which a withdrawn key must stop
@@ -38,7 +38,7 @@
 	versionMargin = 900 * time.Millisecond
 	// currentFor is how old the store's last confirmation may be for an entry to
 	// be named to callers.
-	currentFor = 2500 * time.Millisecond
+	currentFor = 2900 * time.Millisecond
 	// sweepEvery is the time between two looks for what has expired.
 	sweepEvery = 500 * time.Millisecond
 	// drainShare is the part of the time to stop in which new requests are
@@ -161,7 +161,9 @@
 			e.config.Log.Event(reporter.ChangeApplied, reporter.Fields{"Config": routing.Version, "Routes": routing.Routes.Len()})
 		}
 	}
-	e.learnVersions(now)
+	if e.learnVersions(now) {
+		e.pulser.Nudge()
+	}
 	out := make(map[string]bool)
 	for _, m := range e.sources.Marks.View().Rows.All() {
 		out[m.Name] = m.Out
@@ -188,7 +190,9 @@
 	return r, ok
 }
 
-func (e *Edge) learnVersions(now time.Time) {
+// learnVersions notes when versions were named, and reports whether one is news.
+func (e *Edge) learnVersions(now time.Time) bool {
+	news := false
 	view := e.sources.Weights.View()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -202,10 +206,12 @@
 			// It may have been named long before this start.
 			at = e.started.Add(e.config.Bounds.Settle - e.config.Bounds.Version)
 		}
+		news = true
 		e.named[w.Model] = append(list, naming{version: w.Version, at: at})
 		e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision})
 	}
 	e.listed = e.listed || view.Known
+	return news
 }
 
 // version returns the least version of the weights that replicas of the
@@ -236,12 +242,12 @@
 	if e.hearWeights(p.GetWeights()) {
 		e.pulser.Nudge()
 	}
-	if p.GetLoadsTold() {
+	if p.GetAllLoads() || len(p.GetLoads()) > 0 {
 		hands := make(map[uint32]placer.Hand, len(p.GetLoads()))
 		for _, l := range p.GetLoads() {
 			hands[l.GetReplica()] = placer.Hand{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens())}
 		}
-		e.placer.SetOthers(time.Now(), p.GetName(), hands)
+		e.placer.SetOthers(time.Now(), p.GetName(), hands, p.GetAllLoads())
 	}
 	if r := p.GetReplica(); r != nil {
 		e.placer.Report(time.Now(), r.GetAddress(), placer.Load{
@@ -255,12 +261,15 @@
 func (e *Edge) share(ctx context.Context) {
 	last := time.Now()
 	for sleeper.Sleep(ctx, shareEvery) == nil {
-		hands, changed := e.placer.Hands()
-		if !changed && time.Since(last) < shareAgain {
+		all := time.Since(last) >= shareAgain
+		hands := e.placer.Hands(all)
+		if len(hands) == 0 && !all {
 			continue
 		}
-		last = time.Now()
-		p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), LoadsTold: true}
+		if all {
+			last = time.Now()
+		}
+		p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), AllLoads: all}
 		for id, h := range hands {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(h.Requests), Tokens: int32(h.Tokens)})
 		}
@@ -288,7 +297,7 @@
 	news := false
 	for _, w := range list {
 		key := filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}
-		if e.digest[key] == "" {
+		if e.digest[key] == "" && w.GetManifest() != "" {
 			e.digest[key] = w.GetManifest()
 			news = true
 		}
@@ -306,6 +315,12 @@
 			p.Weights = append(p.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: manifest})
 		}
 	}
+	for model, list := range e.named {
+		w := filbertstile.NamedWeights{Model: model, Version: list[len(list)-1].version}
+		if e.digest[w] == "" {
+			p.Weights = append(p.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version})
+		}
+	}
 	e.mu.Unlock()
 	var to []filbertstile.Member
 	for _, m := range e.sources.Members.View().Rows.All() {
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -18,11 +18,21 @@
 	// pollEvery is the time between two looks at the engine, which is asked on
 	// its own machine.
 	pollEvery = 50 * time.Millisecond
-	// switchTime is what a replica takes from the order until it serves again:
-	// the streams that run end within some two seconds, then it loads.
-	switchTime = 2200 * time.Millisecond
+	// switchTime is what a replica takes from its turn until it serves again:
+	// closeTime, reading back what is staged, and loading.
+	switchTime = 1800 * time.Millisecond
 	// spread bounds the time over which replicas switch one after the other.
-	spread = 3 * time.Second
+	spread = 3500 * time.Millisecond
+	// closeTime is how long a replica that takes no more requests goes on with
+	// those that it has: most streams end within about a second.
+	closeTime = 1200 * time.Millisecond
+	// cutOff is the number of streams that are cut off at once, to go on at other
+	// replicas: reading their prompts again takes less than waiting for them.
+	cutOff = 3
+	// arrival is how long after its naming a version is there, and skipSlack how
+	// long a replica may be out of use before the version that it skipped to is.
+	arrival   = 4500 * time.Millisecond
+	skipSlack = 1500 * time.Millisecond
 	// failedPause is the time before an order that failed is given again.
 	failedPause = 300 * time.Millisecond
 )
@@ -37,6 +47,9 @@
 	Within time.Duration
 	// Rank places this host among those of the service, from 0 to 1.
 	Rank float64
+	// Skips tells that this host may leave out a version that is about to be
+	// followed by another.
+	Skips bool
 }
 
 // Config puts an installer together.
@@ -48,8 +61,11 @@
 	// Chunks returns the manifest and all chunks of a version; false until all
 	// are held and verified.
 	Chunks func(w filbertstile.NamedWeights) (filbertstile.Manifest, [][]byte, bool)
-	// Seen is told of each report of the engine.
-	Seen func(r filbertstile.EngineReport)
+	// Seen is told of each report of the engine, and whether the replica is to
+	// take no more requests.
+	Seen func(r filbertstile.EngineReport, closing bool)
+	// Cuts tells whether all streams of the service may go on elsewhere.
+	Cuts func() bool
 }
 
 // Installer owns the engine's weights.
@@ -59,7 +75,10 @@
 	staged filbertstile.NamedWeights
 	// heldSince is when all chunks of a version were first here.
 	heldSince map[filbertstile.NamedWeights]time.Time
-	lost      bool
+	// closing is the version that the replica is being closed for, since closedAt.
+	closing  filbertstile.NamedWeights
+	closedAt time.Time
+	lost     bool
 }
 
 // New returns an installer that does not run yet.
@@ -91,18 +110,56 @@
 		i.lost = false
 		i.config.Log.Event(reporter.HostFound, reporter.Fields{"Peer": "engine", "Born": r.Born.UnixMilli()})
 	}
-	i.config.Seen(r)
-	for _, w := range i.config.Wanted() {
+	w, m, chunks, due := i.due(time.Now(), r)
+	if !due {
+		i.closing = filbertstile.NamedWeights{}
+		i.config.Seen(r, false)
+		return nil
+	}
+	i.config.Seen(r, true)
+	if !i.closed(r, w.Weights) {
+		return nil
+	}
+	return i.install(ctx, r, w, m, chunks)
+}
+
+// due returns the newest version that is here, if the engine is to load it now.
+func (i *Installer) due(now time.Time, r filbertstile.EngineReport) (w Wanted, m filbertstile.Manifest, chunks [][]byte, due bool) {
+	list := i.config.Wanted()
+	for n, w := range list {
 		m, chunks, ok := i.config.Chunks(w.Weights)
 		if !ok {
 			continue
 		}
-		if !Due(time.Now(), r, w, i.since(w.Weights)) {
-			return nil
+		if n > 0 && r.Version > 0 && skipped(now, w, list[n-1]) {
+			return w, m, chunks, false
 		}
-		return i.install(ctx, r, w, m, chunks)
+		return w, m, chunks, Due(now, r, w, i.since(w.Weights))
+	}
+	return w, m, chunks, false
+}
+
+// skipped tells whether the host is to leave out a version, as a newer one is
+// there before long after it must be in force. Half of the hosts go on with the
+// version before meanwhile, which halves the switches.
+func skipped(now time.Time, w, newer Wanted) bool {
+	if !w.Skips || w.Within == 0 {
+		return false
+	}
+	last := w.NamedAt.Add(w.Within + skipSlack)
+	return newer.NamedAt.Add(arrival).Before(last) && now.Before(last)
+}
+
+// closed tells whether the replica may be ordered to load: what it had has ended,
+// but for a few streams.
+func (i *Installer) closed(r filbertstile.EngineReport, w filbertstile.NamedWeights) bool {
+	if i.closing != w {
+		i.closing, i.closedAt = w, time.Now()
+	}
+	if r.Version == 0 || !i.config.Cuts() {
+		return true
 	}
-	return nil
+	return r.Running+r.Waiting <= cutOff || time.Since(i.closedAt) >= closeTime
 }
 
 // since returns when all chunks of the version were first here.
@@ -150,7 +207,7 @@
 		"Model": w.Weights.Model, "Version": w.Weights.Version, "From": r.Version, "Named": time.Since(w.NamedAt).String(),
 		"Running": r.Running, "Waiting": r.Waiting, "Orders": r.Orders,
 	})
-	return i.config.Engine.Load(ctx, w.Weights, r.Orders)
+	return i.config.Engine.Load(ctx, w.Weights, r.Orders, r.Version > 0 && i.config.Cuts())
 }
 
 // ensure makes sure that a chunk lies beside the engine as it should.
--- a/interfaces.go
+++ b/interfaces.go
@@ -127,8 +127,8 @@
 	// Staged returns a chunk that lies beside the engine, or ErrNotFound.
 	Staged(ctx context.Context, model string, index int) ([]byte, error)
 	// Load orders the engine to run what lies beside it, if it has begun as many
-	// orders as expected.
-	Load(ctx context.Context, w NamedWeights, orders int64) error
+	// orders as expected. What still runs is waited for, or cut off.
+	Load(ctx context.Context, w NamedWeights, orders int64, cut bool) error
 }
 
 // Origin gives out the digests and chunks of versions of weights.
--- a/peerrunner/peerrunner.go
+++ b/peerrunner/peerrunner.go
@@ -26,8 +26,11 @@
 )
 
 const (
-	// pulseEvery is the time between two reports of the engine's load.
-	pulseEvery = 100 * time.Millisecond
+	// pulseEvery is the time between two reports of the engine's state, beside
+	// those that tell of a change.
+	pulseEvery = 250 * time.Millisecond
+	// digestNews is how long the digest of a manifest is told with each report.
+	digestNews = 1500 * time.Millisecond
 	// syncEvery is the time between two looks at what the host should hold.
 	syncEvery = 100 * time.Millisecond
 	// learnPause is the time before the origin is asked again for a manifest.
@@ -83,9 +86,12 @@
 	pulser    *pulser.Pulser
 	installer *installer.Installer
 	// told are the hosts that the fetcher was told of last.
-	told []filbertstile.Member
-	fetcher   atomic.Pointer[fetcher.Fetcher]
-	report    atomic.Pointer[filbertstile.EngineReport]
+	told    []filbertstile.Member
+	fetcher atomic.Pointer[fetcher.Fetcher]
+	report  atomic.Pointer[filbertstile.EngineReport]
+	closing atomic.Bool
+	// resumable tells that all streams of the service may go on elsewhere.
+	resumable atomic.Bool
 	started   time.Time
 
 	mu    sync.Mutex
@@ -106,7 +112,7 @@
 		client: messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
 		named:  make(map[filbertstile.NamedWeights]time.Time), alive: make(map[string]time.Time),
 	}
-	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.due, Chunks: p.chunks, Seen: p.seen})
+	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.due, Chunks: p.chunks, Seen: p.seen, Cuts: p.resumable.Load})
 	return p
 }
 
@@ -195,6 +201,7 @@
 	p.mu.Lock()
 	p.model, p.originRegion = spec.Engine.Model, region
 	p.mu.Unlock()
+	p.resumable.Store(resumable(r, p.config.Self.Service))
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.library, Log: p.config.Log, Metrics: p.config.Metrics,
 		Core: distributor.Config{
@@ -211,6 +218,18 @@
 	return nil
 }
 
+// resumable tells whether all streams that lead to the service may go on at
+// another replica.
+func resumable(r filbertstile.Routing, service string) bool {
+	for _, x := range r.Routes.All() {
+		leads := slices.ContainsFunc(x.Targets, func(t filbertstile.Target) bool { return t.Service == service })
+		if leads && !x.Repeatable() {
+			return false
+		}
+	}
+	return true
+}
+
 // limits follow every host of a region of up to a dozen, and divide what comes
 // from other regions among as many: at a few megabytes a version, the links of
 // single importers would be what the region waits for.
@@ -375,28 +394,39 @@
 	}
 }
 
+// hearName takes in a version that an entry has seen named.
+func (p *Peer) hearName(w filbertstile.NamedWeights) {
+	p.mu.Lock()
+	ours := w.Model == p.model
+	p.mu.Unlock()
+	if ours {
+		p.name(w)
+	}
+}
+
 // due returns the versions that the engine may run, newest first.
 func (p *Peer) due() []installer.Wanted {
 	w, ok := p.target()
 	if !ok {
 		return nil
 	}
-	rank := p.rank()
+	rank, odd := p.rank()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []installer.Wanted
 	for v := w.Version; v > w.Version-keptVersions; v-- {
 		named := filbertstile.NamedWeights{Model: w.Model, Version: v}
 		if at, ok := p.named[named]; ok {
-			out = append(out, installer.Wanted{Weights: named, NamedAt: at, Within: p.config.Within, Rank: rank})
+			out = append(out, installer.Wanted{Weights: named, NamedAt: at, Within: p.config.Within, Rank: rank, Skips: odd})
 		}
 	}
 	return out
 }
 
-// rank is the place of this host among those of its service, so that the
-// groups that switch are of equal size in each failure domain.
-func (p *Peer) rank() float64 {
+// rank is the place of this host among those of its service and failure domain,
+// from 0 to 1, and whether it is an odd one, so that the groups that switch are of
+// equal size in each domain.
+func (p *Peer) rank() (float64, bool) {
 	var names []string
 	for _, m := range p.members() {
 		if m.Domain == p.config.Self.Domain {
@@ -405,7 +435,7 @@
 	}
 	slices.Sort(names)
 	i, _ := slices.BinarySearch(names, p.config.Self.Name)
-	return float64(i) / float64(max(1, len(names)))
+	return float64(i) / float64(max(1, len(names))), i%2 == 1
 }
 
 // members returns the hosts of the service that an entry hears; where no entry
@@ -439,9 +469,9 @@
 }
 
 // seen takes in the engine's report.
-func (p *Peer) seen(r filbertstile.EngineReport) {
+func (p *Peer) seen(r filbertstile.EngineReport, closing bool) {
 	old := p.report.Swap(&r)
-	if old == nil || old.Loading != r.Loading || old.Version != r.Version {
+	if p.closing.Swap(closing) != closing || old == nil || old.Loading != r.Loading || old.Version != r.Version {
 		if old != nil && old.Version != r.Version && r.Version > 0 {
 			p.config.Log.Event(reporter.SwitchDone, reporter.Fields{"Version": r.Version, "From": old.Version, "Born": r.Born.UnixMilli()})
 		}
@@ -453,7 +483,9 @@
 func (p *Peer) heard(x *wire.Pulse) {
 	now := time.Now()
 	for _, w := range x.GetWeights() {
-		p.library.hear(filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}, filbertstile.Digest(w.GetManifest()))
+		named := filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}
+		p.library.hear(named, filbertstile.Digest(w.GetManifest()))
+		p.hearName(named)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -469,10 +501,10 @@
 	if r := p.report.Load(); r != nil {
 		out.Replica = &wire.ReplicaLoad{
 			Address: p.config.EngineAddress, Born: r.Born.UnixMilli(), Running: int32(r.Running), Waiting: int32(r.Waiting),
-			Version: r.Version, Loading: r.Loading,
+			Version: r.Version, Loading: r.Loading || p.closing.Load(),
 		}
 	}
-	for w, digest := range p.library.known() {
+	for w, digest := range p.library.fresh(digestNews) {
 		out.Weights = append(out.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: string(digest)})
 	}
 	var to []filbertstile.Member
--- a/peerrunner/weights.go
+++ b/peerrunner/weights.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/reporter"
@@ -21,8 +22,10 @@
 	mu       sync.Mutex
 	origin   filbertstile.Origin
 	versions map[filbertstile.NamedWeights]filbertstile.Digest
-	docs     map[filbertstile.Digest]document
-	chunks   map[filbertstile.Digest]place
+	// learned is when this process read a manifest itself.
+	learned map[filbertstile.NamedWeights]time.Time
+	docs    map[filbertstile.Digest]document
+	chunks  map[filbertstile.Digest]place
 }
 
 type document struct {
@@ -40,7 +43,8 @@
 func newLibrary(log *reporter.Log) *library {
 	return &library{
 		log: log, versions: make(map[filbertstile.NamedWeights]filbertstile.Digest),
-		docs: make(map[filbertstile.Digest]document), chunks: make(map[filbertstile.Digest]place),
+		learned: make(map[filbertstile.NamedWeights]time.Time),
+		docs:    make(map[filbertstile.Digest]document), chunks: make(map[filbertstile.Digest]place),
 	}
 }
 
@@ -86,6 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions[w] = digest
+	l.learned[w] = time.Now()
 	l.docs[digest] = document{weights: w, manifest: m, raw: m.Encode()}
 	for i, c := range m.Chunks {
 		l.chunks[c.Digest] = place{weights: w, index: i}
@@ -108,6 +113,7 @@
 	for w, digest := range l.versions {
 		if w.Model == model && w.Version < before {
 			delete(l.versions, w)
+			delete(l.learned, w)
 			delete(l.docs, digest)
 		}
 	}
@@ -143,12 +149,15 @@
 	return nil
 }
 
-func (l *library) known() map[filbertstile.NamedWeights]filbertstile.Digest {
+// fresh returns the versions whose manifests became known within the time.
+func (l *library) fresh(within time.Duration) map[filbertstile.NamedWeights]filbertstile.Digest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[filbertstile.NamedWeights]filbertstile.Digest, len(l.versions))
+	out := make(map[filbertstile.NamedWeights]filbertstile.Digest)
 	for w, d := range l.versions {
-		out[w] = d
+		if time.Since(l.learned[w]) < within {
+			out[w] = d
+		}
 	}
 	return out
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -131,8 +131,6 @@
 	waiting []*waiter
 	// told is what the other entries last said, by entry and replica hash.
 	told map[string]map[uint32]Hand
-	// dirty tells that this entry's own hand has changed since it was shared.
-	dirty bool
 	// perSecond is the recent rate of placements by service.
 	perSecond map[string]float64
 	placed    map[string]int
@@ -322,7 +320,6 @@
 	r.own++
 	r.ownTokens += q.Tokens
 	r.tokens--
-	p.dirty = true
 	p.countPlaced(now, q.Service)
 	return g
 }
@@ -338,7 +335,6 @@
 func (p *Placer) read(g *Grant) {
 	if r := p.rows[g.Replica.ID]; r != nil && g.prompt > 0 {
 		r.ownTokens = max(0, r.ownTokens-g.prompt)
-		p.dirty = true
 	}
 	g.prompt = 0
 }
@@ -346,30 +342,32 @@
 // HashOf shortens a replica's id for what entries tell each other.
 func HashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// Hands returns what this entry has in hand at each replica, and whether that
-// has changed since the last call.
-func (p *Placer) Hands() (map[string]Hand, bool) {
+// Hands returns what this entry has in hand at the replicas where that has
+// changed since the last call, or at all of them.
+func (p *Placer) Hands(all bool) map[string]Hand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	dirty := p.dirty
-	p.dirty = false
 	out := make(map[string]Hand)
 	for id, r := range p.rows {
-		if r.own > 0 {
-			out[id] = Hand{Requests: r.own, Tokens: r.ownTokens}
+		h := Hand{Requests: r.own, Tokens: r.ownTokens}
+		if h != r.toldHand || all && h != (Hand{}) {
+			r.toldHand = h
+			out[id] = h
 		}
 	}
-	return out, dirty
+	return out
 }
 
-// SetOthers replaces what another entry has in hand; nil forgets the entry.
-func (p *Placer) SetOthers(now time.Time, entry string, hands map[uint32]Hand) {
+// SetOthers takes in what another entry has in hand: at the replicas named, or
+// at all of them.
+func (p *Placer) SetOthers(now time.Time, entry string, hands map[uint32]Hand, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if hands == nil {
-		delete(p.told, entry)
-	} else {
-		p.told[entry] = hands
+	if all || p.told[entry] == nil {
+		p.told[entry] = make(map[uint32]Hand, len(hands))
+	}
+	for hash, h := range hands {
+		p.told[entry][hash] = h
 	}
 	p.sumOthers()
 	p.serveWaiting(now)
@@ -431,7 +429,6 @@
 		return time.Time{}
 	}
 	p.read(g)
-	p.dirty = true
 	r.ended(now, o)
 	p.serveWaiting(now)
 	return r.holdUntil
--- a/placer/score.go
+++ b/placer/score.go
@@ -9,8 +9,8 @@
 
 const (
 	// reportFresh is how long a host process's report counts; hosts report
-	// every 100 ms.
-	reportFresh = 600 * time.Millisecond
+	// every 250 ms, and some reports are lost while links are full.
+	reportFresh = 1200 * time.Millisecond
 	// firstHold and mostHold bound how long a replica that failed is passed
 	// over; the time doubles with each failure in a row.
 	firstHold = 250 * time.Millisecond
@@ -87,6 +87,8 @@
 	ownAtLoad int
 	// ownTokens are prompt tokens of own requests whose answer has not begun.
 	ownTokens int
+	// toldHand is what the other entries were last told of the own requests.
+	toldHand Hand
 	// others is what the other entries have in hand here.
 	others    Hand
 	failures  int
@@ -146,6 +148,10 @@
 // ended takes in how a request ended.
 func (r *row) ended(now time.Time, o Outcome) {
 	r.own = max(0, r.own-1)
+	if r.reported(now) && r.load.Loading {
+		// It is being switched to other weights and cuts streams off by order.
+		return
+	}
 	switch o {
 	case Answered:
 		r.failures = 0
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -33,6 +33,8 @@
 	// Elapsed is a clock that goes on while the machine sleeps.
 	Elapsed func() time.Duration
 	Log     *reporter.Log
+	// Gather is the pause after a change until the next watch.
+	Gather time.Duration
 	// Changed is called after each change; it must not block.
 	Changed func()
 }
@@ -88,7 +90,11 @@
 	for ctx.Err() == nil {
 		var err error
 		if listed {
-			err = t.watch(ctx)
+			var changed bool
+			changed, err = t.watch(ctx)
+			if changed && sleeper.Sleep(ctx, t.config.Gather) != nil {
+				return
+			}
 		} else {
 			err = t.list(ctx)
 			listed = err == nil
@@ -180,11 +186,12 @@
 	return row, true
 }
 
-func (t *Tracker[T]) watch(ctx context.Context) error {
+// watch takes in what has changed, and reports whether anything has.
+func (t *Tracker[T]) watch(ctx context.Context) (bool, error) {
 	asked := t.config.Elapsed()
 	b, err := t.config.Store.Watch(ctx, t.config.Prefix, t.View().Revision)
 	if err != nil {
-		return err
+		return false, err
 	}
 	t.mu.Lock()
 	v := t.view
@@ -202,7 +209,7 @@
 	if len(b.Objects) > 0 {
 		t.config.Changed()
 	}
-	return nil
+	return len(b.Objects) > 0, nil
 }
 
 // apply takes in one change. An object that can no longer be read is gone, as
