placer: replicas are asked for their own version

Change: the version is named only where no host has just told it, and then the replica's own. TestNewerVersionThanNeeded failed before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,7 +67,8 @@
 	Left time.Duration
 	// LastEvent is the event after which a stream goes on.
 	LastEvent int64
-	// Version is the version of the weights that must run it; 0 leaves it open.
+	// Version is the version of the weights that must run it, and no other; 0
+	// leaves it open.
 	Version int64
 }
 
@@ -202,10 +203,7 @@
 		return false
 	}
 	x.tried = append(x.tried, g.Replica.ID)
-	a := Attempt{Call: x.call, Replica: g.Replica, Left: left, LastEvent: x.last}
-	if strict {
-		a.Version = floor
-	}
+	a := Attempt{Call: x.call, Replica: g.Replica, Left: left, LastEvent: x.last, Version: g.Version}
 	return x.attempt(&g, a)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -90,6 +90,9 @@
 	// prompt tokens that it had still to read.
 	Count  int
 	Tokens int
+	// Version is that of the replica's weights where it should be asked to check
+	// it: where nobody beside it has told it just now.
+	Version int64
 	// prompt is the request's own prompt.
 	prompt int
 	// Waited is how long the request waited here.
@@ -304,6 +307,9 @@
 
 func (p *Placer) place(now time.Time, r *row, q Query) Grant {
 	g := Grant{Replica: r.replica, Count: r.count(now, p.fleet.Entries), Tokens: r.tokensAhead(), prompt: q.Tokens}
+	if q.Version > 0 && !r.reported(now) {
+		g.Version = r.replica.Version
+	}
 	r.own++
 	r.ownTokens += q.Tokens
 	r.tokens--
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -75,7 +75,7 @@
 
 func TestRefusedWithinPatience(t *testing.T) {
 	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
-		p.SetFleet(time.Now(), fleet(1, 1, 1, 0))
+		p.SetFleet(time.Now(), fleet(1, 2, 1, 0))
 		for range 2 {
 			_, err := p.Acquire(ctx, query(100))
 			is.NoErr(err)
@@ -115,12 +115,30 @@
 		g, err := p.Acquire(ctx, q)
 		is.NoErr(err)
 		is.Equal(g.Replica.ID, "r01")
+		is.Equal(g.Version, int64(0)) // its host has just told it
 		p.Report(time.Now(), "10.0.0.1:1", placer.Load{Version: 2, Loading: true})
 		_, err = p.Acquire(ctx, q)
 		is.True(err != nil)
 	})
 }
 
+// TestNewerVersionThanNeeded has replicas run a version after the one that must
+// be in force: they must be asked for their own, as they refuse any other.
+func TestNewerVersionThanNeeded(t *testing.T) {
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		f := fleet(1, 16, 1, 0)
+		r, _ := f.Replicas.Get("r00")
+		r.Version = 3
+		f.Replicas = f.Replicas.With(r)
+		p.SetFleet(time.Now(), f)
+		q := query(100)
+		q.Version = 2
+		g, err := p.Acquire(ctx, q)
+		is.NoErr(err)
+		is.Equal(g.Version, int64(3))
+	})
+}
+
 // TestSwitchingReplicaIsNotHeld has streams cut off by the order to load: the
 // replica must serve at once when it is back.
 func TestSwitchingReplicaIsNotHeld(t *testing.T) {
--- a/placer/score.go
+++ b/placer/score.go
@@ -43,9 +43,6 @@
 	// idleCount is the number of requests up to which a replica is as good as idle:
 	// nothing better can be hoped for, however long the prompt is.
 	idleCount = 2
-	// overfill is how many requests beyond its slots a replica is given, so
-	// that a slot that becomes free is taken within the same pass.
-	overfill = 0
 	// coldMargin is the share of the bound on cold replicas that is used.
 	coldMargin = 0.85
 )
@@ -214,7 +211,7 @@
 		}
 		any = true
 		count := r.count(now, p.fleet.Entries)
-		if count >= max(1, r.replica.Slots)+overfill || !p.coldRoom(now, r) {
+		if count >= max(1, r.replica.Slots) || !p.coldRoom(now, r) {
 			continue
 		}
 		if within == 0 && count > r.replica.Slots/2 {
