--- a/edgerunner/edgerunner.go
+++ b/edgerunner/edgerunner.go
@@ -39,9 +39,6 @@
 	currentFor = 2900 * time.Millisecond
 	// sweepEvery is the time between two looks for what has expired.
 	sweepEvery = 500 * time.Millisecond
-	// drainShare is the part of the time to stop in which new requests are
-	// still taken, as callers may hold the address.
-	drainShare = 0.8
 )
 
 // Sources are the entry's copies of what the store holds.
@@ -89,8 +86,10 @@
 	pulser    *pulser.Pulser
 	matcher   atomic.Pointer[matcher.Matcher]
 	leaving   atomic.Bool
-	inHand    atomic.Int64
-	started   time.Time
+	// leftAt is when the planned stop began, in Unix nanoseconds.
+	leftAt  atomic.Int64
+	inHand  atomic.Int64
+	started time.Time
 
 	mu     sync.Mutex
 	named  map[string][]naming
@@ -363,14 +362,14 @@
 // Leave begins a planned stop, and returns when the entry may end: callers no
 // longer hold its address and nothing is in hand, or the time is over.
 func (e *Edge) Leave(ctx context.Context, hold time.Duration) {
+	e.leftAt.Store(time.Now().UnixNano())
 	e.leaving.Store(true)
 	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inHand.Load()})
 	e.pulser.Nudge()
-	most := time.Duration(float64(e.config.Bounds.Stop) * drainShare)
-	if sleeper.Sleep(ctx, min(hold, most)) != nil {
+	last := time.Now().Add(e.config.Bounds.Stop - stopMargin)
+	if sleeper.Sleep(ctx, min(hold+drainExtra, e.config.Bounds.Stop/2)) != nil {
 		return
 	}
-	last := time.Now().Add(e.config.Bounds.Stop - most - stopMargin)
 	for e.inHand.Load() > 0 && time.Now().Before(last) {
 		if sleeper.Sleep(ctx, drainPoll) != nil {
 			return
@@ -380,13 +379,29 @@
 
 const (
 	drainPoll = 20 * time.Millisecond
+	// drainExtra is for callers that are slow to learn of other addresses.
+	drainExtra = 700 * time.Millisecond
 	// stopMargin is kept from the moment at which the process is killed.
 	stopMargin = 300 * time.Millisecond
 )
 
 func (e *Edge) observe(c *forwarder.Call, status string, took time.Duration) {
 	metrics.GetOrRegisterCounter("Requests."+status, e.config.Metrics).Inc(1)
-	metrics.GetOrRegisterTimer("Requests.Took."+string(c.Route.Kind), e.config.Metrics).Update(took)
+	// A histogram, as a timer of this library brings a goroutine that never ends.
+	if h, ok := e.config.Metrics.GetOrRegister("Requests.TookMicroseconds."+string(c.Route.Kind), newHistogram).(metrics.Histogram); ok {
+		h.Update(took.Microseconds())
+	}
+}
+
+// The library's own recommendation: 1,028 samples, weighted to the last five
+// minutes.
+const (
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
 }
 
 // Dump is the state of an entry.
--- a/edgerunner/judge.go
+++ b/edgerunner/judge.go
@@ -18,6 +18,7 @@
 	CodeUnknownKey     = "UnknownKey"
 	CodeStale          = "ViewStale"
 	CodeNoCommonRegion = "NoCommonRegion"
+	CodeLeaving        = "Leaving"
 	CodeTooLong        = "TooLong"
 	CodeOverloaded     = "Overloaded"
 	CodeNoReplica      = "NoReplica"
@@ -30,6 +31,13 @@
 	// staleRetry is the hint of an entry out of touch: callers ask for other
 	// addresses meanwhile.
 	staleRetry = 300 * time.Millisecond
+	// leavingRetry is the hint of an entry that stops: others take the request.
+	leavingRetry = 50 * time.Millisecond
+	// streamsFor is how long after the signal to stop streams are still taken:
+	// those that come later might not end before the process does.
+	streamsFor = 3 * time.Second
+	// callsMargin is kept for calls, which take a second or two at most.
+	callsMargin = 2500 * time.Millisecond
 	// defaultTimeout bounds a request whose route and caller name no time.
 	defaultTimeout = 30 * time.Second
 	// timeoutMargin is kept from the route's time-out for the answer's way.
@@ -77,6 +85,9 @@
 	if !ok {
 		return refuse(CodeNoRoute, "no route leads there", 0)
 	}
+	if e.tooLate(route.Kind) {
+		return refuse(CodeLeaving, "this entry stops before the answer could end", leavingRetry)
+	}
 	call := &forwarder.Call{
 		ID: a.ID, Route: route, Priority: route.Priority, Regions: route.Regions, Arrived: a.Arrived,
 		LastEvent: a.LastEvent, Prompt: a.Prompt, Config: m.Routing().Version, ConfigAge: age,
@@ -105,6 +116,19 @@
 	return call, nil
 }
 
+// tooLate tells whether the entry stops before a request that comes now might
+// be answered.
+func (e *Edge) tooLate(kind filbertstile.CallKind) bool {
+	if !e.leaving.Load() {
+		return false
+	}
+	since := time.Duration(time.Now().UnixNano() - e.leftAt.Load())
+	if kind == filbertstile.CallStream {
+		return since > streamsFor
+	}
+	return since > e.config.Bounds.Stop-callsMargin
+}
+
 func deadline(a Ask, r filbertstile.Route) time.Time {
 	within := defaultTimeout
 	if r.Timeout > 0 {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -124,9 +124,8 @@
 		})
 		done := make(chan struct{})
 		go func() { x.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
 		f(is.New(t), s, x)
-		cancel()
-		<-done
 	})
 }
 
