distributor: owners of chunks follow from the members alone

Each host kept the owners that it had worked out while it still took dead hosts for members, so that hosts disagreed and chunks had no reader until take-over, one second a rank. Ruled out: the origin (it answered at 35.8 s), bad chunks (no ChunkRefused). Change: owners are a function of the members as they are now.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -232,7 +232,6 @@
 	have     []bool
 	missing  int
 	seen     []bool
-	owner    []string
 	fetching map[int]fetch
 	peers    map[string]*peerRow
 	shares   map[string]*share
@@ -265,7 +264,6 @@
 	rng       *rand.Rand
 	members   []filbertstile.Member
 	version   int
-	live      map[string]bool
 	origins   []filbertstile.Member
 	transfers []*transfer
 	// asideUntil and busyUntil say when a peer may be asked again.
@@ -387,7 +385,6 @@
 	n := len(e.Manifest.Chunks)
 	t.have = make([]bool, n)
 	t.seen = make([]bool, n)
-	t.owner = make([]string, n)
 	t.missing = n
 	t.progress = now
 	for _, p := range t.peers {
--- a/distributor/order.go
+++ b/distributor/order.go
@@ -49,10 +49,6 @@
 func (c *Core) setMembers(members []filbertstile.Member) {
 	c.members = members
 	c.version++
-	c.live = make(map[string]bool, len(members))
-	for _, m := range members {
-		c.live[m.Name] = true
-	}
 	c.origins = of(members, c.config.SourceRegion)
 	if len(c.origins) == 0 {
 		c.origins = members
@@ -71,26 +67,14 @@
 }
 
 // ownerOf returns the host that brings a chunk into this host's region: its
-// designated reader at the origin, or its designated importer.
+// designated reader at the origin, or its designated importer. The shares are
+// equal, as all wait for whoever has most, and follow from the members alone, so
+// that hosts that know the same members agree; none is known before there are any.
 func (c *Core) ownerOf(t *transfer, index int) string {
-	if t.owner[index] != "" && c.alive(t.owner[index]) {
-		return t.owner[index]
-	}
-	owners := c.owners(t)
-	if first := t.ring.turns; len(first) > 0 && t.owner[index] == "" {
-		// Equal shares: whoever has most is what all wait for.
-		t.owner[index] = first[index%len(first)]
-		return t.owner[index]
-	}
-	best := uint64(0)
-	name := ""
-	for _, m := range owners {
-		if h := hashOf(string(t.manifest.Chunks[index].Digest), m.Name); name == "" || h < best {
-			best, name = h, m.Name
-		}
+	if len(t.ring.turns) == 0 {
+		return ""
 	}
-	t.owner[index] = name
-	return name
+	return t.ring.turns[index%len(t.ring.turns)]
 }
 
 // owners returns the hosts among which the chunks of this region are divided.
@@ -112,8 +96,6 @@
 	return near[:min(len(near), c.config.Limits.Importers)]
 }
 
-func (c *Core) alive(name string) bool { return c.live[name] }
-
 // ownerRank is the place of this host in the order of those that may bring a
 // chunk into the region; -1 if it may not.
 func (c *Core) ownerRank(t *transfer, index int) int {
