--- a/cmd/filbertstile-entry/main.go
+++ b/cmd/filbertstile-entry/main.go
@@ -19,7 +19,6 @@
 
 func main() {
 	os.Exit(launcher.Main(launcher.Program{
-		Platform: platform.RunEntry,
 		Name:     "filbertstile-entry",
 		Usage:    "answer callers and operators",
 		Settings: func() configurer.Checker { return configurer.DefaultEntry() },
@@ -30,5 +29,6 @@
 				Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(), Records: recorder.DefaultConfig(),
 			})
 		},
+		Platform: platform.RunEntry,
 	}, os.Args, os.Stdout, os.Stderr))
 }
--- a/cmd/filbertstile-host/main.go
+++ b/cmd/filbertstile-host/main.go
@@ -17,7 +17,6 @@
 
 func main() {
 	os.Exit(launcher.Main(launcher.Program{
-		Platform: platform.RunHost,
 		Name:     "filbertstile-host",
 		Usage:    "guard one backend server",
 		Settings: func() configurer.Checker { return configurer.DefaultHost() },
@@ -28,5 +27,6 @@
 				Tree: relayer.DefaultLimits(), Trust: voucher.DefaultLimits(),
 			})
 		},
+		Platform: platform.RunHost,
 	}, os.Args, os.Stdout, os.Stderr))
 }
--- a/documenter/documenter.go
+++ b/documenter/documenter.go
@@ -12,6 +12,7 @@
 	"filbertstile.example/filbertstile/faulter"
 	"filbertstile.example/filbertstile/imitator"
 	"filbertstile.example/filbertstile/operator"
+	"filbertstile.example/filbertstile/platform"
 	"filbertstile.example/filbertstile/reporter"
 	"filbertstile.example/filbertstile/stager"
 )
@@ -51,6 +52,7 @@
 	b.WriteString("allowed. Durations are strings like `\"1.5s\"`. `PROGRAM check-settings --settings FILE` checks a file.\n\n")
 	b.WriteString(configurer.Markdown("filbertstile-entry", configurer.DefaultEntry()))
 	b.WriteString(configurer.Markdown("filbertstile-host", configurer.DefaultHost()))
+	b.WriteString(configurer.Markdown("filbertstile-entry platform, filbertstile-host platform", platform.DefaultSettings()))
 	b.WriteString(configurer.Markdown("filbertstile-standin serve", imitator.DefaultSettings()))
 	b.WriteString(configurer.Markdown("filbertstile-standin demo (deployment files)", new(stager.Deployment)))
 	return strings.TrimRight(b.String(), "\n") + "\n"
--- a/reporter/events_test.go
+++ b/reporter/events_test.go
@@ -40,7 +40,7 @@
 		}
 		numbers[e.Event] = e.Name
 	}
-	notEvents := map[string]bool{"Fields": true, "Log": true, "New": true, "Config": true, "Event": true, "Subsystems": true, "Markdown": true, "Catalogue": true}
+	notEvents := map[string]bool{"Fields": true, "Log": true, "New": true, "Config": true, "Event": true, "Subsystems": true, "Markdown": true, "Catalogue": true, "Writer": true, "NewWriter": true}
 	for name := range used {
 		if !known[name] && !notEvents[name] {
 			t.Errorf("reporter.%s is not in the catalogue", name)
