forwarder: codes of refusals in one place; placer: dead state removed

Cause: codes stood as text in forwarder and as constants in edgerunner; a moment that nobody read. Change: names only; behaviour as before.

--- a/edgerunner/judge.go
+++ b/edgerunner/judge.go
@@ -20,9 +20,6 @@
 	CodeNoCommonRegion = "NoCommonRegion"
 	CodeLeaving        = "Leaving"
 	CodeTooLong        = "TooLong"
-	CodeOverloaded     = "Overloaded"
-	CodeNoReplica      = "NoReplica"
-	CodeDeadline       = "DeadlineExceeded"
 )
 
 const (
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,10 +31,22 @@
 	leastLeft = 25 * time.Millisecond
 	// maxAnswer bounds an answer that is held until it is whole, in bytes.
 	maxAnswer = 32 << 20
+	// retryAfterRepeat is the hint where replicas did not run a request: the lag
+	// of what is known of them.
+	retryAfterRepeat = 400 * time.Millisecond
 	// maxSends bounds the sends of one request that replicas refused.
 	maxSends = 4
 )
 
+// Codes of requests that end without an answer. docs/OPERATIONS.md explains them.
+const (
+	CodeOverloaded  = "Overloaded"
+	CodeNoReplica   = "NoReplica"
+	CodeDeadline    = "DeadlineExceeded"
+	CodeBroken      = "BackendFailed"
+	CodeRetryBudget = "RetryBudgetSpent"
+)
+
 // Call is a caller's request.
 type Call struct {
 	ID      string
@@ -193,13 +205,13 @@
 	x.waited += g.Waited
 	if x.sends > 0 && !x.f.budget.take(x.call.Service, time.Now()) {
 		x.f.config.Placer.Release(&g, placer.Abandoned)
-		x.end("RetryBudgetSpent", "the budget for repeats is spent", x.retryAfter())
+		x.end(CodeRetryBudget, "the budget for repeats is spent", retryAfterRepeat)
 		return false
 	}
 	left := time.Until(x.call.Deadline)
 	if left < leastLeft {
 		x.f.config.Placer.Release(&g, placer.Abandoned)
-		x.end("DeadlineExceeded", "no time is left to run it", 0)
+		x.end(CodeDeadline, "no time is left to run it", 0)
 		return false
 	}
 	x.tried = append(x.tried, g.Replica.ID)
@@ -299,7 +311,7 @@
 	if len(x.tried) < 2*maxSends {
 		return true
 	}
-	x.end("NoReplica", "no replica could be reached", x.retryAfter())
+	x.end(CodeNoReplica, "no replica could be reached", retryAfterRepeat)
 	return false
 }
 
@@ -307,8 +319,8 @@
 func (x *flight) over(g *placer.Grant, started time.Time) bool {
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		x.release(g, placer.Broken)
-		x.note(g, "DeadlineExceeded", "no whole answer in time", started)
-		x.end("DeadlineExceeded", "no whole answer in time", 0)
+		x.note(g, CodeDeadline, "no whole answer in time", started)
+		x.end(CodeDeadline, "no whole answer in time", 0)
 		return false
 	}
 	x.release(g, placer.Abandoned)
@@ -325,7 +337,7 @@
 	x.release(g, outcome)
 	x.note(g, "NotRun", "the replica did not run it", started)
 	if x.sends >= maxSends {
-		x.end("Overloaded", "replicas did not run it", x.retryAfter())
+		x.end(CodeOverloaded, "replicas did not run it", retryAfterRepeat)
 		return false
 	}
 	return true
@@ -338,7 +350,7 @@
 	if x.mayRepeat() {
 		return true
 	}
-	x.end("BackendFailed", detail, 0)
+	x.end(CodeBroken, detail, 0)
 	return false
 }
 
@@ -464,24 +476,18 @@
 	}
 }
 
-func (x *flight) retryAfter() time.Duration { return retryAfterRepeat }
-
-// retryAfterRepeat is the hint where replicas did not run a request: the lag of
-// what is known of them.
-const retryAfterRepeat = 400 * time.Millisecond
-
 // unplaced ends a request that got no replica.
 func (x *flight) unplaced(err error) {
 	var room placer.ErrNoRoom
 	switch {
 	case errors.As(err, &room):
-		code := "Overloaded"
+		code := CodeOverloaded
 		if !room.Fitting {
-			code = "NoReplica"
+			code = CodeNoReplica
 		}
 		x.refuse(code, room.Reason, room.RetryAfter, room.Queue)
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
-		x.end("DeadlineExceeded", "no replica had room in time", 0)
+		x.end(CodeDeadline, "no replica had room in time", 0)
 	default:
 		x.left("")
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -156,9 +156,6 @@
 		if r == nil || !r.replica.Born.Equal(x.Born) {
 			r = &row{}
 		}
-		if x.ColdFor > 0 && r.replica.ColdFor != x.ColdFor {
-			r.coldUntil = now.Add(x.ColdFor)
-		}
 		r.replica, r.region = x, f.Regions[x.Domain]
 		rows[x.ID] = r
 		byAddr[x.Address] = r
--- a/placer/score.go
+++ b/placer/score.go
@@ -80,12 +80,11 @@
 
 // row is a replica with what this entry knows of it.
 type row struct {
-	replica   filbertstile.Replica
-	region    string
-	coldUntil time.Time
-	own       int
-	load      Load
-	loadAt    time.Time
+	replica filbertstile.Replica
+	region  string
+	own     int
+	load    Load
+	loadAt  time.Time
 	// ownAtLoad is what own was when the load arrived.
 	ownAtLoad int
 	// ownTokens are prompt tokens of own requests whose answer has not begun.
