distributor: less work a tick; placer, installer: comments

Cause: whether a region reads from the origin was worked out for each chunk and tick, and whether a version is drawn also where none follows it. The fault matrix needs all cores for 4 minutes and ran into its time-out beside load. Change: both are worked out once, and only where they decide; names and comments of placer and installer.

--- a/distributor/decide.go
+++ b/distributor/decide.go
@@ -37,7 +37,7 @@
 // holds: the first importers do, and later ones once there is no progress.
 func (c *Core) followsSource(now time.Time, t *transfer) bool {
 	rank := t.ring.importRank
-	if rank < 0 || c.atSource() {
+	if rank < 0 || c.atSource {
 		return false
 	}
 	beyond := max(0, rank-c.config.Limits.Importers+1)
@@ -234,7 +234,7 @@
 // origin reads the chunks that this host is the designated reader of, and
 // those of readers that have shown no progress for too long.
 func (c *Core) origin(now time.Time, t *transfer) []Command {
-	if !t.known || t.missing == 0 || !c.atSource() || now.Before(c.busyUntil[""]) {
+	if !t.known || t.missing == 0 || !c.atSource || now.Before(c.busyUntil[""]) {
 		return nil
 	}
 	var out []Command
@@ -255,7 +255,7 @@
 // that makes no progress holds up nobody.
 func (c *Core) drawn(now time.Time, t *transfer) bool {
 	stuck := now.Sub(t.progress) > c.config.Limits.ChunkTimeout
-	if t.done || stuck || !c.atSource() {
+	if t.done || stuck || !c.atSource {
 		return true
 	}
 	if !t.known {
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -260,11 +260,13 @@
 
 // Core owns a host's transfers.
 type Core struct {
-	config    Config
-	rng       *rand.Rand
-	members   []filbertstile.Member
-	version   int
-	origins   []filbertstile.Member
+	config  Config
+	rng     *rand.Rand
+	members []filbertstile.Member
+	version int
+	origins []filbertstile.Member
+	// atSource tells whether this host's region reads from the origin itself.
+	atSource  bool
 	transfers []*transfer
 	// asideUntil and busyUntil say when a peer may be asked again.
 	asideUntil map[string]time.Time
@@ -288,7 +290,7 @@
 		out = append(out, c.take(now, e)...)
 	}
 	drawn := true
-	for _, t := range c.transfers {
+	for i, t := range c.transfers {
 		c.placeIn(t)
 		out = append(out, c.expire(now, t)...)
 		out = append(out, c.follow(now, t)...)
@@ -298,7 +300,7 @@
 		if drawn {
 			out = append(out, c.origin(now, t)...)
 		}
-		drawn = drawn && c.drawn(now, t)
+		drawn = drawn && (i+1 == len(c.transfers) || c.drawn(now, t))
 	}
 	return out
 }
--- a/distributor/order.go
+++ b/distributor/order.go
@@ -50,6 +50,7 @@
 	c.members = members
 	c.version++
 	c.origins = of(members, c.config.SourceRegion)
+	c.atSource = c.config.Self.Region == c.config.SourceRegion || len(c.origins) == 0
 	if len(c.origins) == 0 {
 		c.origins = members
 	}
@@ -79,17 +80,12 @@
 
 // owners returns the hosts among which the chunks of this region are divided.
 func (c *Core) owners(t *transfer) []filbertstile.Member {
-	if c.atSource() {
+	if c.atSource {
 		return c.origins
 	}
 	return t.ring.importers
 }
 
-// atSource tells whether this host's region reads from the origin itself.
-func (c *Core) atSource() bool {
-	return c.config.Self.Region == c.config.SourceRegion || len(of(c.members, c.config.SourceRegion)) == 0
-}
-
 // importers returns the hosts that bring chunks into this host's region.
 func (c *Core) importers(t *transfer) []filbertstile.Member {
 	near := ordered(of(c.members, c.config.Self.Region), string(t.want.Manifest)+c.config.Self.Region)
@@ -100,7 +96,7 @@
 // chunk into the region; -1 if it may not.
 func (c *Core) ownerRank(t *transfer, index int) int {
 	among := c.origins
-	if !c.atSource() {
+	if !c.atSource {
 		among = of(c.members, c.config.Self.Region)
 	}
 	return rankIn(among, string(t.manifest.Chunks[index].Digest), c.config.Self.Name)
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -29,8 +29,8 @@
 	// cutOff is the number of streams that are cut off at once, to go on at other
 	// replicas: reading their prompts again takes less than waiting for them.
 	cutOff = 3
-	// secondHalf is the part of the turns that is left to replicas that do not
-	// serve meanwhile.
+	// secondHalf is where the turns of replicas begin that run the version before,
+	// as those that left it out, and do not serve, go first.
 	secondHalf = 0.4
 	// arrival is how long after its naming a version is there, and skipSlack how
 	// long a replica may be out of use before the version that it skipped to is.
--- a/placer/score.go
+++ b/placer/score.go
@@ -23,8 +23,8 @@
 	// failureCost is what a failure rate of one adds to the load, in requests.
 	failureCost = 24.0
 	// tokenCost is what a prompt token that is still to be read adds to the load,
-	// in requests: a prompt of some 900 tokens delays the next answer like some
-	// eight requests that write.
+	// in requests: a prompt of some 900 tokens delays the next answer like a
+	// dozen requests that write.
 	tokenCost = 12.0 / 900
 	// abroadCost is what another region adds to the load, in requests.
 	abroadCost = 0.4
@@ -195,12 +195,12 @@
 	return ok && spec.Engine != nil
 }
 
-// choose returns the replica where the answer begins first, and within the
-// limit unless the replica is idle; without a limit, among those that have half of
-// their slots free, where a late answer delays few others. Failing ones are taken
-// only where all others fail as well. Any
-// tells whether some replica fits.
-func (p *Placer) choose(now time.Time, q Query, within time.Duration) (best *row, any bool) {
+// choose returns the replica with the least load. With a limit, the answer must
+// begin within it, unless the replica is as good as idle; without one, half of the
+// replica's slots must be free, so that a late answer delays few others. Replicas
+// that fail are taken only where all others fail as well. Fitting tells whether
+// any replica may run the request at all.
+func (p *Placer) choose(now time.Time, q Query, within time.Duration) (best *row, fitting bool) {
 	least := 0.0
 	var held *row
 	spec := p.engine(q.Service)
@@ -208,7 +208,7 @@
 		if !p.fits(now, q, r) {
 			continue
 		}
-		any = true
+		fitting = true
 		count := r.count(now, p.fleet.Entries)
 		if count >= max(1, r.replica.Slots) || !p.coldRoom(now, r) {
 			continue
@@ -239,7 +239,7 @@
 	if best == nil && held != nil && !p.othersFit(now, q) {
 		best = held
 	}
-	return best, any
+	return best, fitting
 }
 
 func (p *Placer) engine(service string) *filbertstile.EngineSpec {
