platform: two figures that nobody read are no longer decoded

Cause: read once more; the bound on connections and callers' idle time were decoded and used nowhere. Change: fields removed.

--- a/fleet.go
+++ b/fleet.go
@@ -96,8 +96,6 @@
 // PoolSpec describes the replicas of a service.
 type PoolSpec struct {
 	Service string
-	// Connections bounds the open connections to one replica, of all callers.
-	Connections int
 	// ColdRate bounds the requests a second to a cold replica, of all callers;
 	// 0 is no bound.
 	ColdRate float64
@@ -120,8 +118,6 @@
 	Accounts Table[Tenancy]
 	// MaxBody is in bytes.
 	MaxBody int
-	// IdleTimeout is how long a caller's connection may stay idle.
-	IdleTimeout time.Duration
 }
 
 // Key is the same for all versions: there is one in force.
