--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -157,7 +157,7 @@
 // time, and prints only their lines.
 func measure() error {
 	tool := filepath.Join(binDir, "measure.test")
-	if err := command(".", "go", "test", "-c", "-o", tool, "./measurer"); err != nil {
+	if err := command(".", "go", "test", "-c", "-o", tool, "./rigs/measurer"); err != nil {
 		return err
 	}
 	c := exec.Command(tool, "-test.run", "^TestMeasure$", "-test.timeout", "60m", "-measure", "-only", os.Getenv("ONLY"))
@@ -181,6 +181,6 @@
 }
 
 func docs() error {
-	args := []string{"run", "./documenter/document"}
+	args := []string{"run", "./rigs/documenter/document"}
 	return command(".", "go", slices.Concat(args, os.Args[2:])...)
 }
--- a/configurer/configurer_test.go
+++ b/base/configurer/configurer_test.go
@@ -8,22 +8,22 @@
 
 	"github.com/matryer/is"
 
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/relayer"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 func TestExamplesAreInOrder(t *testing.T) {
 	is := is.New(t)
-	is.NoErr(configurer.Load("../examples/separate/entry-1.jsonc", configurer.DefaultEntry()))
-	is.NoErr(configurer.Load("../examples/separate/host-1.jsonc", configurer.DefaultHost()))
-	is.NoErr(configurer.Load("../examples/separate/host-2.jsonc", configurer.DefaultHost()))
-	is.NoErr(configurer.Load("../examples/separate/standins.jsonc", imitator.DefaultSettings()))
+	is.NoErr(configurer.Load("../../examples/separate/entry-1.jsonc", configurer.DefaultEntry()))
+	is.NoErr(configurer.Load("../../examples/separate/host-1.jsonc", configurer.DefaultHost()))
+	is.NoErr(configurer.Load("../../examples/separate/host-2.jsonc", configurer.DefaultHost()))
+	is.NoErr(configurer.Load("../../examples/separate/standins.jsonc", imitator.DefaultSettings()))
 }
 
 func example(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("../examples/separate/host-1.jsonc")
+	data, err := os.ReadFile("../../examples/separate/host-1.jsonc")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,7 +70,7 @@
 
 // FuzzDecode feeds release notes: a refusal must be an error, never a panic.
 func FuzzDecode(f *testing.F) {
-	notes, err := os.ReadFile("../examples/separate/notes.jsonc")
+	notes, err := os.ReadFile("../../examples/separate/notes.jsonc")
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/configurer/settings.go
+++ b/base/configurer/settings.go
@@ -11,7 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
 )
 
 // Identity is who and where a process is.
--- a/reporter/events_test.go
+++ b/base/reporter/events_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
 )
 
 // TestCatalogueMatchesCode looks for events that are written nowhere, and for
--- a/reporter/writer_test.go
+++ b/base/reporter/writer_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
 )
 
 // slow is an output that takes nothing until it is let go.
--- a/viewer/viewer_test.go
+++ b/base/viewer/viewer_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/viewer"
+	"filbertstile.example/filbertstile/base/viewer"
 )
 
 func change(n uint64) filbertstile.Change {
--- a/cmd/filbertstile-entry/main.go
+++ b/cmd/filbertstile-entry/main.go
@@ -7,14 +7,14 @@
 
 	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/entryrunner"
-	"filbertstile.example/filbertstile/launcher"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/decisions/voucher"
 	"filbertstile.example/filbertstile/platform"
-	"filbertstile.example/filbertstile/recorder"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/shells/entryrunner"
+	"filbertstile.example/filbertstile/shells/launcher"
+	"filbertstile.example/filbertstile/shells/recorder"
+	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 func main() {
--- a/cmd/filbertstile-host/main.go
+++ b/cmd/filbertstile-host/main.go
@@ -6,13 +6,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/hostrunner"
-	"filbertstile.example/filbertstile/launcher"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/decisions/voucher"
 	"filbertstile.example/filbertstile/platform"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/shells/hostrunner"
+	"filbertstile.example/filbertstile/shells/launcher"
+	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 func main() {
--- a/cmd/filbertstile-standin/main.go
+++ b/cmd/filbertstile-standin/main.go
@@ -14,11 +14,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/demonstrator"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/rigs/demonstrator"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 const (
--- a/cmd/filbertstile/main.go
+++ b/cmd/filbertstile/main.go
@@ -7,7 +7,7 @@
 	"os"
 	"os/signal"
 
-	"filbertstile.example/filbertstile/operator"
+	"filbertstile.example/filbertstile/operators/operator"
 )
 
 func main() {
--- a/applier/applier_test.go
+++ b/decisions/applier/applier_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/applier"
+	"filbertstile.example/filbertstile/decisions/applier"
 )
 
 var digest = strings.Repeat("ab", 32)
--- a/dispatcher/accounts.go
+++ b/decisions/dispatcher/accounts.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/limiter"
+	"filbertstile.example/filbertstile/decisions/limiter"
 )
 
 // admit counts a request against its account's rate.
--- a/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/limiter"
-	"filbertstile.example/filbertstile/router"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/decisions/limiter"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/decisions/voucher"
 )
 
 // Config bounds an entry.
--- a/dispatcher/dispatcher_test.go
+++ b/decisions/dispatcher/dispatcher_test.go
@@ -10,11 +10,11 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/dispatcher"
-	"filbertstile.example/filbertstile/router"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/decisions/dispatcher"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/decisions/voucher"
+	"filbertstile.example/filbertstile/rigs/bubbler"
 )
 
 func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
--- a/dispatcher/events.go
+++ b/decisions/dispatcher/events.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/router"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/decisions/voucher"
 )
 
 // Codes of refusals at an entry. docs/OPERATING.md explains each.
--- a/dispatcher/line.go
+++ b/decisions/dispatcher/line.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/router"
+	"filbertstile.example/filbertstile/decisions/router"
 )
 
 // line is the waiting requests of one service.
--- a/dispatcher/retrier.go
+++ b/decisions/dispatcher/retrier.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/gatekeeper"
-	"filbertstile.example/filbertstile/router"
+	"filbertstile.example/filbertstile/decisions/gatekeeper"
+	"filbertstile.example/filbertstile/decisions/router"
 )
 
 // refused puts a request that a host did not run back in line. A host that
--- a/distributor/distributor_test.go
+++ b/decisions/distributor/distributor_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/distributor"
+	"filbertstile.example/filbertstile/decisions/distributor"
 )
 
 const manifestName = filbertstile.Digest("m")
--- a/gatekeeper/gatekeeper_test.go
+++ b/decisions/gatekeeper/gatekeeper_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/gatekeeper"
+	"filbertstile.example/filbertstile/decisions/gatekeeper"
 )
 
 const (
--- a/gatekeeper/main_test.go
+++ b/decisions/gatekeeper/main_test.go
@@ -4,7 +4,7 @@
 	"os"
 	"testing"
 
-	"filbertstile.example/filbertstile/bubbler"
+	"filbertstile.example/filbertstile/rigs/bubbler"
 )
 
 func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
--- a/limiter/limiter_test.go
+++ b/decisions/limiter/limiter_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/limiter"
+	"filbertstile.example/filbertstile/decisions/limiter"
 )
 
 // TestGrantsKeepToTheRate asks in any order from any entries.
--- a/matcher/matcher_test.go
+++ b/decisions/matcher/matcher_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/matcher"
+	"filbertstile.example/filbertstile/decisions/matcher"
 )
 
 func routing() filbertstile.Routing {
--- a/placer/placer_test.go
+++ b/decisions/placer/placer_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/batcher"
-	"filbertstile.example/filbertstile/placer"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/rigs/batcher"
 )
 
 const model = "model"
--- a/roller/roller.go
+++ b/decisions/roller/roller.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/router"
+	"filbertstile.example/filbertstile/decisions/router"
 )
 
 // Permit lets one host switch.
--- a/router/router_test.go
+++ b/decisions/router/router_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/router"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/rigs/bubbler"
 )
 
 func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
--- a/voucher/voucher_test.go
+++ b/decisions/voucher/voucher_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/decisions/voucher"
 )
 
 var now = time.Unix(1e9, 0)
--- a/operator/operator.go
+++ b/operators/operator/operator.go
@@ -17,13 +17,13 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/entryrunner"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/requester"
-	"filbertstile.example/filbertstile/responder"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/outside/requester"
+	"filbertstile.example/filbertstile/shells/entryrunner"
+	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/connector"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 const (
--- a/operator/operator_test.go
+++ b/operators/operator/operator_test.go
@@ -14,10 +14,10 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/operator"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/operators/operator"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 const screenColumns = 80
@@ -26,7 +26,7 @@
 // that runs a command line against it.
 func withSystem(t *testing.T, f func(run func(args ...string) (string, error))) {
 	t.Helper()
-	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	d, err := stager.Load("../../examples/royalty-office/deployment.jsonc")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +63,7 @@
 // operators' page.
 func pageCommands(t *testing.T) [][]string {
 	t.Helper()
-	data, err := os.ReadFile("../docs/OPERATING.md")
+	data, err := os.ReadFile("../../docs/OPERATING.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,9 +83,9 @@
 
 // pageFiles are the files that the page's commands name.
 var pageFiles = map[string]string{
-	"notes.jsonc":    "../examples/separate/notes.jsonc",
-	"rollback.jsonc": "../examples/separate/rollback.jsonc",
-	"society.jsonc":  "../examples/graffiti-society/notes.jsonc",
+	"notes.jsonc":    "../../examples/separate/notes.jsonc",
+	"rollback.jsonc": "../../examples/separate/rollback.jsonc",
+	"society.jsonc":  "../../examples/graffiti-society/notes.jsonc",
 }
 
 // TestPageCommandsRun runs each command of docs/OPERATING.md as it stands there.
@@ -111,7 +111,7 @@
 func TestCommands(t *testing.T) {
 	withSystem(t, func(run func(args ...string) (string, error)) {
 		is := is.New(t)
-		_, err := run("apply", "../examples/separate/notes.jsonc")
+		_, err := run("apply", "../../examples/separate/notes.jsonc")
 		is.NoErr(err)
 		_, err = run("watch")
 		is.NoErr(err)
@@ -133,8 +133,8 @@
 			args []string
 			want string
 		}{
-			{[]string{"apply", "../examples/separate/notes.jsonc"}, "exists already"},
-			{[]string{"apply", "../examples/separate/host-1.jsonc"}, "not a known key"},
+			{[]string{"apply", "../../examples/separate/notes.jsonc"}, "exists already"},
+			{[]string{"apply", "../../examples/separate/host-1.jsonc"}, "not a known key"},
 			{[]string{"apply"}, "FILE"},
 			{[]string{"domain", "away", "x"}, "out|in"},
 			{[]string{"host", "out"}, "NAME"},
@@ -147,7 +147,7 @@
 				t.Errorf("%v: error lacks %q: %v", c.args, c.want, err)
 			}
 		}
-		_, err = run("--token-file", "../README.md", "status")
+		_, err = run("--token-file", "../../README.md", "status")
 		is.True(err != nil) // another token does not open the API
 	})
 }
@@ -156,7 +156,7 @@
 func TestRacingOperatorsGetAConflict(t *testing.T) {
 	withSystem(t, func(run func(args ...string) (string, error)) {
 		is := is.New(t)
-		_, err := run("apply", "../examples/separate/notes.jsonc")
+		_, err := run("apply", "../../examples/separate/notes.jsonc")
 		is.NoErr(err)
 		notes := filepath.Join(t.TempDir(), "tier.jsonc")
 		is.NoErr(os.WriteFile(notes, []byte(`{"Changed": {"Tiers": [{"Name": "public", "Rank": 1, "Weight": 2, "FloorPercent": 5}]}}`), 0o600))
--- a/exchanger/exchanger_test.go
+++ b/outside/exchanger/exchanger_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/matryer/is"
 
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/exchanger"
+	"filbertstile.example/filbertstile/outside/exchanger"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 const idHeader = "X-Id"
--- a/leaser/leaser_test.go
+++ b/outside/leaser/leaser_test.go
@@ -8,11 +8,11 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/leaser"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/storer"
+	"filbertstile.example/filbertstile/outside/leaser"
+	"filbertstile.example/filbertstile/outside/storer"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
 )
 
 const (
--- a/lister/lister.go
+++ b/outside/lister/lister.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/requester"
+	"filbertstile.example/filbertstile/outside/requester"
 )
 
 const callTimeout = 2 * time.Second
--- a/sourcer/sourcer.go
+++ b/outside/sourcer/sourcer.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/requester"
+	"filbertstile.example/filbertstile/outside/requester"
 )
 
 const callTimeout = 30 * time.Second
--- a/storer/storer.go
+++ b/outside/storer/storer.go
@@ -16,8 +16,8 @@
 	"golang.org/x/time/rate"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/requester"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/outside/requester"
 )
 
 const (
--- a/storer/storer_test.go
+++ b/outside/storer/storer_test.go
@@ -10,11 +10,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/journaler"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/storer"
+	"filbertstile.example/filbertstile/outside/journaler"
+	"filbertstile.example/filbertstile/outside/storer"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
 )
 
 // withStore runs a stand-in and a client in virtual time.
--- a/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
 )
 
 const (
--- a/tracker/tracker_test.go
+++ b/outside/tracker/tracker_test.go
@@ -14,8 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/tracker"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/outside/tracker"
 )
 
 const wait = time.Second
--- a/caller/caller.go
+++ b/rigs/caller/caller.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/entryrunner"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/responder"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/shells/entryrunner"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // Config describes a caller.
--- a/checker/checker.go
+++ b/rigs/checker/checker.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/imitator"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/imitator"
 )
 
 // Evidence is what a run left behind.
--- a/checker/checker_test.go
+++ b/rigs/checker/checker_test.go
@@ -8,9 +8,9 @@
 	"github.com/matryer/is"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/imitator"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
 )
 
 var begin = time.Unix(1e9, 0)
--- a/demonstrator/demonstrator.go
+++ b/rigs/demonstrator/demonstrator.go
@@ -18,13 +18,13 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 const (
--- a/demonstrator/demonstrator_test.go
+++ b/rigs/demonstrator/demonstrator_test.go
@@ -10,17 +10,17 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/demonstrator"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/demonstrator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/rigs/stager"
 )
 
 // TestBothDeployments runs the demo of each deployment in virtual time.
 func TestBothDeployments(t *testing.T) {
 	for _, name := range []string{"royalty-office", "graffiti-society"} {
 		t.Run(name, func(t *testing.T) {
-			d, err := stager.Load("../examples/" + name + "/deployment.jsonc")
+			d, err := stager.Load("../../examples/" + name + "/deployment.jsonc")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/documenter/document/main.go
+++ b/rigs/documenter/document/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"filbertstile.example/filbertstile/documenter"
+	"filbertstile.example/filbertstile/rigs/documenter"
 )
 
 func main() {
--- a/documenter/documenter.go
+++ b/rigs/documenter/documenter.go
@@ -8,13 +8,13 @@
 	"path/filepath"
 	"strings"
 
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/faulter"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/operator"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/operators/operator"
 	"filbertstile.example/filbertstile/platform"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/rigs/faulter"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/stager"
 )
 
 // FiguresFile holds the measured slopes, as make measure printed them.
--- a/documenter/documenter_test.go
+++ b/rigs/documenter/documenter_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/matryer/is"
 
-	"filbertstile.example/filbertstile/documenter"
+	"filbertstile.example/filbertstile/rigs/documenter"
 )
 
-const docs = "../docs"
+const docs = "../../docs"
 
 func TestPagesAreCurrent(t *testing.T) {
 	is := is.New(t)
--- a/faulter/catalogue.go
+++ b/rigs/faulter/catalogue.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/entryrunner"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/shells/entryrunner"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 // Fault is something that breaks, and heals after a while.
--- a/faulter/faulter.go
+++ b/rigs/faulter/faulter.go
@@ -14,14 +14,14 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 const (
--- a/faulter/faulter_test.go
+++ b/rigs/faulter/faulter_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"testing"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/faulter"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/faulter"
 )
 
 func play(t *testing.T, step faulter.Step, faults []faulter.Fault, seed uint64) {
--- a/imitator/engine.go
+++ b/rigs/imitator/engine.go
@@ -19,8 +19,8 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/invoker"
-	"filbertstile.example/filbertstile/responder"
+	"filbertstile.example/filbertstile/outside/invoker"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // maxWeightBytes bounds the weights that an engine accepts.
--- a/imitator/objects.go
+++ b/rigs/imitator/objects.go
@@ -17,7 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/responder"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // maxObjectBytes is the platform's limit on a value.
--- a/imitator/plain.go
+++ b/rigs/imitator/plain.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/invoker"
-	"filbertstile.example/filbertstile/responder"
+	"filbertstile.example/filbertstile/outside/invoker"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // PlainConfig describes a plain service.
--- a/imitator/settings.go
+++ b/rigs/imitator/settings.go
@@ -11,7 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/configurer"
+	"filbertstile.example/filbertstile/base/configurer"
 )
 
 // Settings describe stand-ins that run as a process of their own.
--- a/imitator/weights.go
+++ b/rigs/imitator/weights.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/responder"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // ReleaseConfig describes weights to make up.
--- a/measurer/capacity.go
+++ b/rigs/measurer/capacity.go
@@ -13,17 +13,17 @@
 	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/dispatcher"
-	"filbertstile.example/filbertstile/distributor"
-	"filbertstile.example/filbertstile/gatekeeper"
-	"filbertstile.example/filbertstile/limiter"
-	"filbertstile.example/filbertstile/recorder"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/roller"
-	"filbertstile.example/filbertstile/router"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/dispatcher"
+	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/decisions/gatekeeper"
+	"filbertstile.example/filbertstile/decisions/limiter"
+	"filbertstile.example/filbertstile/decisions/roller"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/decisions/voucher"
+	"filbertstile.example/filbertstile/shells/recorder"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 const (
--- a/measurer/distribution.go
+++ b/rigs/measurer/distribution.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"filbertstile.example/filbertstile/distributor"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/sourcer"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/outside/sourcer"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/rigs/stager"
 )
 
 const (
--- a/measurer/measurer.go
+++ b/rigs/measurer/measurer.go
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/rigs/stager"
 )
 
 // Param is one setting of a measurement.
--- a/measurer/measurer_test.go
+++ b/rigs/measurer/measurer_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/measurer"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/measurer"
 )
 
 var (
--- a/measurer/path.go
+++ b/rigs/measurer/path.go
@@ -14,13 +14,13 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/connector"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/responder"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/transport/connector"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 const (
--- a/measurer/requests.go
+++ b/rigs/measurer/requests.go
@@ -7,11 +7,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 const (
--- a/measurer/rollout.go
+++ b/rigs/measurer/rollout.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/roller"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/decisions/roller"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 const (
--- a/shaper/conn.go
+++ b/rigs/shaper/conn.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/sleeper"
 )
 
 const (
--- a/shaper/fabric.go
+++ b/rigs/shaper/fabric.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/sleeper"
 )
 
 const blockedPoll = 10 * time.Millisecond
--- a/stager/deployment.go
+++ b/rigs/stager/deployment.go
@@ -9,7 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/configurer"
+	"filbertstile.example/filbertstile/base/configurer"
 )
 
 // Deployment describes an installation of a user.
--- a/stager/input_test.go
+++ b/rigs/stager/input_test.go
@@ -12,18 +12,18 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/responder"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/rigs/stager"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // TestBadInputIsNamed sends every kind of wrong request: each gets a typed
 // error that says NotRun, and nothing runs.
 func TestBadInputIsNamed(t *testing.T) {
-	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	d, err := stager.Load("../../examples/royalty-office/deployment.jsonc")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +102,7 @@
 // TestVanishingCallerFreesItsSlot has a caller go away in the midst of a
 // stream: the engine stops, and its slot serves the next.
 func TestVanishingCallerFreesItsSlot(t *testing.T) {
-	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	d, err := stager.Load("../../examples/royalty-office/deployment.jsonc")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/stager/stager.go
+++ b/rigs/stager/stager.go
@@ -12,17 +12,17 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/dispatcher"
-	"filbertstile.example/filbertstile/distributor"
-	"filbertstile.example/filbertstile/entryrunner"
-	"filbertstile.example/filbertstile/hostrunner"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/recorder"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/decisions/dispatcher"
+	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/decisions/voucher"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/shells/entryrunner"
+	"filbertstile.example/filbertstile/shells/hostrunner"
+	"filbertstile.example/filbertstile/shells/recorder"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 const (
--- a/stager/stager_test.go
+++ b/rigs/stager/stager_test.go
@@ -11,17 +11,17 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/caller"
-	"filbertstile.example/filbertstile/checker"
-	"filbertstile.example/filbertstile/imitator"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/stager"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/caller"
+	"filbertstile.example/filbertstile/rigs/checker"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/rigs/stager"
 )
 
 func TestThinWholePath(t *testing.T) {
 	is := is.New(t)
-	d, err := stager.Load("../examples/royalty-office/deployment.jsonc")
+	d, err := stager.Load("../../examples/royalty-office/deployment.jsonc")
 	is.NoErr(err)
 	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
 		is := is.New(t)
--- a/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -12,15 +12,15 @@
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/forwarder"
-	"filbertstile.example/filbertstile/installer"
-	"filbertstile.example/filbertstile/matcher"
-	"filbertstile.example/filbertstile/placer"
-	"filbertstile.example/filbertstile/pulser"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/tracker"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/matcher"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/outside/tracker"
+	"filbertstile.example/filbertstile/shells/forwarder"
+	"filbertstile.example/filbertstile/shells/installer"
+	"filbertstile.example/filbertstile/transport/pulser"
 )
 
 const (
--- a/edgerunner/edgerunner_test.go
+++ b/shells/edgerunner/edgerunner_test.go
@@ -15,9 +15,9 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/edgerunner"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/tracker"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/outside/tracker"
+	"filbertstile.example/filbertstile/shells/edgerunner"
 )
 
 const watchWait = time.Second
--- a/edgerunner/judge.go
+++ b/shells/edgerunner/judge.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/forwarder"
-	"filbertstile.example/filbertstile/matcher"
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/matcher"
+	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
 // Codes of refusals of an entry's own.
--- a/entryrunner/admin.go
+++ b/shells/entryrunner/admin.go
@@ -10,12 +10,12 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/responder"
-	"filbertstile.example/filbertstile/roller"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/roller"
+	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 const (
--- a/entryrunner/call.go
+++ b/shells/entryrunner/call.go
@@ -9,12 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/dispatcher"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/recorder"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/router"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/dispatcher"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/shells/recorder"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 // Codes of refusals that the shell of an entry gives.
--- a/entryrunner/convert.go
+++ b/shells/entryrunner/convert.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/recorder"
-	"filbertstile.example/filbertstile/router"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/router"
+	"filbertstile.example/filbertstile/shells/recorder"
 )
 
 func toLoad(l *wire.Load) router.Load {
--- a/entryrunner/once.go
+++ b/shells/entryrunner/once.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/recorder"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/shells/recorder"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 const (
--- a/entryrunner/public.go
+++ b/shells/entryrunner/public.go
@@ -15,9 +15,9 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/dispatcher"
-	"filbertstile.example/filbertstile/responder"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/dispatcher"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 // Header fields towards callers.
--- a/entryrunner/quotas.go
+++ b/shells/entryrunner/quotas.go
@@ -8,11 +8,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/dispatcher"
-	"filbertstile.example/filbertstile/limiter"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/dispatcher"
+	"filbertstile.example/filbertstile/decisions/limiter"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 const demandTimeout = 400 * time.Millisecond
--- a/entryrunner/rollout.go
+++ b/shells/entryrunner/rollout.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/leaser"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/roller"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/roller"
+	"filbertstile.example/filbertstile/outside/leaser"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 // LeaseKey is the rollout lease's object.
--- a/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -12,12 +12,12 @@
 	"golang.org/x/time/rate"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/distributor"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/ticker"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/ticker"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 const (
--- a/fetcher/shelf_test.go
+++ b/shells/fetcher/shelf_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/fetcher"
-	"filbertstile.example/filbertstile/imitator"
+	"filbertstile.example/filbertstile/rigs/imitator"
+	"filbertstile.example/filbertstile/shells/fetcher"
 )
 
 const shelfBytes = 1000
--- a/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/exchanger"
-	"filbertstile.example/filbertstile/placer"
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/outside/exchanger"
 )
 
 const (
--- a/forwarder/forwarder_test.go
+++ b/shells/forwarder/forwarder_test.go
@@ -14,10 +14,10 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/exchanger"
-	"filbertstile.example/filbertstile/forwarder"
-	"filbertstile.example/filbertstile/placer"
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/outside/exchanger"
+	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
 // step is what one send comes to.
--- a/hostrunner/work.go
+++ b/shells/hostrunner/work.go
@@ -10,11 +10,11 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/gatekeeper"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/requester"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/gatekeeper"
+	"filbertstile.example/filbertstile/outside/requester"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 const (
--- a/installer/installer_test.go
+++ b/shells/installer/installer_test.go
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/installer"
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/shells/installer"
 )
 
 const chunks = 4
--- a/joiner/joiner.go
+++ b/shells/joiner/joiner.go
@@ -16,16 +16,16 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/lister"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/relayer"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/responder"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/storer"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/voucher"
+	"filbertstile.example/filbertstile/outside/lister"
+	"filbertstile.example/filbertstile/outside/storer"
+	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/messenger"
+	"filbertstile.example/filbertstile/transport/responder"
 )
 
 const (
--- a/launcher/launcher.go
+++ b/shells/launcher/launcher.go
@@ -15,8 +15,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
-	"filbertstile.example/filbertstile/configurer"
-	"filbertstile.example/filbertstile/joiner"
+	"filbertstile.example/filbertstile/base/configurer"
+	"filbertstile.example/filbertstile/shells/joiner"
 )
 
 // drainLimit bounds a planned stop; work that is still in hand then is cut off.
--- a/launcher/launcher_test.go
+++ b/shells/launcher/launcher_test.go
@@ -28,12 +28,12 @@
 	dir := t.TempDir()
 	for _, p := range programs {
 		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, p), ".")
-		cmd.Dir = filepath.Join("..", "cmd", p)
+		cmd.Dir = filepath.Join("..", "..", "cmd", p)
 		if out, err := cmd.CombinedOutput(); err != nil {
 			t.Fatalf("build %s: %v\n%s", p, err, out)
 		}
 	}
-	files, err := filepath.Glob("../examples/separate/*")
+	files, err := filepath.Glob("../../examples/separate/*")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no example settings: %v", err)
 	}
--- a/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -14,15 +14,15 @@
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/distributor"
-	"filbertstile.example/filbertstile/fetcher"
-	"filbertstile.example/filbertstile/installer"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/pulser"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/tracker"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/outside/tracker"
+	"filbertstile.example/filbertstile/shells/fetcher"
+	"filbertstile.example/filbertstile/shells/installer"
+	"filbertstile.example/filbertstile/transport/messenger"
+	"filbertstile.example/filbertstile/transport/pulser"
 )
 
 const (
--- a/peerrunner/weights.go
+++ b/shells/peerrunner/weights.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/reporter"
+	"filbertstile.example/filbertstile/base/reporter"
 )
 
 // keptVersions is the number of versions whose chunks a host keeps: the one
--- a/recorder/ledger_test.go
+++ b/shells/recorder/ledger_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/recorder"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/shells/recorder"
 )
 
 func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
--- a/recorder/recorder.go
+++ b/shells/recorder/recorder.go
@@ -12,9 +12,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/journaler"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/outside/journaler"
 )
 
 // Prefix is where the shards' logs are in the object API.
--- a/relayer/accept.go
+++ b/shells/relayer/accept.go
@@ -10,10 +10,10 @@
 	"github.com/google/uuid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/applier"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/applier"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 // ErrRace is a change that another operator's change got ahead of.
--- a/relayer/parent.go
+++ b/shells/relayer/parent.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"time"
 
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/voucher"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 // child is a subscriber.
--- a/relayer/place_test.go
+++ b/shells/relayer/place_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/relayer"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/shells/relayer"
 )
 
 func TestMain(m *testing.M) { os.Exit(bubbler.Main(m)) }
--- a/relayer/relay.go
+++ b/shells/relayer/relay.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/journaler"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/voucher"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/decisions/voucher"
+	"filbertstile.example/filbertstile/outside/journaler"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 // Keys of the configuration in the object API.
--- a/relayer/root.go
+++ b/shells/relayer/root.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/journaler"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/viewer"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/outside/journaler"
 )
 
 // list follows the host list, if the process is a root or knows no parent.
--- a/relayer/subscriber.go
+++ b/shells/relayer/subscriber.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/sleeper"
-	"filbertstile.example/filbertstile/viewer"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/viewer"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 func micros(t time.Time) int64 { return t.UnixMicro() }
--- a/messenger/content.go
+++ b/transport/messenger/content.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/wire"
 )
 
 // ErrRefused is a peer's refusal to send content.
--- a/messenger/export_test.go
+++ b/transport/messenger/export_test.go
@@ -3,7 +3,7 @@
 import (
 	"google.golang.org/protobuf/encoding/protodelim"
 
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/wire"
 )
 
 // SendAs writes a frame with the id of another request.
--- a/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -21,7 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/wire"
 )
 
 const (
--- a/messenger/messenger_test.go
+++ b/transport/messenger/messenger_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/matryer/is"
 
-	"filbertstile.example/filbertstile/bubbler"
-	"filbertstile.example/filbertstile/messenger"
-	"filbertstile.example/filbertstile/shaper"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/rigs/bubbler"
+	"filbertstile.example/filbertstile/rigs/shaper"
+	"filbertstile.example/filbertstile/transport/messenger"
 )
 
 // withServer runs a server with the handler, behind links that can be cut.
--- a/pulser/pulser.go
+++ b/transport/pulser/pulser.go
@@ -15,8 +15,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
 )
 
 const (
--- a/pulser/pulser_test.go
+++ b/transport/pulser/pulser_test.go
@@ -13,9 +13,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/pulser"
-	"filbertstile.example/filbertstile/reporter"
-	"filbertstile.example/filbertstile/wire"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/transport/pulser"
 )
 
 // socket hands over what the test sends, and keeps what is sent.
