grouper: entries of a large system form groups that share replicas

Change: grouper divides entries into groups of up to 8 and engines among them, evenly in each domain. Sums of others' hands are kept as they change instead of added up at each datagram. At most twelve hosts read from the origin, which resets connections over its bound. One group behaves as before.

--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -50,6 +50,9 @@
 	BusyPause time.Duration
 	// ManifestRetry is the time between two requests for a manifest.
 	ManifestRetry time.Duration
+	// Readers is the number of hosts among which the chunks are divided that come
+	// from the origin; origins bound their connections.
+	Readers int
 	// Importers is the number of hosts among which the chunks that come from other
 	// regions are divided.
 	Importers int
@@ -70,6 +73,7 @@
 		SetAside:      30 * time.Second,
 		BusyPause:     10 * time.Millisecond,
 		ManifestRetry: 50 * time.Millisecond,
+		Readers:       12,
 		Importers:     2,
 	}
 }
--- a/decisions/distributor/distributor_test.go
+++ b/decisions/distributor/distributor_test.go
@@ -26,10 +26,11 @@
 	dead   map[string]bool
 	// announce marks hosts that get the manifest with their next tick.
 	announce map[string]bool
-	// origin counts the chunks read from the source.
-	origin int
-	m      filbertstile.Manifest
-	rng    *rand.Rand
+	// origin counts the chunks read from the source, by host.
+	origin  int
+	readers map[string]int
+	m       filbertstile.Manifest
+	rng     *rand.Rand
 	// fail tells whether a fetch fails, and how.
 	fail func() (distributor.Failure, bool)
 }
@@ -38,7 +39,7 @@
 	s := &swarm{
 		now: time.Unix(1e9, 0), cores: make(map[string]*distributor.Core), inbox: make(map[string][]distributor.Event),
 		held: make(map[string][]bool), follow: make(map[string]map[string]bool), whole: make(map[string]bool),
-		dead: make(map[string]bool), announce: make(map[string]bool), rng: rand.New(rand.NewPCG(seed, 1)),
+		dead: make(map[string]bool), announce: make(map[string]bool), readers: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1)),
 		fail: func() (distributor.Failure, bool) { return "", false },
 	}
 	for i := range chunks {
@@ -138,6 +139,7 @@
 	}
 	if peer == "" {
 		s.origin++
+		s.readers[host]++
 	}
 	s.held[host][cmd.Index] = true
 	s.post(host, distributor.ChunkArrived{Manifest: cmd.Manifest, Index: cmd.Index, Peer: peer})
@@ -231,6 +233,26 @@
 	})
 }
 
+// TestFewReadFromOrigin is for origins that reset connections over a bound of
+// their own, and for shares of equal size.
+func TestFewReadFromOrigin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSwarm(45, 3, 36, 5)
+		for range 200 {
+			s.step(t)
+		}
+		limits := distributor.DefaultLimits()
+		if !s.done() || len(s.readers) > limits.Readers {
+			t.Fatalf("done %v, %d hosts read from the origin", s.done(), len(s.readers))
+		}
+		for host, n := range s.readers {
+			if n > len(s.m.Chunks)/limits.Readers {
+				t.Fatalf("%s reads %d chunks", host, n)
+			}
+		}
+	})
+}
+
 // TestRingOfTwentyTwo is for a ring whose longest stride is larger than itself.
 func TestRingOfTwentyTwo(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/decisions/distributor/order.go
+++ b/decisions/distributor/order.go
@@ -81,11 +81,18 @@
 // owners returns the hosts among which the chunks of this region are divided.
 func (c *Core) owners(t *transfer) []filbertstile.Member {
 	if c.atSource {
-		return c.origins
+		return c.readers()
 	}
 	return t.ring.importers
 }
 
+// readers returns the hosts that read from the origin. They are the same for
+// every version, so that connections to the origin stay few.
+func (c *Core) readers() []filbertstile.Member {
+	near := ordered(c.origins, c.config.SourceRegion)
+	return near[:min(len(near), c.config.Limits.Readers)]
+}
+
 // importers returns the hosts that bring chunks into this host's region.
 func (c *Core) importers(t *transfer) []filbertstile.Member {
 	near := ordered(of(c.members, c.config.Self.Region), string(t.want.Manifest)+c.config.Self.Region)
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -55,6 +55,24 @@
 	Regions map[string]string
 	// Entries is the number of entries that send to the replicas.
 	Entries int
+	// Own lists the model engines of the entry's own group, which Near entries
+	// share; those of other groups are for requests that none of these fits. Nil
+	// means that there is one group only.
+	Own  map[string]bool
+	Near int
+}
+
+// sharers returns how many entries send to the replica, and whether it belongs
+// to another group.
+func (f Fleet) sharers(x filbertstile.Replica) (entries int, foreign bool) {
+	spec, _ := f.Pools.Get(x.Service)
+	if f.Own == nil || spec.Engine == nil {
+		return f.Entries, false
+	}
+	if f.Own[x.ID] {
+		return f.Near, false
+	}
+	return f.Entries, true
 }
 
 // Query is a request that wants a replica.
@@ -128,6 +146,7 @@
 	fleet   Fleet
 	rows    map[string]*row
 	byAddr  map[string]*row
+	byHash  map[uint32]*row
 	waiting []*waiter
 	// told is what the other entries last said, by entry and replica hash.
 	told map[string]map[uint32]Hand
@@ -141,7 +160,7 @@
 func New(c Config) *Placer {
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), rows: make(map[string]*row), byAddr: make(map[string]*row),
-		perSecond: make(map[string]float64), placed: make(map[string]int), told: make(map[string]map[uint32]Hand),
+		byHash: make(map[uint32]*row), perSecond: make(map[string]float64), placed: make(map[string]int), told: make(map[string]map[uint32]Hand),
 	}
 }
 
@@ -151,16 +170,19 @@
 	defer p.mu.Unlock()
 	rows := make(map[string]*row, f.Replicas.Len())
 	byAddr := make(map[string]*row, f.Replicas.Len())
+	byHash := make(map[uint32]*row, f.Replicas.Len())
 	for _, x := range f.Replicas.All() {
 		r := p.rows[x.ID]
 		if r == nil || !r.replica.Born.Equal(x.Born) {
 			r = &row{}
 		}
 		r.replica, r.region = x, f.Regions[x.Domain]
+		r.entries, r.foreign = f.sharers(x)
 		rows[x.ID] = r
 		byAddr[x.Address] = r
+		byHash[HashOf(x.ID)] = r
 	}
-	p.fleet, p.rows, p.byAddr = f, rows, byAddr
+	p.fleet, p.rows, p.byAddr, p.byHash = f, rows, byAddr, byHash
 	p.sumOthers()
 	p.serveWaiting(now)
 }
@@ -303,7 +325,7 @@
 }
 
 func (p *Placer) place(now time.Time, r *row, q Query) Grant {
-	g := Grant{Replica: r.replica, Count: r.count(now, p.fleet.Entries), Tokens: r.tokensAhead(), prompt: q.Tokens}
+	g := Grant{Replica: r.replica, Count: r.count(now), Tokens: r.tokensAhead(), prompt: q.Tokens}
 	if q.Version > 0 && !r.reported(now) {
 		g.Version = r.replica.Version
 	}
@@ -353,16 +375,37 @@
 func (p *Placer) SetOthers(now time.Time, entry string, hands map[uint32]Hand, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if all || p.told[entry] == nil {
-		p.told[entry] = make(map[uint32]Hand, len(hands))
+	told := p.told[entry]
+	if told == nil {
+		told = make(map[uint32]Hand, len(hands))
+		p.told[entry] = told
+	}
+	if all {
+		for hash := range told {
+			if _, still := hands[hash]; !still {
+				p.tell(told, hash, Hand{})
+			}
+		}
 	}
 	for hash, h := range hands {
-		p.told[entry][hash] = h
+		p.tell(told, hash, h)
 	}
-	p.sumOthers()
 	p.serveWaiting(now)
 }
 
+// tell replaces what an entry has in hand at one replica.
+func (p *Placer) tell(told map[uint32]Hand, hash uint32, h Hand) {
+	if r := p.byHash[hash]; r != nil {
+		r.others.Requests += h.Requests - told[hash].Requests
+		r.others.Tokens += h.Tokens - told[hash].Tokens
+	}
+	if h == (Hand{}) {
+		delete(told, hash)
+		return
+	}
+	told[hash] = h
+}
+
 // KeepOthers forgets what entries said that are no longer heard.
 func (p *Placer) KeepOthers(now time.Time, entries []filbertstile.Member) {
 	p.mu.Lock()
@@ -377,13 +420,15 @@
 }
 
 func (p *Placer) sumOthers() {
-	for id, r := range p.rows {
+	for _, r := range p.rows {
 		r.others = Hand{}
-		hash := HashOf(id)
-		for _, hands := range p.told {
-			h := hands[hash]
-			r.others.Requests += h.Requests
-			r.others.Tokens += h.Tokens
+	}
+	for _, hands := range p.told {
+		for hash, h := range hands {
+			if r := p.byHash[hash]; r != nil {
+				r.others.Requests += h.Requests
+				r.others.Tokens += h.Tokens
+			}
 		}
 	}
 }
@@ -444,8 +489,10 @@
 
 // State is a replica as the placer sees it, for dumps.
 type State struct {
-	Replica  filbertstile.Replica
-	Own      int
+	Replica filbertstile.Replica
+	Own     int
+	// Others is what the other entries have in hand.
+	Others   int
 	Load     Load
 	LoadAge  time.Duration
 	Failures int
@@ -461,7 +508,7 @@
 	for _, x := range p.fleet.Replicas.All() {
 		r := p.rows[x.ID]
 		out = append(out, State{
-			Replica: x, Own: r.own, Load: r.load, LoadAge: now.Sub(r.loadAt), Failures: r.failures, Rate: r.rate,
+			Replica: x, Own: r.own, Others: r.others.Requests, Load: r.load, LoadAge: now.Sub(r.loadAt), Failures: r.failures, Rate: r.rate,
 			Held: max(0, r.holdUntil.Sub(now)),
 		})
 	}
--- a/decisions/placer/placer_test.go
+++ b/decisions/placer/placer_test.go
@@ -359,3 +359,84 @@
 		t.Errorf("%d in time, want %.0f", out.inTime, want)
 	}
 }
+
+// TestOtherGroupsOnlyWhereNoneFits has two groups: the entry stays with the
+// replicas of its own while one of them may run the request, full or not.
+func TestOtherGroupsOnlyWhereNoneFits(t *testing.T) {
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		f := fleet(4, 4, 12, 0) // unheard entries count as three, so that two requests fill a replica
+		f.Own, f.Near = map[string]bool{"r00": true, "r01": true}, 6
+		p.SetFleet(time.Now(), f)
+		used := make(map[string]int)
+		for range 4 {
+			g, err := p.Acquire(ctx, query(100))
+			is.NoErr(err)
+			used[g.Replica.ID]++
+		}
+		is.Equal(used, map[string]int{"r00": 2, "r01": 2})
+		var none placer.ErrNoRoom
+		_, err := p.Acquire(ctx, query(100))
+		is.True(errors.As(err, &none))
+		for _, id := range []string{"r00", "r01"} {
+			x, _ := f.Replicas.Get(id)
+			x.Leaving = true
+			f.Replicas = f.Replicas.With(x)
+		}
+		p.SetFleet(time.Now(), f)
+		g, err := p.Acquire(ctx, query(100))
+		is.NoErr(err)
+		is.True(!f.Own[g.Replica.ID])
+	})
+}
+
+// TestColdShareOfAGroup has the entries of a group share a cold replica's rate
+// among themselves, and not with all entries of the system.
+func TestColdShareOfAGroup(t *testing.T) {
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		const rate, entries, near = 17, 44, 8
+		f := fleet(1, 400, entries, rate)
+		f.Own, f.Near = map[string]bool{"r00": true}, near
+		p.SetFleet(time.Now(), f)
+		placed := 0
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			asked, cancel := context.WithTimeout(ctx, time.Millisecond)
+			if g, err := p.Acquire(asked, query(1)); err == nil {
+				p.Release(&g, placer.Answered)
+				placed++
+			}
+			cancel()
+		}
+		is.True(placed*near <= 10*(rate*3/2+5)) // the bound of a cold replica
+		is.True(placed*entries > 10*rate)       // an entry of 44 would have less
+	})
+}
+
+// TestOthersCountAsToldLast compares the running sum of what entries tell with
+// what each told last.
+func TestOthersCountAsToldLast(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := placer.New(placer.Config{Region: "a", Seed: 1})
+		p.SetFleet(time.Now(), fleet(3, 16, 3, 0))
+		told := map[string]map[string]int{"e1": {}, "e2": {}}
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			entry := rapid.SampledFrom([]string{"e1", "e2"}).Draw(rt, "entry")
+			all := rapid.Bool().Draw(rt, "all")
+			if all {
+				told[entry] = make(map[string]int)
+			}
+			hands := make(map[uint32]placer.Hand)
+			for _, id := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"r00", "r01", "r02"}), rapid.ID).Draw(rt, "replicas") {
+				n := rapid.IntRange(0, 5).Draw(rt, "requests")
+				hands[placer.HashOf(id)] = placer.Hand{Requests: n}
+				told[entry][id] = n
+			}
+			p.SetOthers(time.Now(), entry, hands, all)
+		}
+		states, _ := p.Dump(time.Now())
+		for _, s := range states {
+			if want := told["e1"][s.Replica.ID] + told["e2"][s.Replica.ID]; s.Others != want {
+				rt.Fatalf("%s: %d requests of others, want %d", s.Replica.ID, s.Others, want)
+			}
+		}
+	})
+}
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -82,6 +82,10 @@
 type row struct {
 	replica filbertstile.Replica
 	region  string
+	// entries is the number of entries that send to the replica.
+	entries int
+	// foreign tells that it belongs to another group of entries.
+	foreign bool
 	own     int
 	load    Load
 	loadAt  time.Time
@@ -113,7 +117,7 @@
 
 // count estimates the requests that the replica has in hand: what all entries
 // told, or more where the replica's own report, which is older, has far more.
-func (r *row) count(now time.Time, entries int) int {
+func (r *row) count(now time.Time) int {
 	told := r.own + r.others.Requests
 	if r.reported(now) {
 		reported := r.load.Running + r.load.Waiting + r.own - r.ownAtLoad
@@ -125,7 +129,7 @@
 	if r.others.Requests > 0 {
 		return told
 	}
-	return r.own * min(max(1, entries), blindEntries)
+	return r.own * min(max(1, r.entries), blindEntries)
 }
 
 // tokens returns the prompt tokens that the replica has still to read.
@@ -195,21 +199,30 @@
 	return ok && spec.Engine != nil
 }
 
-// choose returns the replica with the least load. With a limit, the answer must
+// choose returns a replica of the entry's own group, or of the others where none
+// of its own may run the request at all, and whether any may.
+func (p *Placer) choose(now time.Time, q Query, within time.Duration) (best *row, fitting bool) {
+	if best, fitting = p.chooseAmong(now, q, within, false); fitting {
+		return best, fitting
+	}
+	return p.chooseAmong(now, q, within, true)
+}
+
+// chooseAmong returns the replica with the least load. With a limit, the answer must
 // begin within it, unless the replica is as good as idle; without one, half of the
 // replica's slots must be free, so that a late answer delays few others. Replicas
 // that fail are taken only where all others fail as well. Fitting tells whether
 // any replica may run the request at all.
-func (p *Placer) choose(now time.Time, q Query, within time.Duration) (best *row, fitting bool) {
+func (p *Placer) chooseAmong(now time.Time, q Query, within time.Duration, foreign bool) (best *row, fitting bool) {
 	least := 0.0
 	var held *row
 	spec := p.engine(q.Service)
 	for _, r := range p.rows {
-		if !p.fits(now, q, r) {
+		if r.foreign != foreign || !p.fits(now, q, r) {
 			continue
 		}
 		fitting = true
-		count := r.count(now, p.fleet.Entries)
+		count := r.count(now)
 		if count >= max(1, r.replica.Slots) || !p.coldRoom(now, r) {
 			continue
 		}
@@ -236,7 +249,7 @@
 			best, least = r, score
 		}
 	}
-	if best == nil && held != nil && !p.othersFit(now, q) {
+	if best == nil && held != nil && !p.othersFit(now, q, foreign) {
 		best = held
 	}
 	return best, fitting
@@ -249,9 +262,9 @@
 
 // othersFit tells whether a replica that does not fail fits, though it has no
 // room now.
-func (p *Placer) othersFit(now time.Time, q Query) bool {
+func (p *Placer) othersFit(now time.Time, q Query, foreign bool) bool {
 	for _, r := range p.rows {
-		if p.fits(now, q, r) && !now.Before(r.holdUntil) {
+		if r.foreign == foreign && p.fits(now, q, r) && !now.Before(r.holdUntil) {
 			return true
 		}
 	}
@@ -265,7 +278,7 @@
 	if !ok || spec.ColdRate <= 0 {
 		return true
 	}
-	entries := float64(max(1, p.fleet.Entries))
+	entries := float64(max(1, r.entries))
 	bound := (spec.ColdRate*p.config.ColdBurst + p.config.ColdSlack) * coldMargin
 	rate := min(spec.ColdRate, bound/2) / entries
 	r.fill(now, rate, max(1, bound/entries-rate))
--- a/member.go
+++ b/member.go
@@ -21,6 +21,8 @@
 	HTTPAddress string `json:",omitempty"`
 	// Service is the service whose backend server a host process guards.
 	Service string `json:",omitempty"`
+	// Backend is the address of that backend server, where others send to it.
+	Backend string `json:",omitempty"`
 	// Leaving is true from the moment the process announced its stop.
 	Leaving bool `json:",omitempty"`
 }
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -15,6 +15,7 @@
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/grouper"
 	"filbertstile.example/filbertstile/decisions/matcher"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/outside/tracker"
@@ -27,6 +28,9 @@
 	// pulseEvery is the time between two heartbeats of an entry; a killed entry
 	// is noticed after pulser.HeardFor.
 	pulseEvery = 400 * time.Millisecond
+	// farEvery is the same towards entries of other groups, of which two may get
+	// lost before the entry is taken for dead.
+	farEvery = 800 * time.Millisecond
 	// shareEvery bounds how often an entry tells the others what has changed of
 	// what it has in hand; every shareAgain it tells all, as datagrams are lost.
 	shareEvery = 25 * time.Millisecond
@@ -91,12 +95,21 @@
 	inHand  atomic.Int64
 	started time.Time
 
+	// division is this entry's part of the system, as of the last Refresh.
+	division atomic.Pointer[grouper.Division]
+
 	mu     sync.Mutex
 	named  map[string][]naming
 	digest map[filbertstile.NamedWeights]string
 	ready  bool
 	// listed tells that the versions named before this start are known.
 	listed bool
+	// hosts is when an entry last said that it hears a host.
+	hosts map[string]time.Time
+	// toldFar is when entries of other groups were last told something, and
+	// toldLeaving whether they know that this entry leaves.
+	toldFar     time.Time
+	toldLeaving bool
 }
 
 // naming is when this entry learned of a version.
@@ -109,8 +122,9 @@
 func New(c Config) *Edge {
 	e := &Edge{
 		config: c, placer: placer.New(c.Placer), started: time.Now(),
-		named: make(map[string][]naming), digest: make(map[filbertstile.NamedWeights]string),
+		named: make(map[string][]naming), digest: make(map[filbertstile.NamedWeights]string), hosts: make(map[string]time.Time),
 	}
+	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Placer: e.placer, Link: c.Link, Budget: c.Budget, Log: c.Log, Version: e.version, Observe: e.observe,
 	})
@@ -167,14 +181,17 @@
 	}
 	others := e.otherEntries()
 	entries := 1 + len(others)
-	e.placer.KeepOthers(now, others)
 	replicas := e.sources.Replicas.View()
+	d := e.divide(replicas.Rows, routing.Pools)
+	e.placer.KeepOthers(now, d.Near)
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, Out: out, Regions: e.config.Regions, Entries: entries,
+		Own: d.Own, Near: 1 + len(d.Near),
 	})
 	e.forwarder.SetEntries(entries)
 	e.config.Log.Event(reporter.ReplicasChanged, reporter.Fields{
 		"Replicas": replicas.Rows.Len(), "Revision": replicas.Revision, "Out": len(out), "Entries": entries,
+		"Groups": d.Groups, "Group": d.Group, "Near": len(d.Near), "Own": len(d.Own),
 	})
 }
 
@@ -236,6 +253,7 @@
 
 // heard takes in a heartbeat.
 func (e *Edge) heard(p *wire.Pulse) {
+	e.hearHosts(p.GetHeard())
 	if e.hearWeights(p.GetWeights()) {
 		e.pulser.Nudge()
 	}
@@ -270,7 +288,7 @@
 		for id, h := range hands {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(h.Requests), Tokens: int32(h.Tokens)})
 		}
-		e.pulser.Tell(p, e.otherEntries())
+		e.pulser.Tell(pulser.Message{Pulse: p, To: e.division.Load().Near})
 	}
 }
 
@@ -296,38 +314,13 @@
 		key := filbertstile.NamedWeights{Model: w.GetModel(), Version: w.GetVersion()}
 		if e.digest[key] == "" && w.GetManifest() != "" {
 			e.digest[key] = w.GetManifest()
+			e.toldFar = time.Time{}
 			news = true
 		}
 	}
 	return news
 }
 
-// compose says what this entry tells the other entries, and the hosts of its
-// region.
-func (e *Edge) compose() (*wire.Pulse, []filbertstile.Member) {
-	p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Heard: e.pulser.Names()}
-	e.mu.Lock()
-	for w, manifest := range e.digest {
-		if list := e.named[w.Model]; len(list) == 0 || w.Version+1 >= list[len(list)-1].version {
-			p.Weights = append(p.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: manifest})
-		}
-	}
-	for model, list := range e.named {
-		w := filbertstile.NamedWeights{Model: model, Version: list[len(list)-1].version}
-		if e.digest[w] == "" {
-			p.Weights = append(p.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version})
-		}
-	}
-	e.mu.Unlock()
-	var to []filbertstile.Member
-	for _, m := range e.sources.Members.View().Rows.All() {
-		if m.Name != e.config.Self.Name && (m.Role == filbertstile.RoleEntry || m.Region == e.config.Self.Region) {
-			to = append(to, m)
-		}
-	}
-	return p, to
-}
-
 // current tells whether the store confirmed this entry's view a moment ago.
 func (e *Edge) current() bool {
 	age, known := e.sources.Routing.Age()
--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -18,6 +18,9 @@
 	// pollEvery is the time between two looks at the engine, which is asked on
 	// its own machine.
 	pollEvery = 50 * time.Millisecond
+	// idleEvery is the same while no switch is under way: engines report what was
+	// some 200 ms ago.
+	idleEvery = 100 * time.Millisecond
 	// switchTime is what a replica takes from its turn until it serves again:
 	// closeTime, reading back what is staged, and loading.
 	switchTime = 1800 * time.Millisecond
@@ -100,6 +103,8 @@
 		if err := i.step(ctx); err != nil && ctx.Err() == nil {
 			i.config.Log.Event(reporter.SwitchFailed, reporter.Fields{"Error": err})
 			pause = failedPause
+		} else if i.closing == (filbertstile.NamedWeights{}) && !i.lost {
+			pause = idleEvery
 		}
 		if sleeper.Sleep(ctx, pause) != nil {
 			return
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -18,6 +18,7 @@
 	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/decisions/grouper"
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/fetcher"
 	"filbertstile.example/filbertstile/shells/installer"
@@ -496,7 +497,7 @@
 }
 
 // compose says what this host tells the entries.
-func (p *Peer) compose() (*wire.Pulse, []filbertstile.Member) {
+func (p *Peer) compose() []pulser.Message {
 	out := &wire.Pulse{}
 	if r := p.report.Load(); r != nil {
 		out.Replica = &wire.ReplicaLoad{
@@ -507,13 +508,27 @@
 	for w, digest := range p.library.fresh(digestNews) {
 		out.Weights = append(out.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: string(digest)})
 	}
-	var to []filbertstile.Member
+	return []pulser.Message{{Pulse: out, To: p.entries()}}
+}
+
+// entries returns the entries to report to: those that are heard, as only they
+// send to this replica, and all where these are few.
+func (p *Peer) entries() []filbertstile.Member {
+	heard := p.pulser.Heard()
+	var all, near []filbertstile.Member
 	for _, m := range p.sources.Members.View().Rows.All() {
-		if m.Role == filbertstile.RoleEntry {
-			to = append(to, m)
+		if m.Role != filbertstile.RoleEntry {
+			continue
 		}
+		all = append(all, m)
+		if _, ok := heard[m.Name]; ok {
+			near = append(near, m)
+		}
+	}
+	if grouper.Count(len(all)) == 1 {
+		return all
 	}
-	return out, to
+	return near
 }
 
 // Dump is the state of a host process.
--- a/transport/pulser/pulser.go
+++ b/transport/pulser/pulser.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -42,8 +43,8 @@
 	Log  *reporter.Log
 	// Incarnation grows with each start of this process.
 	Incarnation int64
-	// Compose returns what this process says now, and to whom.
-	Compose func() (*wire.Pulse, []filbertstile.Member)
+	// Compose returns what this process says now.
+	Compose func() []Message
 	// Every is the time between two heartbeats.
 	Every time.Duration
 	// Heard is told of each heartbeat; it must not block.
@@ -52,6 +53,12 @@
 	Changed func()
 }
 
+// Message is a heartbeat and those to whom it is sent.
+type Message struct {
+	Pulse *wire.Pulse
+	To    []filbertstile.Member
+}
+
 // Peer is a process that is heard.
 type Peer struct {
 	Pulse *wire.Pulse
@@ -101,10 +108,18 @@
 	wg.Wait()
 }
 
-func (p *Pulser) send() { p.Tell(p.config.Compose()) }
+func (p *Pulser) send() {
+	for _, m := range p.config.Compose() {
+		p.Tell(m)
+	}
+}
 
 // Tell sends a heartbeat out of turn.
-func (p *Pulser) Tell(pulse *wire.Pulse, to []filbertstile.Member) {
+func (p *Pulser) Tell(message Message) {
+	if len(message.To) == 0 {
+		return
+	}
+	pulse := message.Pulse
 	p.mu.Lock()
 	p.sequence++
 	pulse.Sequence = p.sequence
@@ -115,11 +130,11 @@
 		p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "encode heartbeat", "Error": err})
 		return
 	}
-	for _, m := range to {
-		addr, err := net.ResolveUDPAddr("udp4", m.Address)
+	for _, m := range message.To {
+		addr, err := netip.ParseAddrPort(m.Address)
 		if err == nil {
 			// A heartbeat that cannot be sent is a lost one: the receiver sees it.
-			_, _ = p.config.Conn.WriteTo(data, addr)
+			_, _ = p.config.Conn.WriteTo(data, net.UDPAddrFromAddrPort(addr))
 		}
 	}
 }
--- a/transport/pulser/pulser_test.go
+++ b/transport/pulser/pulser_test.go
@@ -57,8 +57,8 @@
 		changes := 0
 		p := pulser.New(pulser.Config{
 			Self: filbertstile.Member{Name: "self"}, Conn: s, Log: reporter.New(reporter.Config{Logger: log}), Every: 200 * time.Millisecond,
-			Compose: func() (*wire.Pulse, []filbertstile.Member) {
-				return &wire.Pulse{}, []filbertstile.Member{{Address: "127.0.0.1:1"}}
+			Compose: func() []pulser.Message {
+				return []pulser.Message{{Pulse: &wire.Pulse{}, To: []filbertstile.Member{{Address: "127.0.0.1:1"}}}}
 			},
 			Heard: func(*wire.Pulse) {}, Changed: func() { changes++ },
 		})
