--- a/decisions/grouper/divide.go
+++ b/decisions/grouper/divide.go
@@ -22,10 +22,11 @@
 	// Groups is the number of groups, Group that of the entry.
 	Groups int
 	Group  int
-	// Near are the other entries of the group that are heard, Far those of other
-	// groups, heard or not.
+	// Near are the other entries of the group, Far those of other groups, heard or
+	// not; Live are those of Near that are heard.
 	Near []filbertstile.Member
 	Far  []filbertstile.Member
+	Live []filbertstile.Member
 	// Own lists the group's replicas by id; nil where there is one group only.
 	Own map[string]bool
 	// Hosts are the host processes beside the group's replicas, and a share of
@@ -46,11 +47,13 @@
 		}
 		heard := s.Alive(m.Name)
 		live[of[m.Name]] = live[of[m.Name]] || heard
-		switch {
-		case of[m.Name] != d.Group:
+		if of[m.Name] != d.Group {
 			d.Far = append(d.Far, m)
-		case heard:
-			d.Near = append(d.Near, m)
+			continue
+		}
+		d.Near = append(d.Near, m)
+		if heard {
+			d.Live = append(d.Live, m)
 		}
 	}
 	var groups []int
--- a/decisions/grouper/divide_test.go
+++ b/decisions/grouper/divide_test.go
@@ -48,11 +48,26 @@
 	d := grouper.Divide(s)
 	is.Equal(d.Groups, 1)
 	is.Equal(len(d.Near), 6)
+	is.Equal(len(d.Live), 6)
 	is.Equal(len(d.Far), 0)
 	is.True(d.Own == nil)
 	is.Equal(len(d.Hosts), 24)
 }
 
+// TestNearUnheard is for entries that told only those that they heard, so that
+// two that had lost each other never met again.
+func TestNearUnheard(t *testing.T) {
+	is := is.New(t)
+	s := scene(44, 88)
+	s.Self = s.Members[0]
+	all := grouper.Divide(s)
+	s.Alive = func(string) bool { return false }
+	alone := grouper.Divide(s)
+	is.Equal(alone.Near, all.Near)
+	is.Equal(alone.Far, all.Far)
+	is.Equal(len(alone.Live), 0)
+}
+
 // What an entry talks to must not grow with the system.
 func TestDivideLargeSystem(t *testing.T) {
 	is := is.New(t)
--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -156,18 +156,40 @@
 	return d
 }
 
-// Do makes the call and reads the whole answer.
+// Do makes the call and reads the whole answer. It returns as soon as the context
+// ends, though the library goes on waiting for an answer until its deadline.
 func (c *Client) Do(ctx context.Context, in Call) (Answer, error) {
 	if err := ctx.Err(); err != nil {
 		return Answer{}, fmt.Errorf("%s: peer %s: %w", in.Step, c.address, err)
 	}
+	type outcome struct {
+		answer Answer
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		a, err := c.exchange(in, c.deadline(ctx, in))
+		done <- outcome{answer: a, err: err}
+	}()
+	select {
+	case o := <-done:
+		if o.err != nil {
+			return Answer{}, fmt.Errorf("%s: peer %s: %w", in.Step, c.address, o.err)
+		}
+		return o.answer, nil
+	case <-ctx.Done():
+		return Answer{}, fmt.Errorf("%s: peer %s: %w", in.Step, c.address, ctx.Err())
+	}
+}
+
+func (c *Client) exchange(in Call, deadline time.Time) (Answer, error) {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	c.fill(req, in)
-	if err := c.plain.DoDeadline(req, resp, c.deadline(ctx, in)); err != nil {
-		return Answer{}, fmt.Errorf("%s: peer %s: %w", in.Step, c.address, err)
+	if err := c.plain.DoDeadline(req, resp, deadline); err != nil {
+		return Answer{}, err
 	}
 	return Answer{
 		Status:      resp.StatusCode(),
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -183,15 +183,15 @@
 	entries := 1 + len(others)
 	replicas := e.sources.Replicas.View()
 	d := e.divide(replicas.Rows, routing.Pools)
-	e.placer.KeepOthers(now, d.Near)
+	e.placer.KeepOthers(now, d.Live)
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, Out: out, Regions: e.config.Regions, Entries: entries,
-		Own: d.Own, Near: 1 + len(d.Near),
+		Own: d.Own, Near: 1 + len(d.Live),
 	})
 	e.forwarder.SetEntries(entries)
 	e.config.Log.Event(reporter.ReplicasChanged, reporter.Fields{
 		"Replicas": replicas.Rows.Len(), "Revision": replicas.Revision, "Out": len(out), "Entries": entries,
-		"Groups": d.Groups, "Group": d.Group, "Near": len(d.Near), "Own": len(d.Own),
+		"Groups": d.Groups, "Group": d.Group, "Near": len(d.Live), "Own": len(d.Own),
 	})
 }
 
@@ -288,7 +288,7 @@
 		for id, h := range hands {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(h.Requests), Tokens: int32(h.Tokens)})
 		}
-		e.pulser.Tell(pulser.Message{Pulse: p, To: e.division.Load().Near})
+		e.pulser.Tell(pulser.Message{Pulse: p, To: e.division.Load().Live})
 	}
 }
 
@@ -352,22 +352,24 @@
 // Leaving tells whether a planned stop has begun.
 func (e *Edge) Leaving() bool { return e.leaving.Load() }
 
-// Leave begins a planned stop, and returns when the entry may end: callers no
-// longer hold its address and nothing is in hand, or the time is over.
-func (e *Edge) Leave(ctx context.Context, hold time.Duration) {
+// Leave begins a planned stop, and returns when callers no longer hold the
+// entry's address and nothing is in hand, or the time is over. It returns when the
+// process must have ended.
+func (e *Edge) Leave(ctx context.Context, hold time.Duration) time.Time {
 	e.leftAt.Store(time.Now().UnixNano())
 	e.leaving.Store(true)
 	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inHand.Load()})
 	e.pulser.Nudge()
 	last := time.Now().Add(e.config.Bounds.Stop - stopMargin)
 	if sleeper.Sleep(ctx, min(hold+drainExtra, e.config.Bounds.Stop/2)) != nil {
-		return
+		return last
 	}
 	for e.inHand.Load() > 0 && time.Now().Before(last) {
 		if sleeper.Sleep(ctx, drainPoll) != nil {
-			return
+			return last
 		}
 	}
+	return last
 }
 
 const (
--- a/shells/edgerunner/edgerunner_test.go
+++ b/shells/edgerunner/edgerunner_test.go
@@ -99,6 +99,11 @@
 // withEdge runs an entry in virtual time over a store that holds one
 // configuration.
 func withEdge(t *testing.T, f func(ctx context.Context, is *is.I, s *store, e *edgerunner.Edge)) {
+	t.Helper()
+	withEdgeBounds(t, edgerunner.Bounds{Revoke: 5 * time.Second, Version: 8 * time.Second, Stop: 8 * time.Second, Settle: 3 * time.Second}, f)
+}
+
+func withEdgeBounds(t *testing.T, b edgerunner.Bounds, f func(ctx context.Context, is *is.I, s *store, e *edgerunner.Edge)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -109,7 +114,7 @@
 		e := edgerunner.New(edgerunner.Config{
 			Self: filbertstile.Member{Name: "e1", Role: filbertstile.RoleEntry, Region: "r1", HTTPAddress: "10.0.0.1:80"}, Log: log,
 			Metrics: metrics.NewRegistry(), Sweep: func() {},
-			Bounds: edgerunner.Bounds{Revoke: 5 * time.Second, Version: 8 * time.Second, Stop: 8 * time.Second, Settle: 3 * time.Second},
+			Bounds: b,
 		})
 		e.Connect(edgerunner.Sources{
 			Routing:  copyOf(s, "config/", routing(), log, e.Refresh),
@@ -203,6 +208,21 @@
 	})
 }
 
+// TestLateStreamsWithShortStop has less time to stop than streams are usually
+// taken for; the soak showed them cut.
+func TestLateStreamsWithShortStop(t *testing.T) {
+	withEdgeBounds(t, edgerunner.Bounds{Revoke: 5 * time.Second, Version: 8 * time.Second, Stop: 4 * time.Second}, func(ctx context.Context, is *is.I, _ *store, e *edgerunner.Edge) {
+		settle(time.Second)
+		left := make(chan struct{})
+		go func() { e.Leave(ctx, 3*time.Second); close(left) }()
+		settle(time.Second)
+		is.Equal(codeOf(e, "/flow/x", "k"), "")
+		settle(time.Second)
+		is.Equal(codeOf(e, "/flow/x", "k"), edgerunner.CodeLeaving)
+		<-left
+	})
+}
+
 func TestAddresses(t *testing.T) {
 	withEdge(t, func(_ context.Context, is *is.I, _ *store, e *edgerunner.Edge) {
 		settle(time.Second)
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -39,7 +39,7 @@
 	near, away := e.split(d.Hosts)
 	direct := e.hostsHeard()
 	if d.Groups == 1 {
-		return []pulser.Message{{Pulse: base(direct), To: slices.Concat(e.entries(), near)}}
+		return []pulser.Message{{Pulse: base(direct), To: slices.Concat(d.Near, near)}}
 	}
 	out := []pulser.Message{
 		{Pulse: base(direct), To: d.Near},
@@ -52,17 +52,6 @@
 	return out
 }
 
-// entries returns the other entries that are registered.
-func (e *Edge) entries() []filbertstile.Member {
-	var out []filbertstile.Member
-	for _, m := range e.sources.Members.View().Rows.All() {
-		if m.Role == filbertstile.RoleEntry && m.Name != e.config.Self.Name {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // split parts hosts into those of the own region and the others.
 func (e *Edge) split(hosts []filbertstile.Member) (near, away []filbertstile.Member) {
 	for _, m := range hosts {
--- a/shells/edgerunner/judge.go
+++ b/shells/edgerunner/judge.go
@@ -30,9 +30,11 @@
 	staleRetry = 300 * time.Millisecond
 	// leavingRetry is the hint of an entry that stops: others take the request.
 	leavingRetry = 50 * time.Millisecond
-	// streamsFor is how long after the signal to stop streams are still taken:
-	// those that come later might not end before the process does.
-	streamsFor = 3 * time.Second
+	// streamsFor is how long after the signal to stop streams are still taken, at
+	// most streamsShare of the time that there is: those that come later might not
+	// end before the process does.
+	streamsFor   = 3 * time.Second
+	streamsShare = 3.0 / 8
 	// callsMargin is kept for calls, which take a second or two at most.
 	callsMargin = 2500 * time.Millisecond
 	// defaultTimeout bounds a request whose route and caller name no time.
@@ -121,7 +123,7 @@
 	}
 	since := time.Duration(time.Now().UnixNano() - e.leftAt.Load())
 	if kind == filbertstile.CallStream {
-		return since > streamsFor
+		return since > min(streamsFor, time.Duration(float64(e.config.Bounds.Stop)*streamsShare))
 	}
 	return since > e.config.Bounds.Stop-callsMargin
 }
