installer: a version that was left out serves while the newer one is late

Ruled out: drawing the older version before the origin stops (2.6 s of its link, 2.5 s are there). Change: an older version of which three quarters are here stays wanted until the newer one is due; a host whose engine runs what may serve no more does not leave it out. Reports of hosts every 0.4 s. Figures: TestSkippedVersionServesMeanwhile fails without the change.

--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -143,11 +143,12 @@
 		if !ok {
 			continue
 		}
-		if n > 0 && r.Version > 0 && skipped(now, w, list[n-1]) {
+		late := outdated(now, r.Version, list)
+		if n > 0 && r.Version > 0 && !late && skipped(now, w, list[n-1]) {
 			return w, m, chunks, false
 		}
 		since := i.since(w.Weights)
-		if outdated(now, r.Version, list) {
+		if late {
 			// No entry sends to it any more, so that nothing is to be waited for.
 			since, w.Rank = time.Time{}, 0
 		} else if n+1 < len(list) && w.NamedAt.Sub(list[n+1].NamedAt) < w.Within {
--- a/shells/installer/installer_test.go
+++ b/shells/installer/installer_test.go
@@ -94,6 +94,12 @@
 // withInstaller runs an installer in virtual time; wanted are the versions that
 // may run, newest first, all of them held.
 func withInstaller(t *testing.T, e *engine, wanted func() []installer.Wanted, f func(is *is.I)) {
+	t.Helper()
+	withHeld(t, e, wanted, func(int64) bool { return true }, f)
+}
+
+// withHeld is withInstaller where only some versions are held.
+func withHeld(t *testing.T, e *engine, wanted func() []installer.Wanted, held func(version int64) bool, f func(is *is.I)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
@@ -106,7 +112,7 @@
 				for n := range chunks {
 					data = append(data, chunk(w.Version, n))
 				}
-				return manifest(w.Version), data, true
+				return manifest(w.Version), data, held(w.Version)
 			},
 			Seen: func(filbertstile.EngineReport, bool) {}, Cuts: func() bool { return true },
 		})
@@ -144,6 +150,28 @@
 	})
 }
 
+// TestSkippedVersionServesMeanwhile has a host leave out version 2 as version 3
+// was near; now that version 1 may serve no more and version 3 has not come, as
+// the origin was away, version 2 must be loaded.
+func TestSkippedVersionServesMeanwhile(t *testing.T) {
+	const within = 10 * time.Second
+	e := &engine{version: 1}
+	started := time.Now()
+	wanted := func() []installer.Wanted {
+		return []installer.Wanted{
+			{Weights: filbertstile.NamedWeights{Model: "m", Version: 3}, NamedAt: started.Add(2 * time.Second), Within: within, Skips: true},
+			{Weights: filbertstile.NamedWeights{Model: "m", Version: 2}, NamedAt: started, Within: within, Skips: true},
+		}
+	}
+	withHeld(t, e, wanted, func(version int64) bool { return version == 2 }, func(is *is.I) {
+		started = time.Now()
+		time.Sleep(within - installer.EntryMargin - 100*time.Millisecond)
+		is.Equal(e.version, int64(1))
+		time.Sleep(time.Second)
+		is.True(e.sound(2))
+	})
+}
+
 // TestRottenChunk spoils chunks after they were staged: the engine must load
 // sound ones.
 func TestRottenChunk(t *testing.T) {
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -29,7 +29,7 @@
 const (
 	// pulseEvery is the time between two reports of the engine's state, beside
 	// those that tell of a change.
-	pulseEvery = 250 * time.Millisecond
+	pulseEvery = 400 * time.Millisecond
 	// digestNews is how long the digest of a manifest is told with each report.
 	digestNews = 1500 * time.Millisecond
 	// syncEvery is the time between two looks at what the host should hold.
@@ -315,7 +315,7 @@
 	for v := max(1, w.Version-keptVersions+1); v <= w.Version; v++ {
 		named := filbertstile.NamedWeights{Model: w.Model, Version: v}
 		d, ok := p.library.digest(named)
-		if ok && (v == w.Version || p.held(d) || p.stillWanted(named)) {
+		if ok && (v == w.Version || p.held(d) || p.stillWanted(named, d)) {
 			out = append(out, distributor.Want{Release: named.Model, Manifest: d})
 		}
 	}
@@ -330,12 +330,36 @@
 
 // stillWanted tells whether an older version than the newest is worth fetching:
 // it was named so shortly before that it must be in force before the newer one
-// can be.
-func (p *Peer) stillWanted(w filbertstile.NamedWeights) bool {
+// can be, or little of it is missing and the newer one is not due for a while,
+// which is so after the origin was away.
+func (p *Peer) stillWanted(w filbertstile.NamedWeights, d filbertstile.Digest) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	at, named := p.named[w]
-	return named && time.Since(at) < p.config.Within*3/4
+	newer, followed := p.named[filbertstile.NamedWeights{Model: w.Model, Version: w.Version + 1}]
+	p.mu.Unlock()
+	if !named {
+		return false
+	}
+	if time.Since(at) < p.config.Within*3/4 {
+		return true
+	}
+	return followed && time.Since(newer) < p.config.Within-installer.EntryMargin-leastUse && p.mostlyHeld(d)
+}
+
+// leastUse is how long a version must be of use to be worth a switch, which takes
+// a replica out for about as long.
+const leastUse = 1500 * time.Millisecond
+
+// mostlyHeld tells whether three quarters of the version's chunks are here.
+func (p *Peer) mostlyHeld(d filbertstile.Digest) bool {
+	held, _ := p.fetcher.Load().Shelf().Held(d)
+	n := 0
+	for _, here := range held {
+		if here {
+			n++
+		}
+	}
+	return n > 0 && n*4 >= len(held)*3
 }
 
 // seed takes over what lies beside the engine since before this process
