edgerunner: groups tell what is in hand every 50 ms

Change: where there are several groups, whose entries have half of the requests of those of the small sites, changes are told every 50 ms instead of 25; reports of hosts count for 1.5 s.

--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -9,8 +9,8 @@
 
 const (
 	// reportFresh is how long a host process's report counts; hosts report
-	// every 250 ms, and some reports are lost while links are full.
-	reportFresh = 1200 * time.Millisecond
+	// every 400 ms, and some reports are lost while links are full.
+	reportFresh = 1500 * time.Millisecond
 	// firstHold and mostHold bound how long a replica that failed is passed
 	// over; the time doubles with each failure in a row.
 	firstHold = 250 * time.Millisecond
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -35,6 +35,9 @@
 	// what it has in hand; every shareAgain it tells all, as datagrams are lost.
 	shareEvery = 25 * time.Millisecond
 	shareAgain = 500 * time.Millisecond
+	// shareSlowly is the same where there are several groups, whose entries have
+	// fewer requests each.
+	shareSlowly = 50 * time.Millisecond
 	// revokeMargin is kept from the time within which a withdrawn key must stop
 	// working: timers fire late on a busy machine.
 	revokeMargin = 400 * time.Millisecond
@@ -275,7 +278,7 @@
 // share tells the other entries what this one has in hand at the replicas.
 func (e *Edge) share(ctx context.Context) {
 	last := time.Now()
-	for sleeper.Sleep(ctx, shareEvery) == nil {
+	for sleeper.Sleep(ctx, e.sharePause()) == nil {
 		all := time.Since(last) >= shareAgain
 		hands := e.placer.Hands(all)
 		if len(hands) == 0 && !all {
@@ -292,6 +295,13 @@
 	}
 }
 
+func (e *Edge) sharePause() time.Duration {
+	if e.division.Load().Groups > 1 {
+		return shareSlowly
+	}
+	return shareEvery
+}
+
 // otherEntries returns the entries that are heard.
 func (e *Edge) otherEntries() []filbertstile.Member {
 	heard := e.pulser.Heard()
