distributor: a chunk that takes far longer than usual is asked of another peer

Change: a fetch that takes over 0.8 s and four times the usual no longer holds its chunk, and its peer is not asked for 4 s; what it brings late counts. Figures: TestSlowPeer fails without the change.

--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -44,6 +44,9 @@
 	TakeOver time.Duration
 	// ChunkTimeout ends a fetch that does not finish.
 	ChunkTimeout time.Duration
+	// SlowChunk is the least time after which a chunk is asked of another peer as
+	// well; it grows with what chunks usually take.
+	SlowChunk time.Duration
 	// SetAside is how long a peer that sent a bad chunk is not asked.
 	SetAside time.Duration
 	// BusyPause is how long a peer that had no slot is not asked.
@@ -72,6 +75,7 @@
 		ImportShare:   0.97,
 		TakeOver:      time.Second,
 		ChunkTimeout:  4 * time.Second,
+		SlowChunk:     2 * time.Second,
 		SetAside:      30 * time.Second,
 		BusyPause:     10 * time.Millisecond,
 		SourceRetry:   50 * time.Millisecond,
@@ -280,8 +284,17 @@
 	busyUntil  map[string]time.Time
 	// sourceLost is when the source last failed this host.
 	sourceLost time.Time
+	// usual is what a chunk from a peer has taken lately.
+	usual time.Duration
 }
 
+// slowFactor times the usual, a chunk counts as slow; usualWeight is the share of
+// the newest in the usual.
+const (
+	slowFactor  = 4
+	usualWeight = 8
+)
+
 // New returns a core without transfers.
 func New(c Config) *Core {
 	return &Core{
@@ -447,7 +460,9 @@
 	if t == nil || !t.known {
 		return nil
 	}
-	t.release(e.Index, e.Peer)
+	if f, ok := t.release(e.Index, e.Peer); ok && e.Peer != "" {
+		c.usual += (now.Sub(f.started) - c.usual) / usualWeight
+	}
 	c.note(now, t, e.Index)
 	if t.have[e.Index] {
 		return nil
@@ -530,17 +545,21 @@
 	}
 }
 
-// expire gives up fetches that take too long; the peer is not asked again for
-// a while.
+// expire gives up fetches that take too long, and asks others for chunks that
+// take far longer than usual: a peer may stand still, or its link be slow, and
+// the last few chunks are what a release waits for. A slow chunk that comes
+// after all counts.
 func (c *Core) expire(now time.Time, t *transfer) []Command {
+	slow := max(c.config.Limits.SlowChunk, slowFactor*c.usual)
 	for i, f := range t.fetching {
-		if now.Sub(f.started) <= c.config.Limits.ChunkTimeout {
-			continue
-		}
-		if f.peer == "" {
+		took := now.Sub(f.started)
+		switch {
+		case f.peer == "" && took > c.config.Limits.ChunkTimeout:
 			c.loseSource(now)
-		} else {
+		case f.peer != "" && took > min(slow, c.config.Limits.ChunkTimeout):
 			c.busyUntil[f.peer] = now.Add(c.config.Limits.ChunkTimeout)
+		default:
+			continue
 		}
 		t.release(i, f.peer)
 	}
--- a/decisions/distributor/distributor_test.go
+++ b/decisions/distributor/distributor_test.go
@@ -72,6 +72,43 @@
 // hostsPerTurn is what hosts of one rank, of which there are few, read at once.
 func (s *swarm) hostsPerTurn() int { return 2 * distributor.DefaultLimits().OriginWindow }
 
+// TestSlowPeer is for a peer that stands still with a chunk: the hunts showed
+// replicas that waited 4 s for their last chunks.
+func TestSlowPeer(t *testing.T) {
+	s := newSwarm(3, 1, 1, 4)
+	now := s.now
+	core := distributor.New(distributor.Config{Self: s.hosts[0], SourceRegion: "elsewhere", Limits: distributor.DefaultLimits(), Seed: 1})
+	core.Tick(now, []distributor.Event{
+		distributor.MembersSeen{Members: s.hosts},
+		distributor.Wanted{Wants: []distributor.Want{{Release: "r", Manifest: manifestName}}},
+	})
+	asked := func(now time.Time, events ...distributor.Event) string {
+		for _, cmd := range core.Tick(now, events) {
+			if fetch, ok := cmd.(distributor.FetchChunk); ok {
+				return fetch.Peer.Name
+			}
+		}
+		return ""
+	}
+	holds := func(peer string) distributor.Event {
+		return distributor.HoldingSeen{Peer: peer, Manifest: manifestName, Whole: true, Chunks: []int{0}}
+	}
+	first := asked(now, distributor.ManifestArrived{Digest: manifestName, Manifest: s.m}, holds("h1"), holds("h2"))
+	slow := distributor.DefaultLimits().SlowChunk
+	if second := asked(now.Add(slow)); second != "" {
+		t.Fatalf("asked %s before the chunk was slow", second)
+	}
+	second := asked(now.Add(slow + time.Millisecond))
+	if second == "" || second == first {
+		t.Fatalf("asked %q after %q stood still", second, first)
+	}
+	// The slow one comes first after all.
+	core.Tick(now.Add(slow+time.Second), []distributor.Event{distributor.ChunkArrived{Manifest: manifestName, Index: 0, Peer: first}})
+	if p := core.Progress()[0]; !p.Done {
+		t.Fatalf("not done: %+v", p)
+	}
+}
+
 func (s *swarm) post(host string, e distributor.Event) { s.inbox[host] = append(s.inbox[host], e) }
 
 // step ticks every host and carries out its commands at once.
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -238,9 +238,14 @@
 	l := distributor.DefaultLimits()
 	l.PeersEachWay, l.SourcePeers, l.Importers, l.OriginWindow = 6, 12, 12, 2
 	l.Outstanding, l.PerPeer = 5, 2
+	l.SlowChunk = slowChunk
 	return l
 }
 
+// slowChunk is what a host takes that serves all its uploads at once, three times
+// over: some 30 ms each at the rate of its link.
+const slowChunk = 800 * time.Millisecond
+
 // sync tells the fetcher which versions to hold and which hosts live.
 func (p *Peer) sync(ctx context.Context) error {
 	f := p.fetcher.Load()
