--- a/shells/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -136,6 +136,16 @@
 	t.loop.Post(distributor.MembersSeen{Members: members})
 }
 
+// Add takes in a chunk that the host has found in its own keeping, so that it is
+// neither fetched nor waited for.
+func (t *Fetcher) Add(manifest filbertstile.Digest, index int, ref filbertstile.ChunkRef, data []byte) error {
+	if err := t.shelf.AddChunk(ref, data, t.config.Self.Name); err != nil {
+		return err
+	}
+	t.loop.Post(distributor.ChunkArrived{Manifest: manifest, Index: index, Peer: t.config.Self.Name})
+	return nil
+}
+
 // Progress returns the state of all transfers.
 func (t *Fetcher) Progress() []distributor.Progress {
 	var out []distributor.Progress
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -386,7 +386,7 @@
 		if err != nil {
 			return // nothing lies there
 		}
-		if f.Shelf().AddChunk(ref, data, "engine") != nil {
+		if f.Add(digest, i, ref, data) != nil {
 			continue // it is of another version, or spoilt
 		}
 	}
