--- a/shells/forwarder/budget.go
+++ b/shells/forwarder/budget.go
@@ -44,17 +44,21 @@
 	b.entries = max(1, n)
 }
 
-// size is the most that a bucket holds: half of the share of the slack. The
-// other half comes back over a window.
-func (b *budget) size() float64 { return b.config.Slack * budgetUse / 2 / float64(b.entries) }
+// share is the entry's part of half of the slack, which it has at once. The other
+// half comes back over a window.
+func (b *budget) share() float64 { return b.config.Slack * budgetUse / 2 / float64(b.entries) }
+
+// size is the most that a bucket holds: with many entries a share is less than one
+// repeat, which requests must be able to save up for.
+func (b *budget) size() float64 { return max(1, b.share()) }
 
 func (b *budget) of(service string, now time.Time) *bucket {
 	k := b.buckets[service]
 	if k == nil {
-		k = &bucket{tokens: b.size(), at: now}
+		k = &bucket{tokens: b.share(), at: now}
 		b.buckets[service] = k
 	}
-	k.tokens = min(b.size(), k.tokens+now.Sub(k.at).Seconds()/b.config.Window.Seconds()*b.size())
+	k.tokens = min(b.size(), k.tokens+now.Sub(k.at).Seconds()/b.config.Window.Seconds()*b.share())
 	k.at = now
 	return k
 }
