--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -155,11 +155,9 @@
 		}
 		return nil, ErrBroken{Step: step, Peer: address, Cause: err}
 	}
-	if d, ok := ctx.Deadline(); ok {
-		_ = k.SetDeadline(d)
-	} else {
-		_ = k.SetDeadline(time.Time{})
-	}
+	// The context closes the connection; a deadline of the connection's own might
+	// end the answer a moment before, as if the peer had broken off.
+	_ = k.SetDeadline(time.Time{})
 	written, err := send(k, r)
 	if err != nil {
 		return fail("send request", err)
--- a/outside/exchanger/exchanger_test.go
+++ b/outside/exchanger/exchanger_test.go
@@ -188,6 +188,19 @@
 
 // TestMostIdle has a request that must not be repeated ask for a connection
 // that has not been unused for long.
+// TestEndsWithTheRequestsTime has no answer come: what ends the request must be
+// its time, always, and not a failure of the replica.
+func TestEndsWithTheRequestsTime(t *testing.T) {
+	withServer(t, nil, func(is *is.I, c *exchanger.Client, address string, _ *server) {
+		for range 100 {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Millisecond)
+			_, err := c.Do(ctx, address, request("1"))
+			cancel()
+			is.True(errors.Is(err, context.DeadlineExceeded))
+		}
+	})
+}
+
 func TestMostIdle(t *testing.T) {
 	withServer(t, []string{sound, sound}, func(is *is.I, c *exchanger.Client, address string, s *server) {
 		_, err := do(c, address, "1")
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -421,7 +421,7 @@
 			x.left(g.Replica.ID)
 			return false
 		}
-		gap := x.call.Deadline
+		var gap time.Time // the request's own time ends the answer
 		if x.mayRepeat() {
 			gap = time.Now().Add(eventGapWait)
 		}
