placer: nothing is sent to a busy replica that might begin after its version is due to end

Ruled out: a longer fixed margin, which takes idle replicas out earlier as well. Change: the placer knows when the next version is due, and leaves out replicas of older ones whose estimate, twice over, ends later.

--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -75,13 +75,23 @@
 	return f.Entries, true
 }
 
+// Floor is the least version of a model's weights that may begin a request.
+type Floor struct {
+	// Version holds now; 0 for none.
+	Version int64
+	// Next holds from NextAt on; 0 for none. A request begins at a replica a while
+	// after it was sent.
+	Next   int64
+	NextAt time.Time
+}
+
 // Query is a request that wants a replica.
 type Query struct {
 	Service  string
 	Regions  []string
 	Priority int
-	// Version is the least version of the weights.
-	Version int64
+	// Floor is the version of the weights that must run it.
+	Floor Floor
 	// Tried lists replicas that the request must not go to.
 	Tried []string
 	// Arrived is when the caller's request came in.
@@ -326,7 +336,7 @@
 
 func (p *Placer) place(now time.Time, r *row, q Query) Grant {
 	g := Grant{Replica: r.replica, Count: r.count(now), Tokens: r.tokensAhead(), prompt: q.Tokens}
-	if q.Version > 0 && !r.reported(now) {
+	if q.Floor.Version > 0 && !r.reported(now) {
 		g.Version = r.replica.Version
 	}
 	r.own++
--- a/decisions/placer/placer_test.go
+++ b/decisions/placer/placer_test.go
@@ -108,7 +108,7 @@
 	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
 		p.SetFleet(time.Now(), fleet(2, 16, 1, 0))
 		q := query(100)
-		q.Version = 2
+		q.Floor.Version = 2
 		_, err := p.Acquire(ctx, q)
 		is.True(err != nil)
 		p.Report(time.Now(), "10.0.0.1:1", placer.Load{Version: 2})
@@ -132,7 +132,7 @@
 		f.Replicas = f.Replicas.With(r)
 		p.SetFleet(time.Now(), f)
 		q := query(100)
-		q.Version = 2
+		q.Floor.Version = 2
 		g, err := p.Acquire(ctx, q)
 		is.NoErr(err)
 		is.Equal(g.Version, int64(3))
@@ -360,6 +360,30 @@
 	}
 }
 
+// TestNothingBeginsTooLate has a newer version due soon: a replica of the older
+// one that is busy gets nothing any more that might begin after that.
+func TestNothingBeginsTooLate(t *testing.T) {
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		p.SetFleet(time.Now(), fleet(1, 16, 1, 0))
+		asked := func(due time.Duration) error {
+			q := query(900)
+			q.Objective = 5 * time.Second
+			q.Floor = placer.Floor{Version: 1, Next: 2, NextAt: time.Now().Add(due)}
+			ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+			defer cancel()
+			_, err := p.Acquire(ctx, q)
+			return err
+		}
+		is.NoErr(asked(700 * time.Millisecond)) // it is idle
+		for range 7 {
+			is.NoErr(asked(time.Minute))
+		}
+		is.True(asked(700*time.Millisecond) != nil) // seven prompts are read before
+		p.Report(time.Now(), "10.0.0.0:1", placer.Load{Version: 2, Running: 8})
+		is.NoErr(asked(700 * time.Millisecond))
+	})
+}
+
 // TestOtherGroupsOnlyWhereNoneFits has two groups: the entry stays with the
 // replicas of its own while one of them may run the request, full or not.
 func TestOtherGroupsOnlyWhereNoneFits(t *testing.T) {
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -43,6 +43,8 @@
 	// idleCount is the number of requests up to which a replica is as good as idle:
 	// nothing better can be hoped for, however long the prompt is.
 	idleCount = 2
+	// lateFactor times the estimate, an answer has begun all but surely.
+	lateFactor = 2
 	// coldMargin is the share of the bound on cold replicas that is used.
 	coldMargin = 0.85
 )
@@ -191,7 +193,7 @@
 		return false
 	}
 	v := r.version(now)
-	return v > 0 && v >= q.Version
+	return v > 0 && v >= q.Floor.Version
 }
 
 func (p *Placer) modelled(service string) bool {
@@ -232,6 +234,9 @@
 		if within > 0 && count > idleCount && spec != nil && r.begins(*spec, count, q.Tokens) > within {
 			continue
 		}
+		if spec != nil && r.version(now) < q.Floor.Next && now.Add(lateFactor*r.begins(*spec, count, q.Tokens)).After(q.Floor.NextAt) {
+			continue
+		}
 		if now.Before(r.holdUntil) {
 			if held == nil || r.holdUntil.Before(held.holdUntil) {
 				held = r
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -129,7 +129,7 @@
 	}
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Placer: e.placer, Link: c.Link, Budget: c.Budget, Log: c.Log, Version: e.version, Observe: e.observe,
+		Placer: e.placer, Link: c.Link, Budget: c.Budget, Log: c.Log, Floor: e.floor, Observe: e.observe,
 	})
 	return e
 }
@@ -231,27 +231,29 @@
 	return news
 }
 
-// version returns the least version of the weights that replicas of the
-// service may run now.
-func (e *Edge) version(service string) (int64, bool) {
+// floor returns the version of the weights that replicas of the service must run.
+func (e *Edge) floor(service string) placer.Floor {
 	m := e.matcher.Load()
 	if m == nil {
-		return 0, false
+		return placer.Floor{}
 	}
 	spec, ok := m.Routing().Pools.Get(service)
 	if !ok || spec.Engine == nil {
-		return 0, false
+		return placer.Floor{}
 	}
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	floor := int64(0)
+	var out placer.Floor
 	for _, n := range e.named[spec.Engine.Model] {
-		if now.Sub(n.at) >= e.config.Bounds.Version-installer.EntryMargin {
-			floor = n.version
+		due := n.at.Add(e.config.Bounds.Version)
+		if !now.Before(due.Add(-installer.EntryMargin)) {
+			out.Version = n.version
+		} else if out.Next == 0 {
+			out.Next, out.NextAt = n.version, due
 		}
 	}
-	return floor, floor > 0
+	return out
 }
 
 // heard takes in a heartbeat.
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -146,9 +146,8 @@
 	Link   Link
 	Budget BudgetConfig
 	Log    *reporter.Log
-	// Version returns the least version of the weights that a service must run
-	// now, and whether replicas must be held to it.
-	Version func(service string) (int64, bool)
+	// Floor returns the least version of the weights that a service must run.
+	Floor func(service string) placer.Floor
 	// Observe is told how each request ended.
 	Observe func(c *Call, status string, took time.Duration)
 }
@@ -196,8 +195,7 @@
 
 // step makes one attempt, and reports whether another one is to follow.
 func (x *flight) step() bool {
-	floor, strict := x.f.config.Version(x.call.Service)
-	g, err := x.f.config.Placer.Acquire(x.ctx, x.query(floor, strict))
+	g, err := x.f.config.Placer.Acquire(x.ctx, x.query())
 	if err != nil {
 		x.unplaced(err)
 		return false
@@ -219,13 +217,11 @@
 	return x.attempt(&g, a)
 }
 
-func (x *flight) query(floor int64, strict bool) placer.Query {
+func (x *flight) query() placer.Query {
 	q := placer.Query{
 		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, Tried: x.tried,
 		Arrived: x.call.Arrived, Objective: x.call.Route.Objective, Deadline: x.call.Deadline, Tokens: x.call.Prompt,
-	}
-	if strict {
-		q.Version = floor
+		Floor: x.f.config.Floor(x.call.Service),
 	}
 	if x.sends > 0 {
 		// A repeat has waited already; it gets an objective of its own.
--- a/shells/forwarder/forwarder_test.go
+++ b/shells/forwarder/forwarder_test.go
@@ -140,8 +140,8 @@
 		})
 		f := forwarder.New(forwarder.Config{
 			Placer: p, Link: s, Budget: forwarder.BudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
-			Log:     reporter.New(reporter.Config{Logger: log}),
-			Version: func(string) (int64, bool) { return 0, false }, Observe: func(*forwarder.Call, string, time.Duration) {},
+			Log:   reporter.New(reporter.Config{Logger: log}),
+			Floor: func(string) placer.Floor { return placer.Floor{} }, Observe: func(*forwarder.Call, string, time.Duration) {},
 		})
 		now := time.Now()
 		f.Serve(t.Context(), &forwarder.Call{ID: "1", Route: r, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}, c)
