--- a/base/reporter/events_test.go
+++ b/base/reporter/events_test.go
@@ -15,7 +15,7 @@
 func TestCatalogueMatchesCode(t *testing.T) {
 	uses := regexp.MustCompile(`reporter\.([A-Z][A-Za-z]+)\b`)
 	used := make(map[string]bool)
-	err := filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
+	err := filepath.WalkDir(filepath.Join("..", ".."), func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -144,16 +144,13 @@
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Exchange, error) {
 	k, err := c.take(ctx, address, r.MostIdle)
 	if err != nil {
-		return nil, ErrNotSent{Peer: address, Cause: err}
+		return nil, ErrNotSent{Peer: address, Cause: cause(ctx, err)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
 	fail := func(step string, err error) (*Exchange, error) {
 		stop()
 		_ = k.Close()
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		}
-		return nil, ErrBroken{Step: step, Peer: address, Cause: err}
+		return nil, ErrBroken{Step: step, Peer: address, Cause: cause(ctx, err)}
 	}
 	// The context closes the connection; a deadline of the connection's own might
 	// end the answer a moment before, as if the peer had broken off.
@@ -172,6 +169,18 @@
 	return &Exchange{Response: resp, client: c, conn: k, written: written, stop: stop}, nil
 }
 
+// cause returns why the context ended, where that is what failed the step. A dial
+// may notice the deadline before the context does.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
+		return context.DeadlineExceeded
+	}
+	return err
+}
+
 func readHead(b *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(b, &http.Request{Method: method})
