placer: a replica that fills up may be full when a request arrives

Several entries saw the same last slot and all took it. Ruled out: the estimate of reading and passes (0.3 s, and right where a slot is free); late word of the version. Figures: TestNothingBeginsTooLate, with the case, fails before.

--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -45,6 +45,9 @@
 	idleCount = 2
 	// lateFactor times the estimate, an answer has begun all but surely.
 	lateFactor = 2
+	// slotWait is how long a full replica takes to free a slot for the last of those
+	// that wait: most streams end within about a second.
+	slotWait = 1500 * time.Millisecond
 	// coldMargin is the share of the bound on cold replicas that is used.
 	coldMargin = 0.85
 )
@@ -144,6 +147,17 @@
 	return e.Pass(count)*3/2 + e.Reading(r.tokensAhead()+tokens) + time.Duration(count)*crowding
 }
 
+// beginsBy is the time by which the answer has begun all but surely. Entries that
+// see the same last free slot all take it, so that a request to a replica that is
+// filling up may wait until another one ends.
+func (r *row) beginsBy(e filbertstile.EngineSpec, count, tokens int) time.Duration {
+	out := lateFactor * r.begins(e, count, tokens)
+	if count > r.replica.Slots/2 {
+		out += slotWait
+	}
+	return out
+}
+
 // fill brings the replica's share of the cold rate up to date.
 func (r *row) fill(now time.Time, rate, burst float64) {
 	if r.filledAt.IsZero() {
@@ -234,7 +248,7 @@
 		if within > 0 && count > idleCount && spec != nil && r.begins(*spec, count, q.Tokens) > within {
 			continue
 		}
-		if spec != nil && r.version(now) < q.Floor.Next && now.Add(lateFactor*r.begins(*spec, count, q.Tokens)).After(q.Floor.NextAt) {
+		if spec != nil && r.version(now) < q.Floor.Next && now.Add(r.beginsBy(*spec, count, q.Tokens)).After(q.Floor.NextAt) {
 			continue
 		}
 		if now.Before(r.holdUntil) {
