peerrunner: a host that hears nobody named does not take itself for the only one

Hosts hear entries of other regions, which name no hosts: a host that heard only these, or whose entries had not heard the others yet, took itself for the only one alive, and those near the origin each read all weights from it (30 copies over a link that needs 2.6 s for one). Ruled out: from reading: entries (they hear and are heard), the manifest (read within a second). Change: a list without names counts for nothing; where entries form several groups, all registered hosts count as alive until lists have come for 2.5 s, and hosts wait longer for the manifest before all of them read it.

--- a/shells/peerrunner/heartbeats.go
+++ b/shells/peerrunner/heartbeats.go
@@ -19,10 +19,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heardAt = now
-	for _, name := range x.GetHeard() {
-		p.alive[name] = now
-	}
+	p.roster.hear(now, x.GetHeard())
 }
 
 // compose says what this host tells the entries.
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -18,6 +18,7 @@
 	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/distributor"
+	"filbertstile.example/filbertstile/decisions/grouper"
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/fetcher"
 	"filbertstile.example/filbertstile/shells/installer"
@@ -37,10 +38,6 @@
 	learnPause = 250 * time.Millisecond
 	// learnTimeout bounds reading a manifest.
 	learnTimeout = 3 * time.Second
-	// missedFor is how long a host may go unheard before chunks are asked of
-	// others: heartbeats are lost while links are full, and a host that is gone
-	// costs one time-out of a chunk.
-	missedFor = 6 * time.Second
 	// uploadShare is the part of the link's rate that uploads of weights use.
 	uploadShare = 0.88
 	// uploads bounds the chunks that wait to be sent.
@@ -100,8 +97,7 @@
 	originRegion string
 	named        map[filbertstile.NamedWeights]time.Time
 	wanted       filbertstile.NamedWeights
-	alive        map[string]time.Time
-	heardAt      time.Time
+	roster       roster
 	seeded       bool
 }
 
@@ -110,7 +106,7 @@
 	p := &Peer{
 		config: c, library: newLibrary(c.Log), started: time.Now(),
 		client: messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
-		named:  make(map[filbertstile.NamedWeights]time.Time), alive: make(map[string]time.Time),
+		named:  make(map[filbertstile.NamedWeights]time.Time), roster: roster{alive: make(map[string]time.Time)},
 	}
 	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.due, Chunks: p.chunks, Seen: p.seen, Cuts: p.resumable.Load})
 	return p
@@ -293,7 +289,7 @@
 	p.mu.Lock()
 	waited := time.Since(p.named[w])
 	p.mu.Unlock()
-	if waited >= hearWait {
+	if waited >= p.hearWait() {
 		return true
 	}
 	var near []string
@@ -309,10 +305,31 @@
 const (
 	// firstReaders is the number of hosts that read a new manifest at once.
 	firstReaders = 2
-	// hearWait is how long the others wait to hear of it.
+	// hearWait is how long the others wait to hear of it; longWait is the same where
+	// it goes through entries of several groups, as all hosts' reading it would fill
+	// the origin's link.
 	hearWait = 600 * time.Millisecond
+	longWait = 1500 * time.Millisecond
 )
 
+func (p *Peer) hearWait() time.Duration {
+	if p.large() {
+		return longWait
+	}
+	return hearWait
+}
+
+// large tells whether the entries form several groups.
+func (p *Peer) large() bool {
+	entries := 0
+	for _, m := range p.sources.Members.View().Rows.All() {
+		if m.Role == filbertstile.RoleEntry {
+			entries++
+		}
+	}
+	return grouper.Count(entries) > 1
+}
+
 // seed takes over what lies beside the engine since before this process
 // started, so that it need not come over the link.
 func (p *Peer) seed(ctx context.Context, w filbertstile.NamedWeights) {
@@ -342,17 +359,17 @@
 // is heard, all that are registered.
 func (p *Peer) members() []filbertstile.Member {
 	now := time.Now()
-	p.mu.Lock()
-	blind := now.Sub(p.heardAt) > pulser.HeardFor
-	alive := make(map[string]bool, len(p.alive))
-	for name, at := range p.alive {
-		alive[name] = now.Sub(at) <= missedFor
+	settle := time.Duration(0)
+	if p.large() {
+		settle = settleTime
 	}
+	p.mu.Lock()
+	alive := p.roster.living(now, settle)
 	p.mu.Unlock()
 	var out []filbertstile.Member
 	for _, m := range p.sources.Members.View().Rows.All() {
 		own := m.Name == p.config.Self.Name
-		if m.Role == filbertstile.RoleHost && m.Service == p.config.Self.Service && (own || blind || alive[m.Name]) {
+		if m.Role == filbertstile.RoleHost && m.Service == p.config.Self.Service && (own || alive(m.Name)) {
 			out = append(out, m)
 		}
 	}
