--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -148,11 +148,11 @@
 }
 
 // beginsBy is the time by which the answer has begun all but surely. Entries that
-// see the same last free slot all take it, so that a request to a replica that is
-// filling up may wait until another one ends.
+// see the same free slots all take them, so that a request to a replica that is
+// in use may wait until others end.
 func (r *row) beginsBy(e filbertstile.EngineSpec, count, tokens int) time.Duration {
 	out := lateFactor * r.begins(e, count, tokens)
-	if count > r.replica.Slots/2 {
+	if count > idleCount {
 		out += slotWait
 	}
 	return out
