edgerunner, peerrunner, grouper: what was worked out twice is worked out once

Cause: reading the change again: an entry walked members and heartbeats for the heard entries and then divided the same members; a host had two loops that counted entries.

--- a/decisions/grouper/divide.go
+++ b/decisions/grouper/divide.go
@@ -27,6 +27,8 @@
 	Near []filbertstile.Member
 	Far  []filbertstile.Member
 	Live []filbertstile.Member
+	// Heard is the number of other entries that are heard, of any group.
+	Heard int
 	// Own lists the group's replicas by id; nil where there is one group only.
 	Own map[string]bool
 	// Hosts are the host processes beside the group's replicas, and a share of
@@ -46,7 +48,10 @@
 			continue
 		}
 		heard := s.Alive(m.Name)
-		live[of[m.Name]] = live[of[m.Name]] || heard
+		if heard {
+			live[of[m.Name]] = true
+			d.Heard++
+		}
 		if of[m.Name] != d.Group {
 			d.Far = append(d.Far, m)
 			continue
--- a/decisions/grouper/divide_test.go
+++ b/decisions/grouper/divide_test.go
@@ -49,6 +49,7 @@
 	is.Equal(d.Groups, 1)
 	is.Equal(len(d.Near), 6)
 	is.Equal(len(d.Live), 6)
+	is.Equal(d.Heard, 6)
 	is.Equal(len(d.Far), 0)
 	is.True(d.Own == nil)
 	is.Equal(len(d.Hosts), 24)
@@ -66,6 +67,8 @@
 	is.Equal(alone.Near, all.Near)
 	is.Equal(alone.Far, all.Far)
 	is.Equal(len(alone.Live), 0)
+	is.Equal(all.Heard, 43)
+	is.Equal(alone.Heard, 0)
 }
 
 // What an entry talks to must not grow with the system.
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -182,10 +182,9 @@
 	for _, m := range e.sources.Marks.View().Rows.All() {
 		out[m.Name] = m.Out
 	}
-	others := e.otherEntries()
-	entries := 1 + len(others)
 	replicas := e.sources.Replicas.View()
 	d := e.divide(replicas.Rows, routing.Pools)
+	entries := 1 + d.Heard
 	e.placer.KeepOthers(now, d.Live)
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, Out: out, Regions: e.config.Regions, Entries: entries,
@@ -304,18 +303,6 @@
 	return shareEvery
 }
 
-// otherEntries returns the entries that are heard.
-func (e *Edge) otherEntries() []filbertstile.Member {
-	heard := e.pulser.Heard()
-	var out []filbertstile.Member
-	for _, m := range e.sources.Members.View().Rows.All() {
-		if _, ok := heard[m.Name]; ok && m.Role == filbertstile.RoleEntry && m.Name != e.config.Self.Name {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // hearWeights takes in the digests of manifests, and reports whether one is
 // news that hosts wait for.
 func (e *Edge) hearWeights(list []*wire.WeightsVersion) bool {
--- a/shells/peerrunner/heartbeats.go
+++ b/shells/peerrunner/heartbeats.go
@@ -1,6 +1,7 @@
 package peerrunner
 
 import (
+	"slices"
 	"time"
 
 	"filbertstile.example/filbertstile"
@@ -40,19 +41,26 @@
 // entries returns the entries to report to: those that are heard, as only they
 // send to this replica, and all where these are few.
 func (p *Peer) entries() []filbertstile.Member {
+	all := p.registeredEntries()
+	if grouper.Count(len(all)) == 1 {
+		return all
+	}
 	heard := p.pulser.Heard()
-	var all, near []filbertstile.Member
+	return slices.DeleteFunc(all, func(m filbertstile.Member) bool {
+		_, ok := heard[m.Name]
+		return !ok
+	})
+}
+
+func (p *Peer) registeredEntries() []filbertstile.Member {
+	var out []filbertstile.Member
 	for _, m := range p.sources.Members.View().Rows.All() {
-		if m.Role != filbertstile.RoleEntry {
-			continue
-		}
-		all = append(all, m)
-		if _, ok := heard[m.Name]; ok {
-			near = append(near, m)
+		if m.Role == filbertstile.RoleEntry {
+			out = append(out, m)
 		}
 	}
-	if grouper.Count(len(all)) == 1 {
-		return all
-	}
-	return near
+	return out
 }
+
+// large tells whether the entries form several groups.
+func (p *Peer) large() bool { return grouper.Count(len(p.registeredEntries())) > 1 }
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -18,7 +18,6 @@
 	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/distributor"
-	"filbertstile.example/filbertstile/decisions/grouper"
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/fetcher"
 	"filbertstile.example/filbertstile/shells/installer"
@@ -319,17 +318,6 @@
 	return hearWait
 }
 
-// large tells whether the entries form several groups.
-func (p *Peer) large() bool {
-	entries := 0
-	for _, m := range p.sources.Members.View().Rows.All() {
-		if m.Role == filbertstile.RoleEntry {
-			entries++
-		}
-	}
-	return grouper.Count(entries) > 1
-}
-
 // seed takes over what lies beside the engine since before this process
 // started, so that it need not come over the link.
 func (p *Peer) seed(ctx context.Context, w filbertstile.NamedWeights) {
