edgerunner: one goroutine applies the entry's view

Cause: every tracker and the table of peers called Edge.Refresh on its own goroutine. Each call also divided the system anew and logged, so that the cost of a start grew with processes times events. Ruled out: locking the whole refresh; it keeps the order but not the cost. Change: Refresh only asks for an update; one loop works it out, at most every 50 ms, and logs it if it differs.

--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,9 @@
 	// maxViewAge is the maximum time since the store last confirmed the view. An entry
 	// with an older view is not ready, and callers are directed to other entries.
 	maxViewAge = 2900 * time.Millisecond
+	// refreshInterval is the minimum time between two updates of what the entry works out
+	// from its sources and peers. All changes within it take one update.
+	refreshInterval = 50 * time.Millisecond
 	// maintenanceInterval is the time between two checks for expired connections and for
 	// changes of readiness.
 	maintenanceInterval = 500 * time.Millisecond
@@ -108,8 +112,12 @@
 	inFlight atomic.Int64
 	started  time.Time
 
-	// division is the division of the system into groups, as of the last Refresh.
+	// division is the division of the system into groups, as of the last refresh.
 	division atomic.Pointer[grouper.Division]
+	// refreshRequested makes refreshLoop update the entry's view.
+	refreshRequested chan struct{}
+	// replicasKnown is true after the placer has got the first complete list of replicas.
+	replicasKnown atomic.Bool
 
 	mu sync.Mutex
 	// chosenVersions lists the versions that operators have chosen, by model, in ascending
@@ -144,6 +152,7 @@
 	e := &Edge{
 		config: c, placer: placer.New(c.Placer), started: time.Now(),
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
+		refreshRequested: make(chan struct{}, 1),
 	}
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
@@ -173,6 +182,7 @@
 	wg.Go(func() { e.sources.Members.Run(ctx) })
 	wg.Go(func() { e.pulser.Run(ctx) })
 	wg.Go(func() { e.sendLoads(ctx) })
+	wg.Go(func() { e.refreshLoop(ctx) })
 	for sleeper.Sleep(ctx, maintenanceInterval) == nil {
 		e.config.CloseExpiredConns()
 		e.logReadiness()
@@ -180,13 +190,39 @@
 	wg.Wait()
 }
 
-// Refresh applies the current routing, replicas and peers. It must be called after each
-// change of a source.
+// Refresh requests that the current routing, replicas and peers be applied. It must be
+// called after each change of a source, and does not block.
 func (e *Edge) Refresh() {
-	now := time.Now()
-	if e.pulser == nil {
-		return
+	select {
+	case e.refreshRequested <- struct{}{}:
+	default:
 	}
+}
+
+// refreshLoop applies requested refreshes until the context ends. Only this loop applies
+// views, so that none is replaced by an older one.
+func (e *Edge) refreshLoop(ctx context.Context) {
+	var logged reporter.Fields
+	for {
+		select {
+		case <-e.refreshRequested:
+		case <-ctx.Done():
+			return
+		}
+		if fields := e.refresh(); !maps.Equal(fields, logged) {
+			e.config.Log.Event(reporter.ReplicasChanged, fields)
+			logged = fields
+		}
+		if sleeper.Sleep(ctx, refreshInterval) != nil {
+			return
+		}
+	}
+}
+
+// refresh applies the current routing, replicas and peers, and returns the log fields that
+// describe the result.
+func (e *Edge) refresh() reporter.Fields {
+	now := time.Now()
 	routing, known := e.routing()
 	if known {
 		if m := e.matcher.Load(); m == nil || m.Routing().Version < routing.Version {
@@ -209,11 +245,12 @@
 		Replicas: replicas.Rows, Pools: routing.Pools, OutOfService: outOfService, Regions: e.config.Regions, Entries: entries,
 		GroupReplicas: d.GroupReplicas, GroupEntries: 1 + len(d.LiveGroupPeers),
 	})
+	e.replicasKnown.Store(replicas.Listed)
 	e.forwarder.SetEntryCount(entries)
-	e.config.Log.Event(reporter.ReplicasChanged, reporter.Fields{
+	return reporter.Fields{
 		"Replicas": replicas.Rows.Len(), "Revision": replicas.Revision, "Out": len(outOfService), "Entries": entries,
 		"Groups": d.Groups, "Group": d.Group, "Near": len(d.LiveGroupPeers), "Own": len(d.GroupReplicas),
-	})
+	}
 }
 
 // routing returns the latest known version of the routing, and whether there is one. It
@@ -352,7 +389,7 @@
 // Ready reports whether the entry is ready for requests: it has a complete and current
 // view, and no planned stop has begun.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.matcher.Load() != nil && e.sources.Replicas.View().Listed && e.current()
+	return !e.leaving.Load() && e.matcher.Load() != nil && e.replicasKnown.Load() && e.current()
 }
 
 // logReadiness logs a change of readiness.
