--- a/base/ticker/ticker.go
+++ b/base/ticker/ticker.go
@@ -27,6 +27,18 @@
 	Execute func(C)
 	// IdleInterval is the time between ticks while no events arrive.
 	IdleInterval time.Duration
+	// Quiet, if not nil, is called after each tick. While it returns true, only events
+	// change what the core decides, and QuietInterval replaces IdleInterval.
+	Quiet         func() bool
+	QuietInterval time.Duration
+}
+
+// interval returns the time until the next tick if no events arrive.
+func (c Config[E, C]) interval() time.Duration {
+	if c.Quiet != nil && c.Quiet() {
+		return c.QuietInterval
+	}
+	return c.IdleInterval
 }
 
 // Loop runs a core.
@@ -74,7 +86,8 @@
 // Run ticks the core until the context ends.
 func (l *Loop[E, C]) Run(ctx context.Context) {
 	defer close(l.done)
-	idle := time.NewTicker(l.config.IdleInterval)
+	interval := l.config.IdleInterval
+	idle := time.NewTicker(interval)
 	defer idle.Stop()
 	batch := make([]E, 0, maxBatch)
 	for {
@@ -93,6 +106,10 @@
 		for _, c := range l.config.Core.Tick(time.Now(), batch) {
 			l.config.Execute(c)
 		}
+		if next := l.config.interval(); next != interval {
+			interval = next
+			idle.Reset(interval)
+		}
 	}
 }
 
--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"filbertstile.example/filbertstile"
@@ -97,6 +98,22 @@
 	}
 }
 
+// SmallReleaseLimits returns the limits for releases of a few megabytes. In a region of
+// up to a dozen hosts, each one subscribes to all others, and each imports a part of the
+// chunks from other regions: with a single importer the region would wait for that
+// host's link.
+func SmallReleaseLimits() Limits {
+	l := DefaultLimits()
+	l.RingPeersPerSide, l.SourcePeers, l.MaxImporters, l.MaxOriginFetches = 6, 12, 12, 2
+	l.MaxPeerFetches, l.MaxFetchesPerPeer = 5, 2
+	l.MinHedgeDelay = smallReleaseHedgeDelay
+	return l
+}
+
+// smallReleaseHedgeDelay is about three times the time in which a host that serves all
+// its uploads at once completes them, at some 30 ms each at the rate of its link.
+const smallReleaseHedgeDelay = 800 * time.Millisecond
+
 // Want is a release that the host should hold, and the digest of its manifest.
 type Want struct {
 	Release  string
@@ -377,6 +394,12 @@
 	return out
 }
 
+// Done reports whether the host holds all wanted releases, or none is wanted, so that
+// only events can lead to new commands.
+func (c *Core) Done() bool {
+	return !slices.ContainsFunc(c.transfers, func(t *transfer) bool { return !t.done })
+}
+
 func (c *Core) findTransfer(d filbertstile.Digest) *transfer {
 	for _, t := range c.transfers {
 		if t.want.Manifest == d {
--- a/shells/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -24,6 +24,8 @@
 	// idleInterval is the time between ticks of the distributor while no events
 	// arrive.
 	idleInterval = 5 * time.Millisecond
+	// doneInterval replaces idleInterval while the host holds all wanted releases.
+	doneInterval = time.Second
 	// maxPieceBytes is the maximum size of the data in a Data frame.
 	maxPieceBytes    = 4 << 10
 	resubscribeDelay = 200 * time.Millisecond
@@ -126,7 +128,9 @@
 	if c.UploadBytesPerSecond > 0 {
 		f.uploadLimiter = rate.NewLimiter(rate.Limit(c.UploadBytesPerSecond), uploadBurstBytes)
 	}
-	f.loop = ticker.New(ticker.Config[distributor.Event, distributor.Command]{Core: f.core, Execute: f.execute, IdleInterval: idleInterval})
+	f.loop = ticker.New(ticker.Config[distributor.Event, distributor.Command]{
+		Core: f.core, Execute: f.execute, IdleInterval: idleInterval, Quiet: f.core.Done, QuietInterval: doneInterval,
+	})
 	return f, nil
 }
 
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -210,7 +210,7 @@
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.weightSource, Log: p.config.Log, Metrics: p.config.Metrics,
 		Core: distributor.Config{
-			Self: p.config.Self, SourceRegion: region, Limits: distributorLimits(), Seed: uint64(p.started.UnixNano()),
+			Self: p.config.Self, SourceRegion: region, Limits: distributor.SmallReleaseLimits(), Seed: uint64(p.started.UnixNano()),
 		},
 		MemoryBytes: p.config.MemoryBytes / weightMemoryDivisor, MaxUploads: maxUploads, UploadBytesPerSecond: p.config.LinkBytesPerSecond * uploadShare, OnCompleted: func(distributor.Completed) {},
 		OnManifest: p.weightSource.addReceivedManifest,
@@ -235,22 +235,6 @@
 	return true
 }
 
-// distributorLimits returns the limits of the host's transfers. In a region of up to a
-// dozen hosts, each one subscribes to all others, and each imports a part of the
-// chunks from other regions: versions are a few megabytes, and with a single importer the
-// region would wait for that host's link.
-func distributorLimits() distributor.Limits {
-	l := distributor.DefaultLimits()
-	l.RingPeersPerSide, l.SourcePeers, l.MaxImporters, l.MaxOriginFetches = 6, 12, 12, 2
-	l.MaxPeerFetches, l.MaxFetchesPerPeer = 5, 2
-	l.MinHedgeDelay = minHedgeDelay
-	return l
-}
-
-// minHedgeDelay is about three times the time in which a host that serves all its
-// uploads at once completes them, at some 30 ms each at the rate of its link.
-const minHedgeDelay = 800 * time.Millisecond
-
 // syncFetcher updates the fetcher's list of hosts and its list of wanted versions.
 func (p *Peer) syncFetcher(ctx context.Context) error {
 	f := p.fetcher.Load()
