peerrunner, messenger, fetcher: a host at rest does only what changed

Cause: ten times a second each host passed its wanted versions to the fetcher, worked out its rank twice and listed all entries; each subscriber of a manifest that had not arrived was looked after every 20 ms; sessions to some twenty other hosts stayed open for good, with keepalives in both directions. Change: wants, members and rank are worked out once a sync and passed on if they differ; subscribers wait for the manifest; sessions without a stream are closed after 3 s. Before and after: TestIdleSessionsAreClosed and TestWaitersLearnOfManifest need what this change adds.

--- a/shells/fetcher/chunkstore.go
+++ b/shells/fetcher/chunkstore.go
@@ -42,11 +42,16 @@
 	heldBytes  int64
 	chunks     map[filbertstile.Digest][]byte
 	manifests  map[filbertstile.Digest]*manifestEntry
+	// manifestAdded is closed and replaced when a manifest is added.
+	manifestAdded chan struct{}
 }
 
 // NewChunkStore returns a store for at most limitBytes bytes of chunks.
 func NewChunkStore(limitBytes int64) *ChunkStore {
-	return &ChunkStore{limitBytes: limitBytes, chunks: make(map[filbertstile.Digest][]byte), manifests: make(map[filbertstile.Digest]*manifestEntry)}
+	return &ChunkStore{
+		limitBytes: limitBytes, chunks: make(map[filbertstile.Digest][]byte), manifests: make(map[filbertstile.Digest]*manifestEntry),
+		manifestAdded: make(chan struct{}),
+	}
 }
 
 // Bytes returns the total size of the chunks held.
@@ -67,6 +72,8 @@
 	}
 	e := &manifestEntry{raw: raw, manifest: m, held: make([]bool, len(m.Chunks)), changed: make(chan struct{})}
 	s.manifests[digest] = e
+	close(s.manifestAdded)
+	s.manifestAdded = make(chan struct{})
 	for i, ref := range m.Chunks {
 		_, e.held[i] = s.chunks[ref.Digest]
 	}
@@ -140,13 +147,14 @@
 }
 
 // Held returns a slice that has true for each chunk of the manifest that is held, and a
-// channel that is closed when more are added. Both are nil if the manifest is not held.
+// channel that is closed when more are added. If the manifest is not held, the slice is nil
+// and the channel is closed when any manifest is added.
 func (s *ChunkStore) Held(digest filbertstile.Digest) ([]bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.manifests[digest]
 	if e == nil {
-		return nil, nil
+		return nil, s.manifestAdded
 	}
 	return append([]bool(nil), e.held...), e.changed
 }
--- a/shells/fetcher/chunkstore_test.go
+++ b/shells/fetcher/chunkstore_test.go
@@ -92,3 +92,22 @@
 	}
 	is.Equal(s.AddManifest(digest, raw, m), []int{0})
 }
+
+// TestWaitersLearnOfManifest guards against hosts that ask again and again for a manifest
+// that has not arrived yet, on behalf of each of their subscribers.
+func TestWaitersLearnOfManifest(t *testing.T) {
+	is := is.New(t)
+	s := fetcher.NewChunkStore(1 << 20)
+	m := filbertstile.Manifest{Name: "a", Chunks: []filbertstile.ChunkRef{{Digest: filbertstile.DigestOf([]byte("x")), Size: 1}}}
+	raw := m.Encode()
+	held, added := s.Held(digestOf(m))
+	is.Equal(held, nil)
+	s.AddManifest(digestOf(m), raw, m)
+	select {
+	case <-added:
+	default:
+		t.Fatal("the waiter was not notified of the manifest")
+	}
+	held, _ = s.Held(digestOf(m))
+	is.Equal(held, []bool{false})
+}
--- a/shells/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -32,11 +32,10 @@
 	manifestTimeout  = 5 * time.Second
 	// holdingBatchDelay is the minimum time between two Holding frames, so that
 	// chunks that arrive together are reported together.
-	holdingBatchDelay    = 2 * time.Millisecond
-	manifestPollInterval = 20 * time.Millisecond
-	codeBusy             = "Busy"
-	codeNotHeld          = "NotHeld"
-	defaultMaxUploads    = 3
+	holdingBatchDelay = 2 * time.Millisecond
+	codeBusy          = "Busy"
+	codeNotHeld       = "NotHeld"
+	defaultMaxUploads = 3
 	// maxCrossRegionUploads is the number of upload slots reserved for importers of
 	// other regions, so that the link between the regions does not idle while the
 	// host serves its own region.
@@ -348,16 +347,12 @@
 	var reported []bool
 	for {
 		held, changed := f.store.Held(digest)
-		if held == nil {
-			if sleeper.Sleep(ctx, manifestPollInterval) != nil {
+		if held != nil {
+			if s.Send(&wire.Frame{Kind: &wire.Frame_Holding{Holding: holdingUpdate(reported, held)}}) != nil {
 				return
 			}
-			continue
-		}
-		if s.Send(&wire.Frame{Kind: &wire.Frame_Holding{Holding: holdingUpdate(reported, held)}}) != nil {
-			return
+			reported = held
 		}
-		reported = held
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/shells/peerrunner/heartbeats.go
+++ b/shells/peerrunner/heartbeats.go
@@ -64,4 +64,12 @@
 }
 
 // hasSeveralGroups reports whether the entries form several groups.
-func (p *Peer) hasSeveralGroups() bool { return grouper.GroupCount(len(p.registeredEntries())) > 1 }
+func (p *Peer) hasSeveralGroups() bool {
+	entries := 0
+	for _, m := range p.sources.Members.View().Rows.All() {
+		if m.Role == filbertstile.RoleEntry {
+			entries++
+		}
+	}
+	return grouper.GroupCount(entries) > 1
+}
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -37,6 +37,9 @@
 	// syncRetryDelay is the delay before the configuration or a manifest is read again
 	// after a failure.
 	syncRetryDelay = 250 * time.Millisecond
+	// idleSessionTimeout is how long the session to another host is kept without a
+	// request. Its keepalives would cost as much as the host's heartbeats.
+	idleSessionTimeout = 3 * time.Second
 	// manifestTimeout is the timeout for reading a manifest from the origin.
 	manifestTimeout = 3 * time.Second
 	// uploadShare is the share of the link's rate that uploads of weights may use.
@@ -87,11 +90,14 @@
 	client       *messenger.Client
 	pulser       *pulser.Pulser
 	installer    *installer.Installer
-	// fetcherMembers are the hosts that were last passed to the fetcher.
+	// fetcherMembers and fetcherWants were last passed to the fetcher.
 	fetcherMembers []filbertstile.Member
-	fetcher        atomic.Pointer[fetcher.Fetcher]
-	report         atomic.Pointer[filbertstile.EngineReport]
-	draining       atomic.Bool
+	fetcherWants   []distributor.Want
+	// rolloutRank is this host's place in the order of switches, as of the last sync.
+	rolloutRank atomic.Pointer[rolloutRank]
+	fetcher     atomic.Pointer[fetcher.Fetcher]
+	report      atomic.Pointer[filbertstile.EngineReport]
+	draining    atomic.Bool
 	// mayCancelRunning is true if running requests may be cancelled because they can
 	// continue at other replicas; see allRoutesRetryable.
 	mayCancelRunning atomic.Bool
@@ -172,6 +178,7 @@
 	pause := syncInterval
 	for sleeper.Sleep(ctx, pause) == nil {
 		pause = syncInterval
+		p.client.CloseIdle(idleSessionTimeout)
 		if p.fetcher.Load() == nil {
 			if err := p.startFetcher(ctx, &wg); err != nil {
 				p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "read configuration", "Error": err})
@@ -240,6 +247,7 @@
 	f := p.fetcher.Load()
 	if m := p.liveHosts(); !slices.Equal(m, p.fetcherMembers) {
 		p.fetcherMembers = m
+		p.rolloutRank.Store(rankAmong(m, p.config.Self))
 		f.SetMembers(m)
 	}
 	w, ok := p.targetVersion()
@@ -257,7 +265,10 @@
 	err := p.ensureManifest(ctx, w)
 	p.weightSource.removeOlder(w.Model, w.Version-keptVersions+1)
 	p.addStagedChunks(ctx, w)
-	f.SetWanted(p.versionsToHold(w))
+	if wants := p.versionsToHold(w); !slices.Equal(wants, p.fetcherWants) {
+		p.fetcherWants = wants
+		f.SetWanted(wants)
+	}
 	return err
 }
 
@@ -290,7 +301,7 @@
 		return true
 	}
 	var inOriginRegion []string
-	for _, m := range p.liveHosts() {
+	for _, m := range p.fetcherMembers {
 		if m.Region == p.originRegion {
 			inOriginRegion = append(inOriginRegion, m.Name)
 		}
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -116,30 +116,41 @@
 	if !ok {
 		return nil
 	}
-	rank, odd := p.rank()
+	rank := p.rolloutRank.Load()
+	if rank == nil {
+		// The hosts are not known yet.
+		rank = &rolloutRank{}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []installer.Wanted
 	for v := w.Version; v > w.Version-keptVersions; v-- {
 		version := filbertstile.WeightsVersion{Model: w.Model, Version: v}
 		if at, ok := p.learnedAt[version]; ok {
-			out = append(out, installer.Wanted{Weights: version, LearnedAt: at, RolloutTimeout: p.config.RolloutTimeout, Rank: rank, MaySkip: odd})
+			out = append(out, installer.Wanted{Weights: version, LearnedAt: at, RolloutTimeout: p.config.RolloutTimeout, Rank: rank.position, MaySkip: rank.odd})
 		}
 	}
 	return out
 }
 
-// rank returns the position of this host among those of its service and failure
-// domain, from 0 to 1, and whether its index is odd. The order is per domain so that
-// groups of hosts that switch together are of equal size in each domain.
-func (p *Peer) rank() (float64, bool) {
+// rolloutRank is a host's place in the order in which hosts switch to a new version.
+type rolloutRank struct {
+	// position is from 0, which switches first, to 1.
+	position float64
+	// odd is true if the host's index is odd.
+	odd bool
+}
+
+// rankAmong returns the place of self among the hosts of its failure domain. The order is
+// per domain so that groups of hosts that switch together are of equal size in each domain.
+func rankAmong(hosts []filbertstile.Member, self filbertstile.Member) *rolloutRank {
 	var names []string
-	for _, m := range p.liveHosts() {
-		if m.Domain == p.config.Self.Domain {
+	for _, m := range hosts {
+		if m.Domain == self.Domain {
 			names = append(names, m.Name)
 		}
 	}
 	slices.Sort(names)
-	i, _ := slices.BinarySearch(names, p.config.Self.Name)
-	return float64(i) / float64(max(1, len(names))), i%2 == 1
+	i, _ := slices.BinarySearch(names, self.Name)
+	return &rolloutRank{position: float64(i) / float64(max(1, len(names))), odd: i%2 == 1}
 }
--- a/transport/messenger/export_test.go
+++ b/transport/messenger/export_test.go
@@ -12,3 +12,10 @@
 	_, err := protodelim.MarshalTo(s.raw, f)
 	return err
 }
+
+// SessionCount returns the number of addresses to which the client has a session.
+func (c *Client) SessionCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.peers)
+}
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -262,6 +262,8 @@
 type peerSession struct {
 	lock    chan struct{}
 	session *yamux.Session
+	// usedAt is when the session was last asked for.
+	usedAt time.Time
 }
 
 func newPeerSession() *peerSession { return &peerSession{lock: make(chan struct{}, 1)} }
@@ -297,6 +299,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	p.usedAt = time.Now()
 	if p.session != nil && !p.session.IsClosed() {
 		return p.session, nil
 	}
@@ -399,6 +402,27 @@
 	}
 }
 
+// CloseIdle closes the sessions that have no open stream and for which no stream was
+// opened within the timeout. Sessions that are being dialed are left alone.
+func (c *Client) CloseIdle(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		select {
+		case p.lock <- struct{}{}:
+		default:
+			continue
+		}
+		if time.Since(p.usedAt) >= timeout && (p.session == nil || p.session.NumStreams() == 0) {
+			if p.session != nil {
+				_ = p.session.Close()
+			}
+			delete(c.peers, address)
+		}
+		<-p.lock
+	}
+}
+
 // Close closes all sessions.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/transport/messenger/messenger_test.go
+++ b/transport/messenger/messenger_test.go
@@ -106,3 +106,38 @@
 		is.True(time.Since(start) <= time.Second)
 	})
 }
+
+// TestIdleSessionsAreClosed guards against sessions whose keepalives go on for as long as
+// both processes live: a host once had one with each of some twenty others, and exchanged
+// more keepalives than heartbeats. A session with an open stream must stay.
+func TestIdleSessionsAreClosed(t *testing.T) {
+	const timeout = 3 * time.Second
+	sessions := make(chan struct{}, 8)
+	h := func(ctx context.Context, req *wire.Request, s *messenger.Stream) {
+		sessions <- struct{}{}
+		if req.GetId() == "long" {
+			<-ctx.Done()
+			return
+		}
+		_ = s.Send(&wire.Frame{Kind: &wire.Frame_Ack{Ack: &wire.Ack{}}})
+	}
+	withServer(t, h, func(ctx context.Context, is *is.I, _ *shaper.Fabric, c *messenger.Client, address string) {
+		long, err := c.Open(ctx, address, request("long"))
+		is.NoErr(err)
+		time.Sleep(2 * timeout)
+		c.CloseIdle(timeout)
+		is.Equal(c.SessionCount(), 1) // it has a stream
+		long.Close()
+		time.Sleep(timeout / 2)
+		_, err = c.Call(ctx, address, request("short"))
+		is.NoErr(err)
+		c.CloseIdle(timeout)
+		is.Equal(c.SessionCount(), 1) // it was used recently
+		time.Sleep(timeout)
+		c.CloseIdle(timeout)
+		is.Equal(c.SessionCount(), 0)
+		_, err = c.Call(ctx, address, request("again"))
+		is.NoErr(err)
+		is.Equal(c.SessionCount(), 1)
+	})
+}
