fetcher, messenger, distributor: fewer wake-ups and writes for each chunk

Cause (profile of 30 hosts on loopback that fetch 96 chunks each): the distributor ticked every 5 ms and counted the holders of chunks that are other readers' before it asked whose they are; a chunk of 24 KiB went out in six frames, each with two writes. Change: a tick every 20 ms where no event arrives; whose chunk it is comes first; frames of 16 KiB between hosts of the platform; header and body of a session's frame in one write.

--- a/decisions/distributor/decide.go
+++ b/decisions/distributor/decide.go
@@ -199,7 +199,7 @@
 		if t.importFetches >= c.config.Limits.MaxImportFetches || now.Before(t.nextImport) {
 			break
 		}
-		if t.have[i] || t.isFetching(i) || c.heldInRegion(t, i) || !c.shouldFetch(now, t, i) {
+		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) || c.heldInRegion(t, i) {
 			continue
 		}
 		p := c.leastLoaded(usable, i)
@@ -250,7 +250,7 @@
 		if t.originFetches >= c.config.Limits.MaxOriginFetches {
 			break
 		}
-		if t.have[i] || t.isFetching(i) || c.heldInRegion(t, i) || !c.shouldFetch(now, t, i) {
+		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) || c.heldInRegion(t, i) {
 			continue
 		}
 		out = append(out, c.startFetch(now, t, i, nil))
--- a/shells/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -22,14 +22,14 @@
 
 const (
 	// idleInterval is the time between ticks of the distributor while no events
-	// arrive.
-	idleInterval = 5 * time.Millisecond
+	// arrive. It delays what depends on time alone: retries, takeovers and hedges.
+	idleInterval = 20 * time.Millisecond
 	// doneInterval replaces idleInterval while the host holds all wanted releases.
 	doneInterval = time.Second
-	// maxPieceBytes is the maximum size of the data in a Data frame.
-	maxPieceBytes    = 4 << 10
-	resubscribeDelay = 200 * time.Millisecond
-	manifestTimeout  = 5 * time.Second
+	// defaultPieceBytes is the default of Config.PieceBytes.
+	defaultPieceBytes = 4 << 10
+	resubscribeDelay  = 200 * time.Millisecond
+	manifestTimeout   = 5 * time.Second
 	// holdingBatchDelay is the minimum time between two Holding frames, so that
 	// chunks that arrive together are reported together.
 	holdingBatchDelay = 2 * time.Millisecond
@@ -64,7 +64,10 @@
 	// hosts; 0 is no limit. With a limit, chunks wait here rather than in the link's
 	// queue, where they would delay requests and heartbeats.
 	UploadBytesPerSecond float64
-	Metrics              metrics.Registry
+	// PieceBytes is the maximum size of the data in one frame; 0 means the default. On a
+	// link that live requests share, a request waits for the piece that is being sent.
+	PieceBytes int
+	Metrics    metrics.Registry
 	// OnManifest, if not nil, is called for each manifest that arrives, before its
 	// chunks are fetched.
 	OnManifest func(digest filbertstile.Digest, m filbertstile.Manifest)
@@ -107,6 +110,9 @@
 	if c.MaxUploads == 0 {
 		c.MaxUploads = defaultMaxUploads
 	}
+	if c.PieceBytes == 0 {
+		c.PieceBytes = defaultPieceBytes
+	}
 	pool, err := ants.NewPool(fetchPoolSize, ants.WithDisablePurge(true))
 	if err != nil {
 		return nil, fmt.Errorf("create fetch pool: %w", err)
@@ -304,7 +310,7 @@
 func (f *Fetcher) HandleChunk(ctx context.Context, req *wire.Request, s *messenger.Stream) {
 	digest := filbertstile.Digest(req.GetChunk().GetDigest())
 	if raw := f.store.Manifest(digest); raw != nil {
-		_ = s.SendContent(raw, maxPieceBytes)
+		_ = s.SendContent(raw, f.config.PieceBytes)
 		return
 	}
 	data := f.store.Chunk(digest)
@@ -326,7 +332,7 @@
 	if f.uploadLimiter.WaitN(ctx, min(len(data), uploadBurstBytes)) != nil {
 		return
 	}
-	_ = s.SendContent(data, maxPieceBytes)
+	_ = s.SendContent(data, f.config.PieceBytes)
 }
 
 func refusal(code string) *wire.Frame {
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -44,6 +44,9 @@
 	manifestTimeout = 3 * time.Second
 	// uploadShare is the share of the link's rate that uploads of weights may use.
 	uploadShare = 0.88
+	// pieceBytes is the size of the frames that carry a chunk. Callers' requests reach the
+	// engine on connections of their own, and do not wait for a frame.
+	pieceBytes = 16 << 10
 	// maxUploads is the maximum number of uploads of chunks in progress.
 	maxUploads = 8
 	// weightMemoryDivisor limits the chunks held to 1/weightMemoryDivisor of the
@@ -219,7 +222,7 @@
 		Core: distributor.Config{
 			Self: p.config.Self, SourceRegion: region, Limits: distributor.SmallReleaseLimits(), Seed: uint64(p.started.UnixNano()),
 		},
-		MemoryBytes: p.config.MemoryBytes / weightMemoryDivisor, MaxUploads: maxUploads, UploadBytesPerSecond: p.config.LinkBytesPerSecond * uploadShare, OnCompleted: func(distributor.Completed) {},
+		MemoryBytes: p.config.MemoryBytes / weightMemoryDivisor, MaxUploads: maxUploads, UploadBytesPerSecond: p.config.LinkBytesPerSecond * uploadShare, PieceBytes: pieceBytes, OnCompleted: func(distributor.Completed) {},
 		OnManifest: p.weightSource.addReceivedManifest,
 	})
 	if err != nil {
--- a/transport/messenger/export_test.go
+++ b/transport/messenger/export_test.go
@@ -19,3 +19,9 @@
 	defer c.mu.Unlock()
 	return len(c.peers)
 }
+
+// SessionConfig and NewJoiner are what sessions use.
+var (
+	SessionConfig = sessionConfig
+	NewJoiner     = newJoiner
+)
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -202,7 +202,7 @@
 
 func (srv *Server) serveSession(ctx context.Context, conn net.Conn) {
 	defer srv.wg.Done()
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(newJoiner(conn), sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -309,7 +309,7 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(newJoiner(conn), sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("open session to %s: %w", address, err)
