distributor: a host asks for its rank only for chunks that its region lacks

Change: shouldFetch looks at the owner, then at the region, then at the rank. Failed try: the region last.

--- a/decisions/distributor/decide.go
+++ b/decisions/distributor/decide.go
@@ -199,7 +199,7 @@
 		if t.importFetches >= c.config.Limits.MaxImportFetches || now.Before(t.nextImport) {
 			break
 		}
-		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) || c.heldInRegion(t, i) {
+		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) {
 			continue
 		}
 		p := c.leastLoaded(usable, i)
@@ -250,7 +250,7 @@
 		if t.originFetches >= c.config.Limits.MaxOriginFetches {
 			break
 		}
-		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) || c.heldInRegion(t, i) {
+		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) {
 			continue
 		}
 		out = append(out, c.startFetch(now, t, i, nil))
@@ -278,13 +278,13 @@
 	return true
 }
 
-// shouldFetch reports whether this host should fetch the chunk into its region: it is
-// the chunk's owner, or the owner and the hosts before this one in the takeover order
-// have made no progress for too long.
+// shouldFetch reports whether this host should fetch the chunk into its region: no peer
+// of the region is known to hold it, and this host is the chunk's owner, or the owner and
+// the hosts before this one in the takeover order have made no progress for too long.
 func (c *Core) shouldFetch(now time.Time, t *transfer, index int) bool {
 	owner := c.ownerOf(t, index)
 	if owner == c.config.Self.Name {
-		return true
+		return !c.heldInRegion(t, index)
 	}
 	p := t.progressOf(now, owner)
 	delay := c.config.Limits.TakeoverDelay
@@ -293,7 +293,7 @@
 		delay = max(delay, 4*p.lastChunk.Sub(p.since)/time.Duration(p.chunks))
 	}
 	idle := min(now.Sub(p.lastChunk), now.Sub(c.originFailedAt))
-	if idle < delay {
+	if idle < delay || c.heldInRegion(t, index) {
 		return false
 	}
 	rank := c.ownerRank(t, index)
