tracker, platform: the store may come back from an older copy

Cause: after an older copy revisions are given out again. A watch from a revision that the store has passed again gets no error and misses what was written under the same revisions before; conditional writes may hit another value; processes registered once. Ruled out: comparing revisions alone; TestNewEraIsListed plays the case in which they have caught up. Change: Batch carries the era of the header Store-Era; a tracker lists anew when it changes, keeps rows that the older copy lacks for a time, and logs both eras and revisions (StoreEraChanged); responses of an older era that arrive late are errors. Before: TestNewEraIsListed finds a, b, c and f instead of a, d, e and f. After: it passes, as does TestMissingRowsAreKeptInNewEra.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -36,6 +36,8 @@
 	HistoryGone         Event = 211
 	ObjectUnreadable    Event = 212
 	SettingsReloaded    Event = 213
+	StoreEraChanged     Event = 214
+	SourceChanged       Event = 215
 	HostLost            Event = 301
 	HostFound           Event = 302
 	RequestFailed       Event = 303
@@ -101,6 +103,8 @@
 	{SnapshotFailed, "SnapshotFailed", "config", logrus.WarnLevel, "The configuration snapshot could not be written; the change log grows until the next snapshot succeeds.", "Check the object API."},
 	{HistoryGone, "HistoryGone", "config", logrus.InfoLevel, "The store no longer keeps the history from which a watch started; the objects are listed again.", noAction},
 	{ObjectUnreadable, "ObjectUnreadable", "config", logrus.WarnLevel, "An object of the store cannot be decoded and is ignored.", "Check the object and its writer."},
+	{StoreEraChanged, "StoreEraChanged", "config", logrus.WarnLevel, "The store has come back from an older copy of its data; the objects are listed again.", "Check what was written in the seconds before."},
+	{SourceChanged, "SourceChanged", "config", logrus.InfoLevel, "The process now reads the store itself, or follows the copy of the process in the log line.", noAction},
 	{SettingsReloaded, "SettingsReloaded", "process", logrus.InfoLevel, "The settings file was reloaded after SIGHUP.", noAction},
 	{HostLost, "HostLost", "requests", logrus.WarnLevel, "A host process is unreachable and gets no work.", "Check the host if it stays unreachable."},
 	{HostFound, "HostFound", "requests", logrus.InfoLevel, "A host process is reachable.", noAction},
--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -91,6 +91,8 @@
 	BodySize   int
 	// Timeout replaces the client's timeout if it is set.
 	Timeout time.Duration
+	// KeepHeader names a header field of the response to return; none if it is empty.
+	KeepHeader string
 }
 
 // Response is the response to a call.
@@ -99,7 +101,9 @@
 	ContentType string
 	// ETag is the response's entity tag; empty if it has none.
 	ETag string
-	Body []byte
+	// KeptHeader is the value of the header field that the call's KeepHeader names.
+	KeptHeader string
+	Body       []byte
 }
 
 // ErrStatus reports a response with an unexpected status.
@@ -199,6 +203,7 @@
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 		ETag:        string(resp.Header.Peek(fasthttp.HeaderETag)),
+		KeptHeader:  string(resp.Header.Peek(call.KeepHeader)),
 		Body:        bytes.Clone(resp.Body()),
 	}, nil
 }
--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -1,6 +1,8 @@
 // Package tracker keeps a local copy of the objects under one prefix of the object API.
 // It lists the objects, watches for changes from the revision of the list, and lists
-// them again if the store no longer has the history from that revision.
+// them again if the store no longer has the history from that revision, or has come back
+// from an older copy of its data. The copy of one process can be kept up to date from that
+// of another instead of the store.
 package tracker
 
 import (
@@ -43,19 +45,34 @@
 	BatchDelay time.Duration
 	// OnChange is called after each change; it must not block.
 	OnChange func()
+	// Immediate, if not nil, is a client of the same store whose watches return at once.
+	// The first watch after SetReading(true) uses it, as a watch confirms nothing before
+	// it returns.
+	Immediate filbertstile.Store
+	// KeepMissing is how long rows stay in the copy that the first list of a new era lacks:
+	// what was written since the store's copy was made is written again only after some
+	// time, and its absence says nothing about what it describes.
+	KeepMissing time.Duration
+	// OnEra, if not nil, is called after the copy has moved to a new era of the store. It
+	// must not block.
+	OnEra func(era uint64)
 }
 
 // View is the copy at one point in time.
 type View[T filbertstile.Row] struct {
 	Rows filbertstile.Table[T]
-	// Revision is the store's revision that the copy reflects.
+	// Revision is the store's revision that the copy reflects, and Era the store's era.
 	Revision uint64
+	Era      uint64
 	// ConfirmedAt is the latest time, on Config.Clock, at which the copy is known to have
 	// been up to date: the time at which the last successful list or watch was sent,
 	// or WatchTimeout later if the store waited that long and nothing changed.
 	ConfirmedAt time.Duration
 	// Listed is true after the objects have been listed completely for the first time.
 	Listed bool
+	// ReadAt is the value of ConfirmedAt that this process's own calls of the store have
+	// reached; copies of other processes do not advance it.
+	ReadAt time.Duration
 }
 
 // Tracker keeps the copy up to date. Its methods are safe for concurrent use.
@@ -66,6 +83,17 @@
 	view View[T]
 	// rowKeys maps the keys of objects to the keys of their rows.
 	rowKeys map[string]string
+	// objects are the objects of the copy, by key.
+	objects map[string]filbertstile.Object
+	// history holds all changes after the revision historyFrom.
+	history     []Update
+	historyFrom uint64
+	// changed is closed and replaced when the view changes, ConfirmedAt included.
+	changed chan struct{}
+	// reading is false while another process's copy keeps this one up to date, and
+	// readingChanged is closed and replaced when it changes.
+	reading        bool
+	readingChanged chan struct{}
 	// storeUnreachable is true if the last call failed.
 	storeUnreachable bool
 }
@@ -75,7 +103,10 @@
 	if c.OnChange == nil {
 		c.OnChange = func() {}
 	}
-	return &Tracker[T]{config: c, rowKeys: make(map[string]string)}
+	return &Tracker[T]{
+		config: c, rowKeys: make(map[string]string), objects: make(map[string]filbertstile.Object), changed: make(chan struct{}),
+		reading: true, readingChanged: make(chan struct{}),
+	}
 }
 
 // View returns the current copy.
@@ -91,15 +122,23 @@
 	return t.config.Clock() - v.ConfirmedAt, v.Listed
 }
 
-// Run keeps the copy up to date until the context ends.
+// Run keeps the copy up to date until the context ends. While SetReading(false) is in
+// force, it makes no calls.
 func (t *Tracker[T]) Run(ctx context.Context) {
 	delay := initialRetryDelay
 	listed := false
 	for ctx.Err() == nil {
-		var err error
+		resumed, err := t.awaitReading(ctx)
+		if err != nil {
+			return
+		}
+		if v := t.View(); v.Listed && resumed {
+			// Another process's copy may have replaced the own one meanwhile.
+			listed = true
+		}
 		if listed {
 			var changed bool
-			changed, err = t.watch(ctx)
+			changed, err = t.watch(ctx, resumed)
 			if changed && sleeper.Sleep(ctx, t.config.BatchDelay) != nil {
 				return
 			}
@@ -129,6 +168,37 @@
 	}
 }
 
+// SetReading sets whether the copy is kept up to date by calls of the store. A call that is
+// in progress is completed.
+func (t *Tracker[T]) SetReading(reading bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reading != reading {
+		t.reading = reading
+		close(t.readingChanged)
+		t.readingChanged = make(chan struct{})
+	}
+}
+
+// awaitReading waits until the tracker may call the store, and reports whether it had to
+// wait.
+func (t *Tracker[T]) awaitReading(ctx context.Context) (waited bool, err error) {
+	for {
+		t.mu.Lock()
+		reading, changed := t.reading, t.readingChanged
+		t.mu.Unlock()
+		if reading {
+			return waited, nil
+		}
+		waited = true
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return waited, ctx.Err()
+		}
+	}
+}
+
 func (t *Tracker[T]) recordSuccess() {
 	t.mu.Lock()
 	recovered := t.storeUnreachable
@@ -155,34 +225,26 @@
 func (t *Tracker[T]) list(ctx context.Context) error {
 	sentAt := t.config.Clock()
 	after := ""
-	revision := uint64(0)
-	var rows []T
-	keys := make(map[string]string)
+	var first filbertstile.Batch
+	var objects []filbertstile.Object
 	for {
 		b, err := t.config.Store.List(ctx, t.config.Prefix, after)
 		if err != nil {
 			return err
 		}
-		if revision == 0 {
-			revision = b.Revision
+		if after == "" {
+			first = b
 		}
-		for _, o := range b.Objects {
-			if row, ok := t.decode(o); ok {
-				rows = append(rows, row)
-				keys[o.Key] = row.Key()
-			}
-			after = strings.TrimPrefix(o.Key, t.config.Prefix)
+		if b.Era != first.Era {
+			return ErrEraChanged{Step: "list objects", Prefix: t.config.Prefix, Have: first.Era, Got: b.Era}
 		}
+		objects = append(objects, b.Objects...)
 		if !b.More {
 			break
 		}
+		after = strings.TrimPrefix(b.Objects[len(b.Objects)-1].Key, t.config.Prefix)
 	}
-	t.mu.Lock()
-	t.view = View[T]{Rows: filbertstile.NewTable(rows...), Revision: revision, ConfirmedAt: sentAt, Listed: true}
-	t.rowKeys = keys
-	t.mu.Unlock()
-	t.config.OnChange()
-	return nil
+	return t.replace(Update{Era: first.Era, Revision: first.Revision, Complete: true, Objects: objects}, sentAt, sentAt)
 }
 
 func (t *Tracker[T]) decode(o filbertstile.Object) (T, bool) {
@@ -194,50 +256,36 @@
 	return row, true
 }
 
-// watch waits for changes and applies them, and reports whether there were any.
-func (t *Tracker[T]) watch(ctx context.Context) (bool, error) {
+// watch waits for changes and applies them, and reports whether there were any. It does
+// not wait if immediate is true and Config.Immediate is set.
+func (t *Tracker[T]) watch(ctx context.Context, immediate bool) (bool, error) {
+	store, timeout := t.config.Store, t.config.WatchTimeout
+	if immediate && t.config.Immediate != nil {
+		store, timeout = t.config.Immediate, 0
+	}
 	sentAt := t.config.Clock()
-	b, err := t.config.Store.Watch(ctx, t.config.Prefix, t.View().Revision)
+	from := t.View()
+	b, err := store.Watch(ctx, t.config.Prefix, from.Revision)
 	if err != nil {
 		return false, err
 	}
-	t.mu.Lock()
-	v := t.view
-	for _, o := range b.Objects {
-		v.Rows = t.apply(v.Rows, o)
-	}
-	if b.Revision > v.Revision {
-		v.Revision = b.Revision
+	if b.Era != from.Era {
+		t.logEra(from, b)
+		return false, t.list(ctx)
 	}
-	v.ConfirmedAt = sentAt
-	if len(b.Objects) == 0 && t.config.Clock()-sentAt >= t.config.WatchTimeout {
+	confirmedAt := sentAt
+	if waited := t.config.Clock() - sentAt; len(b.Objects) == 0 && timeout > 0 && waited >= timeout {
 		// The store waited for the full timeout before it reported that nothing has
 		// changed.
-		v.ConfirmedAt = sentAt + t.config.WatchTimeout
-	}
-	t.view = v
-	t.mu.Unlock()
-	if len(b.Objects) > 0 {
-		t.config.OnChange()
+		confirmedAt = sentAt + timeout
 	}
+	t.apply(Update{Era: b.Era, From: from.Revision, Revision: max(b.Revision, from.Revision), Objects: b.Objects}, confirmedAt, confirmedAt)
 	return len(b.Objects) > 0, nil
 }
 
-// apply applies one change. An object that can no longer be decoded is removed, as it
-// describes nothing that can be used.
-func (t *Tracker[T]) apply(rows filbertstile.Table[T], o filbertstile.Object) filbertstile.Table[T] {
-	if !o.Removed {
-		if row, ok := t.decode(o); ok {
-			if oldKey, known := t.rowKeys[o.Key]; known && oldKey != row.Key() {
-				rows = rows.Without(oldKey)
-			}
-			t.rowKeys[o.Key] = row.Key()
-			return rows.With(row)
-		}
-	}
-	if oldKey, known := t.rowKeys[o.Key]; known {
-		delete(t.rowKeys, o.Key)
-		return rows.Without(oldKey)
-	}
-	return rows
+// logEra logs that the store has come back from an older copy of its data.
+func (t *Tracker[T]) logEra(from View[T], b filbertstile.Batch) {
+	t.config.Log.Event(reporter.StoreEraChanged, reporter.Fields{
+		"Prefix": t.config.Prefix, "Era": b.Era, "Revision": b.Revision, "OldEra": from.Era, "OldRevision": from.Revision,
+	})
 }
--- a/outside/tracker/tracker_test.go
+++ b/outside/tracker/tracker_test.go
@@ -18,7 +18,10 @@
 	"filbertstile.example/filbertstile/outside/tracker"
 )
 
-const watchTimeout = time.Second
+const (
+	watchTimeout = time.Second
+	keepMissing  = 2500 * time.Millisecond
+)
 
 type row struct{ name, value string }
 
@@ -36,6 +39,7 @@
 	// historyStart is the revision after which the history is complete.
 	historyStart uint64
 	revision     uint64
+	era          uint64
 	unavailable  bool
 	// lists is the number of calls of List.
 	lists int
@@ -77,7 +81,7 @@
 	if s.unavailable {
 		return filbertstile.Batch{}, errUnavailable
 	}
-	out := filbertstile.Batch{Revision: s.revision}
+	out := filbertstile.Batch{Revision: s.revision, Era: s.era}
 	for _, o := range s.objects {
 		out.Objects = append(out.Objects, o)
 	}
@@ -87,7 +91,7 @@
 func (s *store) Watch(ctx context.Context, _ string, after uint64) (filbertstile.Batch, error) {
 	for deadline := time.Now().Add(watchTimeout); ; time.Sleep(10 * time.Millisecond) {
 		s.mu.Lock()
-		out := filbertstile.Batch{Revision: s.revision}
+		out := filbertstile.Batch{Revision: s.revision, Era: s.era}
 		for _, o := range s.history {
 			if o.Version > after {
 				out.Objects = append(out.Objects, o)
@@ -117,7 +121,7 @@
 		started := time.Now()
 		x := tracker.New(tracker.Config[row]{
 			Store: s, Prefix: "kind/", WatchTimeout: watchTimeout, Log: reporter.New(reporter.Config{Logger: log}),
-			Clock: func() time.Duration { return time.Since(started) },
+			Clock: func() time.Duration { return time.Since(started) }, KeepMissing: keepMissing,
 			Decode: func(o filbertstile.Object) (row, error) {
 				if string(o.Value) == "unreadable" {
 					return row{}, fmt.Errorf("cannot decode %s", o.Key)
@@ -215,3 +219,64 @@
 		is.True(age <= watchTimeout+100*time.Millisecond)
 	})
 }
+
+// restore brings back the state before the last writes, in a new era.
+func (s *store) restore(lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = s.history[:len(s.history)-lost]
+	s.objects = make(map[string]filbertstile.Object)
+	s.revision = s.historyStart
+	for _, o := range s.history {
+		s.revision = o.Version
+		s.objects[o.Key[len("kind/"):]] = o
+	}
+	s.era++
+}
+
+// TestNewEraIsListed guards against missing what was written under revisions that the store
+// gives out again after it has come back from an older copy. A watch from such a revision
+// gets no error once the store has passed it.
+func TestNewEraIsListed(t *testing.T) {
+	withTracker(t, func(is *is.I, s *store, x *tracker.Tracker[row]) {
+		for _, name := range []string{"a", "b", "c"} {
+			s.set(name, "1")
+		}
+		settle()
+		s.restore(2) // b and c are gone
+		s.set("d", "1")
+		s.set("e", "1")
+		s.set("f", "1") // the revisions of d and e are those of b and c
+		time.Sleep(watchTimeout + keepMissing + 200*time.Millisecond)
+		synctest.Wait()
+		v := x.View()
+		is.Equal(v.Era, uint64(1))
+		var names []string
+		for _, r := range v.Rows.All() {
+			names = append(names, r.name)
+		}
+		is.Equal(names, []string{"kind/a", "kind/d", "kind/e", "kind/f"})
+	})
+}
+
+// TestMissingRowsAreKeptInNewEra guards against taking rows for gone that the older copy of
+// the store lacks: their writers write them again within seconds.
+func TestMissingRowsAreKeptInNewEra(t *testing.T) {
+	withTracker(t, func(is *is.I, s *store, x *tracker.Tracker[row]) {
+		s.set("a", "1")
+		s.set("b", "1")
+		s.set("c", "1")
+		settle()
+		s.restore(2)
+		time.Sleep(watchTimeout + 100*time.Millisecond)
+		synctest.Wait()
+		is.Equal(x.View().Era, uint64(1))
+		is.Equal(x.View().Rows.Len(), 3) // b and c are kept
+		s.set("b", "2")
+		time.Sleep(keepMissing)
+		synctest.Wait()
+		is.Equal(x.View().Rows.Len(), 2) // c was not written again
+		b, _ := x.View().Rows.Get("kind/b")
+		is.Equal(b.value, "2")
+	})
+}
