sharer, selector: one entry of each failure domain reads the store for all others

Weighed (docs/design/configuration.md): the tree of relayer, readers for the whole system, stale polls of everyone. Change: an entry that hears a reader of its failure domain follows its copies over one stream; hosts follow any entry of their domain. Who reads follows from heartbeats and a rendezvous order, without a lease; copies carry the time of the store's confirmation on the follower's own clock. A process whose copies grow old reads the store itself.

--- a/base/wire/doc.go
+++ b/base/wire/doc.go
@@ -2,4 +2,4 @@
 // is generated from wire.proto.
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative -I ../.. ../../base/wire/wire.proto
+//go:generate protoc --go_out=../.. --go_opt=paths=source_relative -I ../.. ../../base/wire/wire.proto
--- /dev/null
+++ b/decisions/selector/selector.go
@@ -0,0 +1,162 @@
+// Package selector decides which processes of a failure domain read the store, and which
+// process each of the others follows instead. Every process decides for itself, from the
+// heartbeats that it hears: there is no lease, and two processes that read for the same
+// domain cost no more than a few calls. What is never given up for fewer calls is the age
+// of a copy: a process whose copy grows old reads the store itself.
+package selector
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// TakeoverStep is the time that each process waits longer than the one ranked before
+	// it, until it reads the store for lack of another reader. It is longer than a
+	// heartbeat takes within a failure domain, so that one process takes over.
+	TakeoverStep = 150 * time.Millisecond
+	// maxTakeoverSteps bounds the waiting time of the processes with the highest ranks.
+	maxTakeoverSteps = 5
+	// answerTimeout is how long after a process began to follow another one it may still be
+	// without up-to-date copies.
+	answerTimeout = 700 * time.Millisecond
+	// minCooldown and maxCooldown bound how long a process that was given up is not
+	// followed again; the time doubles with each failure in a row.
+	minCooldown = 3 * time.Second
+	maxCooldown = 48 * time.Second
+)
+
+// Cooldown returns how long a process is not followed again after the given number of
+// failures in a row.
+func Cooldown(failures int) time.Duration {
+	return min(maxCooldown, minCooldown<<min(max(0, failures-1), 8))
+}
+
+// Peer is another process of the failure domain whose heartbeats arrive, and which is not
+// about to stop.
+type Peer struct {
+	Name string
+	// Reader is true if the process reads the store itself, and its copies are up to date.
+	Reader bool
+	// FailedUntil is the time before which the peer must not be followed; zero if it has
+	// not failed.
+	FailedUntil time.Time
+}
+
+// failed reports whether the peer must not be followed now.
+func (p Peer) failed(now time.Time) bool { return now.Before(p.FailedUntil) }
+
+// State is what a process knows when it decides.
+type State struct {
+	// Self is the name of the process, and Domain its failure domain.
+	Self   string
+	Domain string
+	Peers  []Peer
+	// Reading is true if the process reads the store now, and ReadAge is the age of what
+	// it has read.
+	Reading bool
+	ReadAge time.Duration
+	// FollowedAge is the age of what the process that is followed has sent. If nothing has
+	// arrived yet, it is longer than MaxAge.
+	FollowedAge time.Duration
+	// FollowingSince is when the process began to follow the one that it follows now.
+	FollowingSince time.Time
+	// Age is the age of the copies, wherever they come from.
+	Age time.Duration
+	// MaxAge is the age from which a copy counts as old. It is longer than the time
+	// between two confirmations.
+	MaxAge time.Duration
+	// NoReaderSince is since when no peer has been a reader; zero if one is.
+	NoReaderSince time.Time
+}
+
+// Choice is what a process does until it decides again.
+type Choice struct {
+	// Follow is the name of the peer to follow; empty if there is none.
+	Follow string
+	// Read is true if the process reads the store itself.
+	Read bool
+	// GiveUp is true if the peer that is followed sends copies that are too old, and must
+	// count as failed.
+	GiveUp bool
+}
+
+// Choose decides for a process that others can follow.
+func Choose(now time.Time, s State) Choice {
+	rank := rankOf(s)
+	patience := time.Duration(min(rank, maxTakeoverSteps)) * TakeoverStep
+	best, found := bestReader(now, s)
+	if !found {
+		waited := !s.NoReaderSince.IsZero() && now.Sub(s.NoReaderSince) >= patience
+		return Choice{Read: s.Reading || waited || s.Age > s.MaxAge+patience}
+	}
+	own := order(s.Domain, s.Self)
+	readsWell := s.Reading && s.ReadAge <= s.MaxAge
+	if readsWell && own < order(s.Domain, best) {
+		// The other reader follows this process and stops.
+		return Choice{Read: true}
+	}
+	return Choice{Follow: best, Read: mustRead(s, patience), GiveUp: givesUp(now, s, patience)}
+}
+
+// mustRead reports whether a process that follows another one must also read the store:
+// because its copies are old, or, once it reads, until the other one sends newer ones.
+func mustRead(s State, patience time.Duration) bool {
+	if s.Reading {
+		return s.FollowedAge > s.MaxAge
+	}
+	return s.Age > s.MaxAge+patience
+}
+
+// givesUp reports whether the process that is followed must count as failed.
+func givesUp(now time.Time, s State, patience time.Duration) bool {
+	return s.FollowedAge > s.MaxAge+patience && now.Sub(s.FollowingSince) > answerTimeout
+}
+
+// ChooseAny decides for a process that nobody follows, and that may follow any peer:
+// the order differs from process to process, so that the followers are spread over the
+// peers. It reads the store itself if no peer is left.
+func ChooseAny(now time.Time, s State) Choice {
+	best, bestOrder := "", uint64(0)
+	for _, p := range s.Peers {
+		if o := order(s.Self, p.Name); !p.failed(now) && (best == "" || o < bestOrder) {
+			best, bestOrder = p.Name, o
+		}
+	}
+	if best == "" {
+		return Choice{Read: true}
+	}
+	return Choice{Follow: best, Read: mustRead(s, 0), GiveUp: givesUp(now, s, 0)}
+}
+
+// bestReader returns the reader that comes first in the domain's order.
+func bestReader(now time.Time, s State) (string, bool) {
+	readers := slices.DeleteFunc(slices.Clone(s.Peers), func(p Peer) bool { return !p.Reader || p.failed(now) })
+	if len(readers) == 0 {
+		return "", false
+	}
+	best := slices.MinFunc(readers, func(a, b Peer) int {
+		if order(s.Domain, a.Name) < order(s.Domain, b.Name) {
+			return -1
+		}
+		return 1
+	})
+	return best.Name, true
+}
+
+// rankOf returns the number of peers that come before the process in the domain's order.
+func rankOf(s State) int {
+	own := order(s.Domain, s.Self)
+	rank := 0
+	for _, p := range s.Peers {
+		if order(s.Domain, p.Name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// order returns the position of the process in the rendezvous order of the key.
+func order(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
--- /dev/null
+++ b/decisions/selector/selector_test.go
@@ -0,0 +1,121 @@
+package selector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile/decisions/selector"
+)
+
+const (
+	maxAge = 1700 * time.Millisecond
+	never  = time.Hour
+)
+
+// firstOf returns which of the processes reads the store if all of them have just started and
+// hear each other.
+func firstOf(now time.Time, names []string) string {
+	first := ""
+	for _, self := range names {
+		s := selector.State{Self: self, Domain: "d", MaxAge: maxAge, Age: never, FollowedAge: never, NoReaderSince: now}
+		for _, other := range names {
+			if other != self {
+				s.Peers = append(s.Peers, selector.Peer{Name: other})
+			}
+		}
+		s.Age = 0
+		if selector.Choose(now, s).Read {
+			first += self
+		}
+	}
+	return first
+}
+
+// TestOneProcessTakesOver guards against all processes of a failure domain that read the
+// store at the moment at which none does.
+func TestOneProcessTakesOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e9, 0)
+	names := []string{"a", "b", "c", "e", "f"}
+	first := firstOf(now, names)
+	is.Equal(len(first), 1)
+	for i, name := range names {
+		if name == first {
+			names = append(names[:i:i], names[i+1:]...)
+		}
+	}
+	second := firstOf(now, names)
+	is.Equal(len(second), 1)
+	is.True(second != first)
+}
+
+// TestChoose checks what a process does that hears one reader, "b".
+func TestChoose(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for n, c := range []struct {
+		state selector.State
+		want  selector.Choice
+	}{
+		// A follower with fresh copies makes no calls.
+		{selector.State{FollowedAge: time.Second, Age: time.Second}, selector.Choice{Follow: "b"}},
+		// One that has just begun to follow does not read while its copies are fresh.
+		{selector.State{FollowedAge: never, Age: time.Second, FollowingSince: now}, selector.Choice{Follow: "b"}},
+		// A process that reads goes on until what it follows is fresh.
+		{selector.State{Reading: true, ReadAge: never, FollowedAge: never, FollowingSince: now}, selector.Choice{Follow: "b", Read: true}},
+		// Old copies make it read, whoever sends them.
+		{selector.State{FollowedAge: 4 * time.Second, Age: 4 * time.Second, FollowingSince: now.Add(-time.Minute)}, selector.Choice{Follow: "b", Read: true, GiveUp: true}},
+	} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			c.state.Self, c.state.Domain, c.state.MaxAge = "a", "d", maxAge
+			c.state.Peers = []selector.Peer{{Name: "b", Reader: true}, {Name: "c"}}
+			is.Equal(selector.Choose(now, c.state), c.want)
+			c.state.Peers[0].FailedUntil = now.Add(time.Second)
+			is.Equal(selector.Choose(now, c.state).Follow, "") // a failed reader is not followed
+		})
+	}
+}
+
+// TestTwoReadersBecomeOne guards against two processes that both go on reading, and against
+// both of them stopping.
+func TestTwoReadersBecomeOne(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e9, 0)
+	read := func(self, other string) bool {
+		return selector.Choose(now, selector.State{
+			Self: self, Domain: "d", MaxAge: maxAge, Reading: true, FollowedAge: time.Second, FollowingSince: now,
+			Peers: []selector.Peer{{Name: other, Reader: true}},
+		}).Read
+	}
+	is.True(read("a", "b") != read("b", "a"))
+}
+
+// TestFollowersAreSpread guards against hosts that all follow the same entry.
+func TestFollowersAreSpread(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e9, 0)
+	var peers []selector.Peer
+	for n := range 10 {
+		peers = append(peers, selector.Peer{Name: fmt.Sprint("e", n)})
+	}
+	followers := make(map[string]int)
+	for n := range 100 {
+		followers[selector.ChooseAny(now, selector.State{Self: fmt.Sprint("h", n), MaxAge: maxAge, Peers: peers}).Follow]++
+	}
+	is.Equal(len(followers), 10)
+	for _, n := range followers {
+		is.True(n < 25)
+	}
+	is.Equal(selector.ChooseAny(now, selector.State{Self: "h", MaxAge: maxAge}), selector.Choice{Read: true})
+}
+
+// TestCooldownDoubles guards against going back to a failed process every few seconds.
+func TestCooldownDoubles(t *testing.T) {
+	is := is.New(t)
+	is.Equal(selector.Cooldown(1), 3*time.Second)
+	is.Equal(selector.Cooldown(2), 6*time.Second)
+	is.Equal(selector.Cooldown(100), 48*time.Second)
+}
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -22,6 +22,8 @@
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/forwarder"
 	"filbertstile.example/filbertstile/shells/installer"
+	"filbertstile.example/filbertstile/shells/sharer"
+	"filbertstile.example/filbertstile/transport/messenger"
 	"filbertstile.example/filbertstile/transport/pulser"
 )
 
@@ -90,6 +92,11 @@
 	Link        forwarder.Link
 	Log         *reporter.Log
 	Metrics     metrics.Registry
+	// Messages connects to the other entries, so that a few of them read the store for all.
+	// If it is nil, the entry always reads the store itself.
+	Messages *messenger.Client
+	// Clock is the clock of the sources.
+	Clock func() time.Duration
 	// CloseExpiredConns closes the connections to replicas that have been idle for too
 	// long. It is called periodically.
 	CloseExpiredConns func()
@@ -102,6 +109,8 @@
 	placer    *placer.Placer
 	forwarder *forwarder.Forwarder
 	pulser    *pulser.Pulser
+	// sharer keeps the sources up to date; nil if the entry always reads the store.
+	sharer *sharer.Sharer
 	// matcher holds the routing in use; nil before the first routing is known.
 	matcher atomic.Pointer[matcher.Matcher]
 	// leaving is true after a planned stop has begun.
@@ -169,6 +178,7 @@
 		Self: e.config.Self, Conn: conn, Log: e.config.Log, Incarnation: incarnation, Compose: e.compose,
 		Interval: heartbeatInterval, OnHeartbeat: e.handleHeartbeat, OnChange: e.Refresh,
 	})
+	e.sharer = e.newSharer()
 }
 
 // Run keeps the entry's view up to date, and exchanges heartbeats and loads with other
@@ -183,8 +193,14 @@
 	wg.Go(func() { e.pulser.Run(ctx) })
 	wg.Go(func() { e.sendLoads(ctx) })
 	wg.Go(func() { e.refreshLoop(ctx) })
+	if e.sharer != nil {
+		wg.Go(func() { e.sharer.Run(ctx) })
+	}
 	for sleeper.Sleep(ctx, maintenanceInterval) == nil {
 		e.config.CloseExpiredConns()
+		if e.config.Messages != nil {
+			e.config.Messages.CloseIdle(idleSessionTimeout)
+		}
 		e.logReadiness()
 	}
 	wg.Wait()
@@ -347,7 +363,7 @@
 		if all {
 			lastAll = time.Now()
 		}
-		p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), AllLoads: all}
+		p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), AllLoads: all}
 		for id, l := range loads {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens)})
 		}
@@ -476,6 +492,8 @@
 	// Waiting is the number of queued requests.
 	Waiting  int
 	Replicas []placer.State
+	// Source is where the entry's copies of the store come from.
+	Source sharer.Source
 }
 
 // Dump returns the entry's state.
@@ -485,5 +503,8 @@
 		d.Config = m.Routing().Version
 	}
 	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
+	if e.sharer != nil {
+		d.Source = e.sharer.Source()
+	}
 	return d
 }
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -35,7 +35,7 @@
 	d := e.division.Load()
 	weights := e.weightsToSend()
 	newPulse := func(heard []string) *wire.Pulse {
-		return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Heard: heard, Weights: weights}
+		return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Heard: heard, Weights: weights}
 	}
 	sameRegion, otherRegions := e.splitByRegion(d.Hosts)
 	direct := e.directHosts()
--- /dev/null
+++ b/shells/edgerunner/sharing.go
@@ -0,0 +1,77 @@
+package edgerunner
+
+import (
+	"context"
+	"time"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/decisions/selector"
+	"filbertstile.example/filbertstile/shells/sharer"
+	"filbertstile.example/filbertstile/transport/messenger"
+)
+
+// Ages from which copies count as old. Each is somewhat longer than the time between two
+// confirmations by a process that reads the store, and leaves another process the time to
+// take over before the copy is too old to be used.
+const (
+	maxRoutingAge  = 1700 * time.Millisecond
+	maxReplicasAge = 3200 * time.Millisecond
+	maxMarksAge    = 5500 * time.Millisecond
+	maxWeightsAge  = 5500 * time.Millisecond
+	maxMembersAge  = 9 * time.Second
+)
+
+// idleSessionTimeout is how long the session to another entry is kept without a stream.
+const idleSessionTimeout = 3 * time.Second
+
+// newSharer returns the sharer of the entry's copies, or nil if Config.Messages is nil.
+func (e *Edge) newSharer() *sharer.Sharer {
+	if e.config.Messages == nil {
+		return nil
+	}
+	return sharer.New(sharer.Config{
+		Self: e.config.Self, Choose: selector.Choose, Peers: e.domainPeers, Clock: e.config.Clock, Client: e.config.Messages, Log: e.config.Log,
+		OnReaderChange: e.readerChanged,
+		Copies: []sharer.SharedCopy{
+			{Copy: e.sources.Routing, MaxAge: maxRoutingAge},
+			{Copy: e.sources.Replicas, MaxAge: maxReplicasAge},
+			{Copy: e.sources.Marks, MaxAge: maxMarksAge},
+			{Copy: e.sources.Weights, MaxAge: maxWeightsAge},
+			{Copy: e.sources.Members, MaxAge: maxMembersAge},
+		},
+	})
+}
+
+// domainPeers returns the other entries of the failure domain whose heartbeats arrive and
+// which are not stopping.
+func (e *Edge) domainPeers() []sharer.Peer {
+	live := e.pulser.Peers()
+	var out []sharer.Peer
+	for _, m := range e.sources.Members.View().Rows.All() {
+		p, ok := live[m.Name]
+		if ok && m.Role == filbertstile.RoleEntry && m.Domain == e.config.Self.Domain && m.Name != e.config.Self.Name && !p.Pulse.GetLeaving() {
+			out = append(out, sharer.Peer{Member: m, Reader: p.Pulse.GetReader()})
+		}
+	}
+	return out
+}
+
+// readerChanged tells the other entries at once that this one reads the store, or no
+// longer does.
+func (e *Edge) readerChanged() {
+	e.mu.Lock()
+	e.otherGroupsSentAt = time.Time{}
+	e.mu.Unlock()
+	e.pulser.SendNow()
+}
+
+// isReader reports whether others may follow this entry.
+func (e *Edge) isReader() bool { return e.sharer != nil && e.sharer.Reader() }
+
+// HandleMessage serves the request of another process.
+func (e *Edge) HandleMessage(ctx context.Context, req *wire.Request, s *messenger.Stream) {
+	if req.GetFollow() != nil && e.sharer != nil {
+		e.sharer.Serve(ctx, req, s)
+	}
+}
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -21,6 +21,7 @@
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/fetcher"
 	"filbertstile.example/filbertstile/shells/installer"
+	"filbertstile.example/filbertstile/shells/sharer"
 	"filbertstile.example/filbertstile/transport/messenger"
 	"filbertstile.example/filbertstile/transport/pulser"
 )
@@ -81,8 +82,10 @@
 	LinkBytesPerSecond float64
 	// MemoryBytes is the memory of the process.
 	MemoryBytes int64
-	Log         *reporter.Log
-	Metrics     metrics.Registry
+	// Clock is the clock of the sources.
+	Clock   func() time.Duration
+	Log     *reporter.Log
+	Metrics metrics.Registry
 }
 
 // Peer is the host process of a model engine.
@@ -92,6 +95,7 @@
 	weightSource *weightSource
 	client       *messenger.Client
 	pulser       *pulser.Pulser
+	sharer       *sharer.Sharer
 	installer    *installer.Installer
 	// fetcherMembers and fetcherWants were last passed to the fetcher.
 	fetcherMembers []filbertstile.Member
@@ -136,6 +140,7 @@
 		Self: p.config.Self, Conn: conn, Log: p.config.Log, Incarnation: incarnation, Compose: p.composeHeartbeats,
 		Interval: heartbeatInterval, OnHeartbeat: p.handleHeartbeat, OnChange: func() {},
 	})
+	p.sharer = p.newSharer()
 }
 
 // Run serves the requests of other hosts at the listener until the context ends.
@@ -148,6 +153,7 @@
 	wg.Go(func() { p.sources.Weights.Run(ctx) })
 	wg.Go(func() { p.sources.Members.Run(ctx) })
 	wg.Go(func() { p.pulser.Run(ctx) })
+	wg.Go(func() { p.sharer.Run(ctx) })
 	wg.Go(func() { p.installer.Run(ctx) })
 	wg.Go(func() { p.syncLoop(ctx) })
 	err = server.Serve(ctx, l)
--- /dev/null
+++ b/shells/peerrunner/sharing.go
@@ -0,0 +1,32 @@
+package peerrunner
+
+import (
+	"time"
+
+	"filbertstile.example/filbertstile/decisions/selector"
+	"filbertstile.example/filbertstile/shells/sharer"
+)
+
+// maxCopyAge is the age from which the host's copies count as old. Entries send those that
+// change rarely, such as members, with an age of up to 9 s.
+const maxCopyAge = 12 * time.Second
+
+// newSharer returns the sharer of the host's copies. A host follows any entry of its failure
+// domain, and none follows it.
+func (p *Peer) newSharer() *sharer.Sharer {
+	return sharer.New(sharer.Config{
+		Self: p.config.Self, Choose: selector.ChooseAny, Peers: p.domainEntries, Clock: p.config.Clock, Client: p.client, Log: p.config.Log,
+		Copies: []sharer.SharedCopy{{Copy: p.sources.Weights, MaxAge: maxCopyAge}, {Copy: p.sources.Members, MaxAge: maxCopyAge}},
+	})
+}
+
+// domainEntries returns the registered entries of the host's failure domain.
+func (p *Peer) domainEntries() []sharer.Peer {
+	var out []sharer.Peer
+	for _, m := range p.registeredEntries() {
+		if m.Domain == p.config.Self.Domain {
+			out = append(out, sharer.Peer{Member: m})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/shells/sharer/sharer.go
@@ -0,0 +1,286 @@
+// Package sharer keeps a process's copies of the store's objects up to date from those of
+// another process, so that a few processes read the store for all. It also sends the own
+// copies to the processes that follow this one. A copy carries the time at which the
+// store confirmed it, and never claims to be newer than it is.
+package sharer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/decisions/selector"
+	"filbertstile.example/filbertstile/outside/tracker"
+	"filbertstile.example/filbertstile/transport/messenger"
+)
+
+const (
+	// decisionInterval is the time between two decisions. It delays the takeover from a
+	// failed reader.
+	decisionInterval = 100 * time.Millisecond
+	// neverConfirmed stands for the age of a copy that was never confirmed.
+	neverConfirmed = time.Hour
+)
+
+// Copy is a copy of the objects under one prefix; tracker.Tracker implements it.
+type Copy interface {
+	Prefix() string
+	// Position returns the copy's position, and a channel that is closed when it changes.
+	Position() (tracker.Position, <-chan struct{})
+	// Since returns the update from a position of the era to the copy's own.
+	Since(era, revision uint64) tracker.Update
+	// Follow applies an update that the store had confirmed at the given time of the
+	// clock. It returns false if a complete copy is needed.
+	Follow(u tracker.Update, confirmedAt time.Duration) bool
+	// SetReading sets whether the copy is kept up to date by calls of the store.
+	SetReading(reading bool)
+}
+
+// SharedCopy is a copy and the age from which it counts as old.
+type SharedCopy struct {
+	Copy
+	MaxAge time.Duration
+}
+
+// Config configures a Sharer.
+type Config struct {
+	Self   filbertstile.Member
+	Copies []SharedCopy
+	// Choose decides what this process does: selector.Choose or selector.ChooseAny.
+	Choose func(now time.Time, s selector.State) selector.Choice
+	// Peers returns the processes that may be followed.
+	Peers func() []Peer
+	// Clock is a monotonic clock that keeps running while the host is suspended.
+	Clock  func() time.Duration
+	Client *messenger.Client
+	Log    *reporter.Log
+	// OnReaderChange, if not nil, is called after the result of Reader has changed.
+	OnReaderChange func()
+}
+
+// Peer is a process that may be followed.
+type Peer struct {
+	Member filbertstile.Member
+	Reader bool
+}
+
+// Sharer decides whom to follow and follows it. It is safe for concurrent use.
+type Sharer struct {
+	config Config
+
+	mu sync.Mutex
+	// following is the stream from the process that is followed; nil if there is none.
+	following *following
+	failures  map[string]failure
+	// noReaderSince is since when no peer has been a reader.
+	noReaderSince time.Time
+	reading       bool
+	// reader is the last result of Reader.
+	reader bool
+}
+
+// failure describes a process that was given up.
+type failure struct {
+	// count is the number of failures in a row.
+	count int
+	until time.Time
+}
+
+// New returns a sharer, whose process reads the store until Run decides otherwise.
+func New(c Config) *Sharer {
+	return &Sharer{config: c, failures: make(map[string]failure), reading: true}
+}
+
+// Run decides and follows until the context ends.
+func (s *Sharer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for sleeper.Sleep(ctx, decisionInterval) == nil {
+		s.decide(ctx, &wg)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.following != nil {
+		s.following.cancel()
+	}
+}
+
+// Reader reports whether this process reads the store itself and its copies are up to date,
+// so that others may follow it.
+func (s *Sharer) Reader() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reader
+}
+
+// Source describes where the copies come from, for state dumps.
+type Source struct {
+	// Follows is the name of the process that is followed; empty if there is none.
+	Follows string
+	// Reads is true if this process reads the store itself.
+	Reads bool
+	// Age is the age of the oldest copy in relation to its limit: the copy with the
+	// highest share of its maximum age.
+	Age time.Duration
+}
+
+// Source returns where the copies come from.
+func (s *Sharer) Source() Source {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Source{Reads: s.reading, Age: s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt })}
+	if s.following != nil {
+		out.Follows = s.following.peer.Name
+	}
+	return out
+}
+
+// decide makes one decision and acts on it.
+func (s *Sharer) decide(ctx context.Context, wg *sync.WaitGroup) {
+	now := time.Now()
+	peers := s.config.Peers()
+	s.mu.Lock()
+	choice := s.config.Choose(now, s.state(now, peers))
+	if choice.GiveUp && s.following != nil {
+		s.giveUp(now, "its copies are too old")
+		choice.Follow = ""
+	}
+	s.follow(ctx, wg, choice.Follow, peers)
+	changed := s.setReading(choice.Read)
+	s.mu.Unlock()
+	if changed && s.config.OnReaderChange != nil {
+		s.config.OnReaderChange()
+	}
+}
+
+// state returns what the process knows. The caller holds s.mu.
+func (s *Sharer) state(now time.Time, peers []Peer) selector.State {
+	out := selector.State{
+		Self: s.config.Self.Name, Domain: s.config.Self.Domain, Reading: s.reading, FollowedAge: neverConfirmed, MaxAge: maxAge,
+		ReadAge: s.age(func(p tracker.Position) time.Duration { return p.ReadAt }),
+		Age:     s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }),
+	}
+	if s.following != nil {
+		out.FollowedAge, out.FollowingSince = s.following.age(s.config.Clock(), s.config.Copies), s.following.since
+		if out.FollowedAge <= maxAge {
+			delete(s.failures, s.following.peer.Name)
+		}
+	}
+	anyReader := false
+	for _, p := range peers {
+		anyReader = anyReader || p.Reader
+		out.Peers = append(out.Peers, selector.Peer{Name: p.Member.Name, Reader: p.Reader, FailedUntil: s.failures[p.Member.Name].until})
+	}
+	if anyReader {
+		s.noReaderSince = time.Time{}
+	} else if s.noReaderSince.IsZero() {
+		s.noReaderSince = now
+	}
+	out.NoReaderSince = s.noReaderSince
+	return out
+}
+
+// maxAge is the age of a copy in State, whose ages are scaled so that a copy of any kind
+// counts as old at maxAge: kinds differ in the time between two confirmations.
+const maxAge = 1700 * time.Millisecond
+
+// scaledAge returns the age of the copy, scaled to maxAge.
+func (c SharedCopy) scaledAge(age time.Duration) time.Duration {
+	return time.Duration(float64(age) / float64(c.MaxAge) * float64(maxAge))
+}
+
+// age returns the highest scaled age of the copies at the time that at selects.
+func (s *Sharer) age(at func(tracker.Position) time.Duration) time.Duration {
+	now, out := s.config.Clock(), time.Duration(0)
+	for _, c := range s.config.Copies {
+		p, _ := c.Position()
+		if !p.Listed {
+			return neverConfirmed
+		}
+		out = max(out, c.scaledAge(now-at(p)))
+	}
+	return out
+}
+
+// setReading sets whether the copies are read from the store, and reports whether the
+// result of Reader has changed. The caller holds s.mu.
+func (s *Sharer) setReading(reading bool) bool {
+	if reading != s.reading {
+		s.reading = reading
+		s.logSource("")
+	}
+	for _, c := range s.config.Copies {
+		c.SetReading(reading)
+	}
+	reader := reading && s.age(func(p tracker.Position) time.Duration { return p.ReadAt }) <= maxAge
+	changed := reader != s.reader
+	s.reader = reader
+	return changed
+}
+
+// giveUp stops following the process, which counts as failed for some time. The caller
+// holds s.mu.
+func (s *Sharer) giveUp(now time.Time, reason string) {
+	f := s.failures[s.following.peer.Name]
+	f.count++
+	f.until = now.Add(selector.Cooldown(f.count))
+	s.failures[s.following.peer.Name] = f
+	s.following.cancel()
+	s.logSource(reason)
+	s.following = nil
+}
+
+// follow follows the named process, and no longer the one before. The caller holds s.mu.
+func (s *Sharer) follow(ctx context.Context, wg *sync.WaitGroup, name string, peers []Peer) {
+	current := ""
+	if s.following != nil {
+		current = s.following.peer.Name
+	}
+	if name == current {
+		return
+	}
+	if s.following != nil {
+		s.following.cancel()
+		s.following = nil
+	}
+	for _, p := range peers {
+		if p.Member.Name != name {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		f := newFollowing(s.config, p.Member, cancel)
+		s.following = f
+		wg.Go(func() {
+			err := f.run(ctx)
+			s.ended(f, err)
+		})
+	}
+	s.logSource("")
+}
+
+// ended handles the end of a stream: the process counts as failed unless it was left on
+// purpose.
+func (s *Sharer) ended(f *following, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.following == f {
+		s.giveUp(time.Now(), err.Error())
+	}
+}
+
+// logSource logs where the copies come from. The caller holds s.mu.
+func (s *Sharer) logSource(reason string) {
+	fields := reporter.Fields{
+		"Reads": s.reading, "Age": s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }).String(),
+	}
+	if s.following != nil {
+		fields["Follows"] = s.following.peer.Name
+	}
+	if reason != "" {
+		fields["Reason"] = reason
+	}
+	s.config.Log.Event(reporter.SourceChanged, fields)
+}
