peerrunner, installer: hosts look for work less often

Cause: each host read its engine's report and worked out its members ten times a second, also at rest. Change: a sync every 300 ms, and at once after news of a version or a manifest; reports of an engine at rest every 200 ms.

--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -20,7 +20,7 @@
 	pollInterval = 50 * time.Millisecond
 	// idlePollInterval is the same while no switch is in progress. It may be longer,
 	// because engines report their state as of some 200 ms ago.
-	idlePollInterval = 100 * time.Millisecond
+	idlePollInterval = 200 * time.Millisecond
 	// switchDuration is the time that a replica takes from its turn until it serves
 	// again: draining (drainTimeout), reading back the staged chunks, and loading.
 	switchDuration = 1800 * time.Millisecond
--- a/shells/peerrunner/heartbeats.go
+++ b/shells/peerrunner/heartbeats.go
@@ -15,7 +15,9 @@
 	now := time.Now()
 	for _, w := range hb.GetWeights() {
 		version := filbertstile.WeightsVersion{Model: w.GetModel(), Version: w.GetVersion()}
-		p.weightSource.addDigest(version, filbertstile.Digest(w.GetManifest()))
+		if p.weightSource.addDigest(version, filbertstile.Digest(w.GetManifest())) {
+			p.Refresh()
+		}
 		p.recordReportedVersion(version)
 	}
 	p.mu.Lock()
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -15,7 +15,6 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
-	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/distributor"
 	"filbertstile.example/filbertstile/outside/tracker"
@@ -33,8 +32,9 @@
 	// digestAnnouncePeriod is how long the digest of a manifest that this process got
 	// is included in each heartbeat.
 	digestAnnouncePeriod = 1500 * time.Millisecond
-	// syncInterval is the time between two updates of what the fetcher should hold.
-	syncInterval = 100 * time.Millisecond
+	// syncInterval is the maximum time between two updates of what the fetcher should
+	// hold; news of a version or of a manifest lead to one at once.
+	syncInterval = 300 * time.Millisecond
 	// syncRetryDelay is the delay before the configuration or a manifest is read again
 	// after a failure.
 	syncRetryDelay = 250 * time.Millisecond
@@ -102,9 +102,11 @@
 	fetcherWants   []distributor.Want
 	// rolloutRank is this host's place in the order of switches, as of the last sync.
 	rolloutRank atomic.Pointer[rolloutRank]
-	fetcher     atomic.Pointer[fetcher.Fetcher]
-	report      atomic.Pointer[filbertstile.EngineReport]
-	draining    atomic.Bool
+	// syncRequested makes syncLoop update the fetcher before the next interval.
+	syncRequested chan struct{}
+	fetcher       atomic.Pointer[fetcher.Fetcher]
+	report        atomic.Pointer[filbertstile.EngineReport]
+	draining      atomic.Bool
 	// mayCancelRunning is true if running requests may be cancelled because they can
 	// continue at other replicas; see allRoutesRetryable.
 	mayCancelRunning atomic.Bool
@@ -127,6 +129,7 @@
 		config: c, weightSource: newWeightSource(c.Log), started: time.Now(),
 		client:    messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
 		learnedAt: make(map[filbertstile.WeightsVersion]time.Time), roster: roster{lastListed: make(map[string]time.Time)},
+		syncRequested: make(chan struct{}, 1),
 	}
 	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning.Load})
 	return p
@@ -185,15 +188,15 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	pause := syncInterval
-	for sleeper.Sleep(ctx, pause) == nil {
+	for p.awaitSync(ctx, pause) {
 		pause = syncInterval
 		p.client.CloseIdle(idleSessionTimeout)
 		if p.fetcher.Load() == nil {
 			if err := p.startFetcher(ctx, &wg); err != nil {
 				p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "read configuration", "Error": err})
 				pause = syncRetryDelay
+				continue
 			}
-			continue
 		}
 		if err := p.syncFetcher(ctx); err != nil {
 			p.config.Log.Event(reporter.SourceFailed, reporter.Fields{"Step": "read manifest", "Error": err})
@@ -202,6 +205,28 @@
 	}
 }
 
+// awaitSync waits until the next update of the fetcher is due, and returns false if the
+// context has ended.
+func (p *Peer) awaitSync(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.syncRequested:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// Refresh requests an update of what the fetcher should hold. It must be called after each
+// change of a source, and does not block.
+func (p *Peer) Refresh() {
+	select {
+	case p.syncRequested <- struct{}{}:
+	default:
+	}
+}
+
 // startFetcher reads the configuration and starts the fetcher.
 func (p *Peer) startFetcher(ctx context.Context, wg *sync.WaitGroup) error {
 	r, err := p.sources.Routing(ctx)
--- a/shells/peerrunner/sharing.go
+++ b/shells/peerrunner/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/selector"
 	"filbertstile.example/filbertstile/shells/sharer"
 )
@@ -23,8 +24,8 @@
 // domainEntries returns the registered entries of the host's failure domain.
 func (p *Peer) domainEntries() []sharer.Peer {
 	var out []sharer.Peer
-	for _, m := range p.registeredEntries() {
-		if m.Domain == p.config.Self.Domain {
+	for _, m := range p.sources.Members.View().Rows.All() {
+		if m.Role == filbertstile.RoleEntry && m.Domain == p.config.Self.Domain {
 			out = append(out, sharer.Peer{Member: m})
 		}
 	}
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -95,6 +95,7 @@
 	}
 	p.mu.Unlock()
 	if !known {
+		p.Refresh()
 		p.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version})
 	}
 }
--- a/shells/peerrunner/weights.go
+++ b/shells/peerrunner/weights.go
@@ -103,13 +103,16 @@
 	}
 }
 
-// addDigest adds the digest of a manifest that another process has read.
-func (s *weightSource) addDigest(w filbertstile.WeightsVersion, digest filbertstile.Digest) {
+// addDigest adds the digest of a manifest that another process has read, and reports
+// whether it was unknown.
+func (s *weightSource) addDigest(w filbertstile.WeightsVersion, digest filbertstile.Digest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.digests[w]; !ok && digest != "" {
-		s.digests[w] = digest
+	if _, ok := s.digests[w]; ok || digest == "" {
+		return false
 	}
+	s.digests[w] = digest
+	return true
 }
 
 // removeOlder removes the versions of the model before the given one, so that the
