exchanger, forwarder, requester: no response is read without end

Cause: the head of a response had no limit (256 MB in 4 s from one server, as the issue says), a body could take 32 MB for each request whatever the entry's memory, an event 1 MB, and the body of a response that says 'not run' was read up to 32 MB. Change: 32 KiB for a head with its informational responses; one memory for all bodies that are being read, a sixth of the process's; 256 KiB for an event; 4 KiB for a body that nobody needs; 8 MiB for a response of the store, the origin or an engine. Past a limit the connection ends, and the caller gets a failure that does not say 'not run'. Left: peers' frames, and settings for these limits.

--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -39,6 +39,9 @@
 	// response is read. A larger body is written concurrently, as the peer may respond
 	// before it has read all of it.
 	maxInlineBodyBytes = 16 << 10
+	// maxHeadBytes is the maximum size of the status line and the header of a response,
+	// together with all informational responses before it.
+	maxHeadBytes = 32 << 10
 	// readBufferBytes is the size of a connection's read buffer, which holds several
 	// events of a stream.
 	readBufferBytes = 4 << 10
@@ -90,6 +93,39 @@
 // errRequestMismatch reports a response that belongs to another request.
 var errRequestMismatch = errors.New("the response belongs to another request")
 
+// ErrTooLong reports a response that exceeds a limit. The connection has been closed.
+type ErrTooLong struct {
+	// Part is the part of the response that is too long.
+	Part       string
+	LimitBytes int64
+}
+
+// Error returns a message with the part and the limit.
+func (e ErrTooLong) Error() string {
+	return fmt.Sprintf("the %s is longer than %d bytes", e.Part, e.LimitBytes)
+}
+
+// limiter is the source of a connection's reader. While limited is true, it returns no more
+// than remaining bytes.
+type limiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int64
+}
+
+// Read reads from the source, or returns ErrTooLong if no bytes remain.
+func (l *limiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrTooLong{Part: "response head", LimitBytes: maxHeadBytes}
+	}
+	n, err := l.source.Read(b[:min(int64(len(b)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
+}
+
 // Client sends requests and pools idle connections. It is safe for concurrent use.
 type Client struct {
 	network filbertstile.Network
@@ -108,6 +144,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// limiter is the source of the reader.
+	limiter *limiter
 	// reused is true if the connection has carried an earlier request.
 	reused    bool
 	idleSince time.Time
@@ -172,7 +210,7 @@
 	if err != nil {
 		return fail("send request", err)
 	}
-	resp, err := readHead(cn.reader, r.Method)
+	resp, err := cn.readHead(r.Method)
 	if err != nil {
 		return fail("read response", err)
 	}
@@ -194,10 +232,13 @@
 	return err
 }
 
-// readHead skips informational (1xx) responses.
-func readHead(b *bufio.Reader, method string) (*http.Response, error) {
+// readHead reads the head of the response, and skips informational (1xx) responses. A peer
+// that sends a head without end gets no more than maxHeadBytes read.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
+	defer func() { c.limiter.limited = false }()
 	for {
-		resp, err := http.ReadResponse(b, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -268,7 +309,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	l := &limiter{source: raw}
+	return &conn{Conn: raw, address: address, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
 }
 
 func (c *Client) acquireIdle(address string, maxIdle time.Duration) *conn {
--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -19,7 +19,8 @@
 	dialTimeout      = 2 * time.Second
 	idleTimeout      = 30 * time.Second
 	maxConns         = 512
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes is several times the largest value and the largest page of a list.
+	maxResponseBytes = 8 << 20
 )
 
 // Config configures a Client.
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -90,6 +90,8 @@
 	RetryBudget forwarder.RetryBudgetConfig
 	Placer      placer.Config
 	Link        forwarder.Link
+	// BufferBytes is the memory for the bodies of responses; 0 means a default.
+	BufferBytes int64
 	Log         *reporter.Log
 	Metrics     metrics.Registry
 	// Messages connects to the other entries, so that a few of them read the store for all.
@@ -165,7 +167,7 @@
 	}
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Placer: e.placer, Link: c.Link, RetryBudget: c.RetryBudget, Log: c.Log, VersionFloor: e.versionFloor, OnRequestEnd: e.recordRequestEnd,
+		Placer: e.placer, Link: c.Link, RetryBudget: c.RetryBudget, BufferBytes: c.BufferBytes, Log: c.Log, VersionFloor: e.versionFloor, OnRequestEnd: e.recordRequestEnd,
 	})
 	return e
 }
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -2,13 +2,12 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"strconv"
 )
 
 // maxEventBytes is the maximum size of a stream event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // eventReader splits a text/event-stream into events.
 type eventReader struct {
@@ -34,7 +33,7 @@
 			return e, nil
 		}
 		if len(r.buf) > maxEventBytes {
-			return nil, fmt.Errorf("longer than %d bytes", maxEventBytes)
+			return nil, ErrTooLong{Limit: "the limit for an event", LimitBytes: maxEventBytes}
 		}
 		n, err := r.source.Read(r.readBuf)
 		r.buf = append(r.buf, r.readBuf[:n]...)
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
@@ -31,9 +30,6 @@
 	// minTimeLeft is the minimum time until the deadline at which a request is still
 	// sent: the fastest responses take that long.
 	minTimeLeft = 25 * time.Millisecond
-	// maxResponseBytes is the maximum size of a response that is not a stream. Such a
-	// response is buffered until it is complete.
-	maxResponseBytes = 32 << 20
 	// replicaRetryAfter is the retry delay sent to the caller if replicas did not run the
 	// request or the retry budget is spent. It covers the delay after which the entry
 	// learns of changes at replicas.
@@ -161,6 +157,9 @@
 	Placer      *placer.Placer
 	Link        Link
 	RetryBudget RetryBudgetConfig
+	// BufferBytes is the memory for the bodies of all responses that are being read; 0
+	// means the default. Streams do not count.
+	BufferBytes int64
 	Log         *reporter.Log
 	// VersionFloor returns the minimum version of the weights for requests to a service.
 	VersionFloor func(service string) placer.VersionFloor
@@ -173,11 +172,12 @@
 type Forwarder struct {
 	config      Config
 	retryBudget *retryBudget
+	buffers     *buffers
 }
 
 // New returns a forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget)}
+	return &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes)}
 }
 
 // SetEntryCount sets the number of entries that share the retry budget.
@@ -273,7 +273,8 @@
 	defer resp.Body.Close()
 	switch resp.Verdict {
 	case NotRun, WrongReplica:
-		_, _ = readBody(resp.Body)
+		// The connection can be used again only after a short body has been read.
+		_, _ = io.CopyN(io.Discard, resp.Body, maxNotRunBodyBytes)
 		return x.notRun(g, resp, started)
 	case Invalid:
 		x.runs++
@@ -378,7 +379,8 @@
 
 // forwardResponse writes a response to the caller after it has been read completely.
 func (x *requestState) forwardResponse(ctx context.Context, g *placer.Grant, resp Response, started time.Time) bool {
-	body, err := readBody(resp.Body)
+	body, done, err := x.forwarder.buffers.read(resp.Body)
+	defer done()
 	if err != nil {
 		if x.ctx.Err() != nil {
 			return x.contextEnded(g, started)
@@ -406,16 +408,6 @@
 	return false
 }
 
-// readBody returns the complete body, or an error if it is longer than
-// maxResponseBytes.
-func readBody(b Body) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(b, maxResponseBytes+1))
-	if err == nil && len(data) > maxResponseBytes {
-		err = fmt.Errorf("longer than %d bytes", maxResponseBytes)
-	}
-	return data, err
-}
-
 // forwardStream writes the events of a stream to the caller as they arrive. It skips
 // events that the caller already has, and treats a missing event as a failure.
 func (x *requestState) forwardStream(ctx context.Context, g *placer.Grant, resp Response, responseTimer *time.Timer, started time.Time) bool {
