--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	dialTimeout      = 2 * time.Second
-	idleTimeout      = 30 * time.Second
-	maxConns         = 512
+	dialTimeout        = 2 * time.Second
+	defaultIdleTimeout = 30 * time.Second
+	maxConns           = 512
 	// maxResponseBytes is several times the largest value and the largest page of a list.
 	maxResponseBytes = 8 << 20
 )
@@ -30,6 +30,9 @@
 	Network filbertstile.Network
 	// Timeout is the timeout of calls that do not set their own.
 	Timeout time.Duration
+	// IdleTimeout is how long an idle connection is kept; 0 means the default. It should be
+	// short for a system that limits the connections of all its clients together.
+	IdleTimeout time.Duration
 }
 
 // Client makes calls to one address. It is safe for concurrent use.
@@ -52,6 +55,10 @@
 		}
 		return conn, nil
 	}
+	idleTimeout := defaultIdleTimeout
+	if c.IdleTimeout > 0 {
+		idleTimeout = c.IdleTimeout
+	}
 	newHostClient := func(streaming bool) *fasthttp.HostClient {
 		return &fasthttp.HostClient{
 			Addr:                c.Address,
