edgerunner: a division is worked out only if its inputs differ

Change: members, engines and who is alive are compared with those of the last time; a refresh at most every 100 ms.

--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -51,7 +51,7 @@
 	maxViewAge = 2900 * time.Millisecond
 	// refreshInterval is the minimum time between two updates of what the entry works out
 	// from its sources and peers. All changes within it take one update.
-	refreshInterval = 50 * time.Millisecond
+	refreshInterval = 100 * time.Millisecond
 	// maintenanceInterval is the time between two checks for expired connections and for
 	// changes of readiness.
 	maintenanceInterval = 500 * time.Millisecond
@@ -125,6 +125,8 @@
 
 	// division is the division of the system into groups, as of the last refresh.
 	division atomic.Pointer[grouper.Division]
+	// dividedFrom is what division was worked out from; nil before the first time.
+	dividedFrom *divisionInputs
 	// refreshRequested makes refreshLoop update the entry's view.
 	refreshRequested chan struct{}
 	// replicasKnown is true after the placer has got the first complete list of replicas.
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -10,21 +10,47 @@
 	"filbertstile.example/filbertstile/transport/pulser"
 )
 
+// divisionInputs are what a division was worked out from.
+type divisionInputs struct {
+	members []filbertstile.Member
+	engines []filbertstile.Replica
+	// alive has an element for each member, true if its heartbeats arrive.
+	alive []bool
+}
+
+// equal reports whether both inputs lead to the same division.
+func (i divisionInputs) equal(o divisionInputs) bool {
+	sameEngine := func(a, b filbertstile.Replica) bool {
+		return a.ID == b.ID && a.Domain == b.Domain && a.Address == b.Address
+	}
+	return slices.Equal(i.alive, o.alive) && slices.Equal(i.members, o.members) && slices.EqualFunc(i.engines, o.engines, sameEngine)
+}
+
 // updateDivision computes, stores and returns the division of the system into groups of
-// entries, which determines the replicas and hosts of this entry's group.
+// entries, which determines the replicas and hosts of this entry's group. It computes
+// nothing if the members, the engines and who is alive are as before: most changes of
+// replicas concern their state. Only refreshLoop calls it.
 func (e *Edge) updateDivision(replicas filbertstile.Table[filbertstile.Replica], pools filbertstile.Table[filbertstile.PoolSpec]) *grouper.Division {
 	peers := e.pulser.Peers()
-	view := grouper.SystemView{Self: e.config.Self, Members: e.sources.Members.View().Rows.All(), Alive: func(name string) bool {
-		_, ok := peers[name]
-		return ok
-	}}
+	inputs := divisionInputs{members: e.sources.Members.View().Rows.All()}
+	for _, m := range inputs.members {
+		_, alive := peers[m.Name]
+		inputs.alive = append(inputs.alive, alive && m.Role == filbertstile.RoleEntry)
+	}
 	for _, x := range replicas.All() {
 		if spec, ok := pools.Get(x.Service); ok && spec.Engine != nil {
-			view.Engines = append(view.Engines, x)
+			inputs.engines = append(inputs.engines, x)
 		}
 	}
-	d := grouper.Divide(view)
+	if e.dividedFrom != nil && inputs.equal(*e.dividedFrom) {
+		return e.division.Load()
+	}
+	d := grouper.Divide(grouper.SystemView{Self: e.config.Self, Members: inputs.members, Engines: inputs.engines, Alive: func(name string) bool {
+		_, ok := peers[name]
+		return ok
+	}})
 	e.division.Store(&d)
+	e.dividedFrom = &inputs
 	return &d
 }
 
