sharer, tracker, platform: processes that start, and an outage of the store, cost fewer calls

Before: 834 calls by 100 processes in 10 s without an answer (TestStoreOutageAndReturn, bound 750). After: the test passes.

--- a/decisions/selector/selector.go
+++ b/decisions/selector/selector.go
@@ -22,6 +22,11 @@
 	// answerTimeout is how long after a process began to follow another one it may still be
 	// without up-to-date copies.
 	answerTimeout = 700 * time.Millisecond
+	// minRetryDelay is the retry delay of the process that comes first, and retryStep is
+	// added for each rank, up to maxRetrySteps.
+	minRetryDelay = 400 * time.Millisecond
+	retryStep     = 400 * time.Millisecond
+	maxRetrySteps = 4
 	// minCooldown and maxCooldown bound how long a process that was given up is not
 	// followed again; the time doubles with each failure in a row.
 	minCooldown = 3 * time.Second
@@ -34,10 +39,11 @@
 	return min(maxCooldown, minCooldown<<min(max(0, failures-1), 8))
 }
 
-// Peer is another process of the failure domain whose heartbeats arrive, and which is not
-// about to stop.
+// Peer is another process of the failure domain that may be followed.
 type Peer struct {
 	Name string
+	// Heard is true if the process's heartbeats arrive, and it is not about to stop.
+	Heard bool
 	// Reader is true if the process reads the store itself, and its copies are up to date.
 	Reader bool
 	// FailedUntil is the time before which the peer must not be followed; zero if it has
@@ -63,8 +69,12 @@
 	FollowedAge time.Duration
 	// FollowingSince is when the process began to follow the one that it follows now.
 	FollowingSince time.Time
-	// Age is the age of the copies, wherever they come from.
+	// Age is the age of the copies, wherever they come from. The copies of a process that
+	// has just started have never been confirmed; their age begins somewhat below MaxAge, so
+	// that the process has time to get them from another one.
 	Age time.Duration
+	// Empty is true if the process has no copies yet.
+	Empty bool
 	// MaxAge is the age from which a copy counts as old. It is longer than the time
 	// between two confirmations.
 	MaxAge time.Duration
@@ -78,6 +88,9 @@
 	Follow string
 	// Read is true if the process reads the store itself.
 	Read bool
+	// RetryDelay is the maximum delay between attempts to read while the store does not
+	// answer. It grows with the process's rank: the first to get an answer serves the others.
+	RetryDelay time.Duration
 	// GiveUp is true if the peer that is followed sends copies that are too old, and must
 	// count as failed.
 	GiveUp bool
@@ -86,8 +99,20 @@
 // Choose decides for a process that others can follow.
 func Choose(now time.Time, s State) Choice {
 	rank := rankOf(s)
+	c := chooseReader(now, s, rank)
+	c.RetryDelay = minRetryDelay + time.Duration(min(rank, maxRetrySteps))*retryStep
+	return c
+}
+
+// chooseReader returns whom a process of the rank follows, and whether it reads.
+func chooseReader(now time.Time, s State, rank int) Choice {
 	patience := time.Duration(min(rank, maxTakeoverSteps)) * TakeoverStep
 	best, found := bestReader(now, s)
+	if !found && s.Empty && !s.Reading && s.Age <= s.MaxAge {
+		// A process that has just started hears nobody yet. Any other one may have copies.
+		any, _ := firstPeer(now, s)
+		return Choice{Follow: any}
+	}
 	if !found {
 		waited := !s.NoReaderSince.IsZero() && now.Sub(s.NoReaderSince) >= patience
 		return Choice{Read: s.Reading || waited || s.Age > s.MaxAge+patience}
@@ -119,21 +144,31 @@
 // the order differs from process to process, so that the followers are spread over the
 // peers. It reads the store itself if no peer is left.
 func ChooseAny(now time.Time, s State) Choice {
+	c := Choice{RetryDelay: minRetryDelay + maxRetrySteps*retryStep}
+	best, found := firstPeer(now, s)
+	if !found {
+		c.Read = !s.Empty || s.Age > s.MaxAge
+		return c
+	}
+	c.Follow, c.Read, c.GiveUp = best, mustRead(s, 0), givesUp(now, s, 0)
+	return c
+}
+
+// firstPeer returns the peer that comes first in an order that differs from process to
+// process.
+func firstPeer(now time.Time, s State) (string, bool) {
 	best, bestOrder := "", uint64(0)
 	for _, p := range s.Peers {
 		if o := order(s.Self, p.Name); !p.failed(now) && (best == "" || o < bestOrder) {
 			best, bestOrder = p.Name, o
 		}
 	}
-	if best == "" {
-		return Choice{Read: true}
-	}
-	return Choice{Follow: best, Read: mustRead(s, 0), GiveUp: givesUp(now, s, 0)}
+	return best, best != ""
 }
 
 // bestReader returns the reader that comes first in the domain's order.
 func bestReader(now time.Time, s State) (string, bool) {
-	readers := slices.DeleteFunc(slices.Clone(s.Peers), func(p Peer) bool { return !p.Reader || p.failed(now) })
+	readers := slices.DeleteFunc(slices.Clone(s.Peers), func(p Peer) bool { return !p.Heard || !p.Reader || p.failed(now) })
 	if len(readers) == 0 {
 		return "", false
 	}
@@ -151,7 +186,7 @@
 	own := order(s.Domain, s.Self)
 	rank := 0
 	for _, p := range s.Peers {
-		if order(s.Domain, p.Name) < own {
+		if p.Heard && order(s.Domain, p.Name) < own {
 			rank++
 		}
 	}
--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -21,6 +21,9 @@
 	// initialRetryDelay is the delay after the first of several failed calls, about ten
 	// times the store's response time.
 	initialRetryDelay = 50 * time.Millisecond
+	// initialRetryDivisor makes the first delay at least 1/initialRetryDivisor of the
+	// maximum.
+	initialRetryDivisor = 4
 	// maxRetryDelay is a fraction of the time within which an entry must learn of a
 	// change.
 	maxRetryDelay = 400 * time.Millisecond
@@ -94,6 +97,8 @@
 	// readingChanged is closed and replaced when it changes.
 	reading        bool
 	readingChanged chan struct{}
+	// maxRetryDelay is the maximum delay between two calls that fail.
+	maxRetryDelay time.Duration
 	// storeUnreachable is true if the last call failed.
 	storeUnreachable bool
 }
@@ -105,7 +110,7 @@
 	}
 	return &Tracker[T]{
 		config: c, rowKeys: make(map[string]string), objects: make(map[string]filbertstile.Object), changed: make(chan struct{}),
-		reading: true, readingChanged: make(chan struct{}),
+		reading: true, readingChanged: make(chan struct{}), maxRetryDelay: maxRetryDelay,
 	}
 }
 
@@ -161,18 +166,24 @@
 			return
 		}
 		t.recordFailure(err)
+		limit := t.retryLimit()
+		delay = max(delay, limit/initialRetryDivisor)
 		if sleeper.Sleep(ctx, delay) != nil {
 			return
 		}
-		delay = min(2*delay, maxRetryDelay)
+		delay = min(2*delay, limit)
 	}
 }
 
-// SetReading sets whether the copy is kept up to date by calls of the store. A call that is
-// in progress is completed.
-func (t *Tracker[T]) SetReading(reading bool) {
+// SetReading sets whether the copy is kept up to date by calls of the store, and the maximum
+// delay between two calls that fail; 0 means the default. A call that is in progress is
+// completed.
+func (t *Tracker[T]) SetReading(reading bool, maxDelay time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.maxRetryDelay = maxDelay; maxDelay == 0 {
+		t.maxRetryDelay = maxRetryDelay
+	}
 	if t.reading != reading {
 		t.reading = reading
 		close(t.readingChanged)
@@ -180,6 +191,12 @@
 	}
 }
 
+func (t *Tracker[T]) retryLimit() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maxRetryDelay
+}
+
 // awaitReading waits until the tracker may call the store, and reports whether it had to
 // wait.
 func (t *Tracker[T]) awaitReading(ctx context.Context) (waited bool, err error) {
--- a/shells/edgerunner/sharing.go
+++ b/shells/edgerunner/sharing.go
@@ -22,6 +22,9 @@
 	maxMembersAge  = 9 * time.Second
 )
 
+// copiesTimeout is how long an entry that has just started waits for copies of others.
+const copiesTimeout = time.Second
+
 // idleSessionTimeout is how long the session to another entry is kept without a stream.
 const idleSessionTimeout = 3 * time.Second
 
@@ -32,27 +35,27 @@
 	}
 	return sharer.New(sharer.Config{
 		Self: e.config.Self, Choose: selector.Choose, Peers: e.domainPeers, Clock: e.config.Clock, Client: e.config.Messages, Log: e.config.Log,
-		OnReaderChange: e.readerChanged,
+		OnReaderChange: e.readerChanged, StartTimeout: copiesTimeout,
 		Copies: []sharer.SharedCopy{
 			{Copy: e.sources.Routing, MaxAge: maxRoutingAge},
 			{Copy: e.sources.Replicas, MaxAge: maxReplicasAge},
 			{Copy: e.sources.Marks, MaxAge: maxMarksAge},
 			{Copy: e.sources.Weights, MaxAge: maxWeightsAge},
-			{Copy: e.sources.Members, MaxAge: maxMembersAge},
+			{Copy: e.sources.Members, MaxAge: maxMembersAge, Bootstrap: true},
 		},
 	})
 }
 
-// domainPeers returns the other entries of the failure domain whose heartbeats arrive and
-// which are not stopping.
+// domainPeers returns the other registered entries of the failure domain.
 func (e *Edge) domainPeers() []sharer.Peer {
 	live := e.pulser.Peers()
 	var out []sharer.Peer
 	for _, m := range e.sources.Members.View().Rows.All() {
-		p, ok := live[m.Name]
-		if ok && m.Role == filbertstile.RoleEntry && m.Domain == e.config.Self.Domain && m.Name != e.config.Self.Name && !p.Pulse.GetLeaving() {
-			out = append(out, sharer.Peer{Member: m, Reader: p.Pulse.GetReader()})
+		if m.Role != filbertstile.RoleEntry || m.Domain != e.config.Self.Domain || m.Name == e.config.Self.Name {
+			continue
 		}
+		p, ok := live[m.Name]
+		out = append(out, sharer.Peer{Member: m, Heard: ok && !p.Pulse.GetLeaving(), Reader: p.Pulse.GetReader()})
 	}
 	return out
 }
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -286,7 +286,11 @@
 	}
 	w, ok := p.targetVersion()
 	if !ok {
-		// No version is known to be chosen, so the newest one of the origin is used.
+		// No version is known to be chosen, so the newest one of the origin is used. Most
+		// hosts learn of it from those that have read its manifest.
+		if time.Since(p.started) < manifestDelay(manifestRank(p.fetcherMembers, p.config.Self.Name, p.originRegion), p.manifestWaitTime()) {
+			return nil
+		}
 		ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 		defer cancel()
 		newest, _, err := p.weightSource.readManifest(ctx, filbertstile.WeightsVersion{Model: p.model})
--- a/shells/peerrunner/sharing.go
+++ b/shells/peerrunner/sharing.go
@@ -12,12 +12,16 @@
 // change rarely, such as members, with an age of up to 9 s.
 const maxCopyAge = 12 * time.Second
 
+// copiesTimeout is how long a host that has just started waits for copies of entries. It is
+// longer than entries that start at the same moment take to have some.
+const copiesTimeout = 3 * time.Second
+
 // newSharer returns the sharer of the host's copies. A host follows any entry of its failure
 // domain, and none follows it.
 func (p *Peer) newSharer() *sharer.Sharer {
 	return sharer.New(sharer.Config{
-		Self: p.config.Self, Choose: selector.ChooseAny, Peers: p.domainEntries, Clock: p.config.Clock, Client: p.client, Log: p.config.Log,
-		Copies: []sharer.SharedCopy{{Copy: p.sources.Weights, MaxAge: maxCopyAge}, {Copy: p.sources.Members, MaxAge: maxCopyAge}},
+		Self: p.config.Self, Choose: selector.ChooseAny, Peers: p.domainEntries, Clock: p.config.Clock, Client: p.client, Log: p.config.Log, StartTimeout: copiesTimeout,
+		Copies: []sharer.SharedCopy{{Copy: p.sources.Weights, MaxAge: maxCopyAge}, {Copy: p.sources.Members, MaxAge: maxCopyAge, Bootstrap: true}},
 	})
 }
 
--- a/shells/sharer/sharer.go
+++ b/shells/sharer/sharer.go
@@ -35,19 +35,25 @@
 	// Follow applies an update that the store had confirmed at the given time of the
 	// clock. It returns false if a complete copy is needed.
 	Follow(u tracker.Update, confirmedAt time.Duration) bool
-	// SetReading sets whether the copy is kept up to date by calls of the store.
-	SetReading(reading bool)
+	// SetReading sets whether the copy is kept up to date by calls of the store, and the
+	// maximum delay between two calls that fail.
+	SetReading(reading bool, maxRetryDelay time.Duration)
 }
 
 // SharedCopy is a copy and the age from which it counts as old.
 type SharedCopy struct {
 	Copy
 	MaxAge time.Duration
+	// Bootstrap is true if the copy names the processes that may be followed: a process that
+	// has just started lists it itself.
+	Bootstrap bool
 }
 
 // Config configures a Sharer.
 type Config struct {
-	Self   filbertstile.Member
+	Self filbertstile.Member
+	// Copies are the process's copies. While the store does not answer, only the first one
+	// is read.
 	Copies []SharedCopy
 	// Choose decides what this process does: selector.Choose or selector.ChooseAny.
 	Choose func(now time.Time, s selector.State) selector.Choice
@@ -57,6 +63,9 @@
 	Clock  func() time.Duration
 	Client *messenger.Client
 	Log    *reporter.Log
+	// StartTimeout is how long a process that has just started waits for the copies of
+	// others before it reads the store itself.
+	StartTimeout time.Duration
 	// OnReaderChange, if not nil, is called after the result of Reader has changed.
 	OnReaderChange func()
 }
@@ -64,12 +73,15 @@
 // Peer is a process that may be followed.
 type Peer struct {
 	Member filbertstile.Member
+	// Heard and Reader are those of selector.Peer.
+	Heard  bool
 	Reader bool
 }
 
 // Sharer decides whom to follow and follows it. It is safe for concurrent use.
 type Sharer struct {
-	config Config
+	config  Config
+	started time.Time
 
 	mu sync.Mutex
 	// following is the stream from the process that is followed; nil if there is none.
@@ -78,6 +90,7 @@
 	// noReaderSince is since when no peer has been a reader.
 	noReaderSince time.Time
 	reading       bool
+	retryDelay    time.Duration
 	// reader is the last result of Reader.
 	reader bool
 }
@@ -89,9 +102,11 @@
 	until time.Time
 }
 
-// New returns a sharer, whose process reads the store until Run decides otherwise.
+// New returns a sharer, whose process reads only the bootstrap copies until Run decides.
 func New(c Config) *Sharer {
-	return &Sharer{config: c, failures: make(map[string]failure), reading: true}
+	s := &Sharer{config: c, started: time.Now(), failures: make(map[string]failure)}
+	s.applyReading()
+	return s
 }
 
 // Run decides and follows until the context ends.
@@ -149,6 +164,7 @@
 		choice.Follow = ""
 	}
 	s.follow(ctx, wg, choice.Follow, peers)
+	s.retryDelay = choice.RetryDelay
 	changed := s.setReading(choice.Read)
 	s.mu.Unlock()
 	if changed && s.config.OnReaderChange != nil {
@@ -163,6 +179,9 @@
 		ReadAge: s.age(func(p tracker.Position) time.Duration { return p.ReadAt }),
 		Age:     s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }),
 	}
+	if out.Age == neverConfirmed {
+		out.Empty, out.Age = true, max(0, maxAge-s.config.StartTimeout)+time.Since(s.started)
+	}
 	if s.following != nil {
 		out.FollowedAge, out.FollowingSince = s.following.age(s.config.Clock(), s.config.Copies), s.following.since
 		if out.FollowedAge <= maxAge {
@@ -171,8 +190,8 @@
 	}
 	anyReader := false
 	for _, p := range peers {
-		anyReader = anyReader || p.Reader
-		out.Peers = append(out.Peers, selector.Peer{Name: p.Member.Name, Reader: p.Reader, FailedUntil: s.failures[p.Member.Name].until})
+		anyReader = anyReader || p.Heard && p.Reader
+		out.Peers = append(out.Peers, selector.Peer{Name: p.Member.Name, Heard: p.Heard, Reader: p.Reader, FailedUntil: s.failures[p.Member.Name].until})
 	}
 	if anyReader {
 		s.noReaderSince = time.Time{}
@@ -212,15 +231,26 @@
 		s.reading = reading
 		s.logSource("")
 	}
-	for _, c := range s.config.Copies {
-		c.SetReading(reading)
-	}
+	s.applyReading()
 	reader := reading && s.age(func(p tracker.Position) time.Duration { return p.ReadAt }) <= maxAge
 	changed := reader != s.reader
 	s.reader = reader
 	return changed
 }
 
+// applyReading sets which copies are read from the store. The first one shows whether the
+// store answers; the others are not read while it does not.
+func (s *Sharer) applyReading() {
+	answers := false
+	for i, c := range s.config.Copies {
+		p, _ := c.Position()
+		if i == 0 {
+			answers = p.Listed && c.scaledAge(s.config.Clock()-p.ReadAt) <= maxAge
+		}
+		c.SetReading(s.reading && (i == 0 || answers) || c.Bootstrap && !p.Listed, s.retryDelay)
+	}
+}
+
 // giveUp stops following the process, which counts as failed for some time. The caller
 // holds s.mu.
 func (s *Sharer) giveUp(now time.Time, reason string) {
