selector: processes that start together wait for one reader

Cause: a process that had just started counted the time without a reader from its start, so that after StartTimeout all of them read at once (TestFewProcessesReadTheStore: 505 calls of 240 processes in the first 8 s, where 75 are allowed; hosts gave up entries that had no copies yet). Change: for a process without copies only their age counts; one that has none yet is not given up before StartTimeout. After: at most 75 calls at 40, 240 and 1,000 processes.

--- a/decisions/selector/selector.go
+++ b/decisions/selector/selector.go
@@ -114,7 +114,7 @@
 		return Choice{Follow: any}
 	}
 	if !found {
-		waited := !s.NoReaderSince.IsZero() && now.Sub(s.NoReaderSince) >= patience
+		waited := !s.Empty && !s.NoReaderSince.IsZero() && now.Sub(s.NoReaderSince) >= patience
 		return Choice{Read: s.Reading || waited || s.Age > s.MaxAge+patience}
 	}
 	own := order(s.Domain, s.Self)
@@ -135,8 +135,12 @@
 	return s.Age > s.MaxAge+patience
 }
 
-// givesUp reports whether the process that is followed must count as failed.
+// givesUp reports whether the process that is followed must count as failed. One that has no
+// copies yet may have just started, as this one.
 func givesUp(now time.Time, s State, patience time.Duration) bool {
+	if s.Empty && s.Age <= s.MaxAge {
+		return false
+	}
 	return s.FollowedAge > s.MaxAge+patience && now.Sub(s.FollowingSince) > answerTimeout
 }
 
--- a/shells/sharer/sharer_test.go
+++ b/shells/sharer/sharer_test.go
@@ -264,12 +264,12 @@
 		Decode: func(o filbertstile.Object) (item, error) { return item{name: o.Key, value: string(o.Value)}, nil },
 	})
 	messages := messenger.NewClient(messenger.ClientConfig{Network: network, Sender: p.member.Name})
-	choose, maxAge := selector.Choose, maxCopyAge
+	choose, maxAge, startTimeout := selector.Choose, maxCopyAge, time.Second
 	if p.host {
-		choose, maxAge = selector.ChooseAny, maxHostCopyAge
+		choose, maxAge, startTimeout = selector.ChooseAny, maxHostCopyAge, 3*time.Second
 	}
 	p.sharer = sharer.New(sharer.Config{
-		Self: p.member, Copies: []sharer.SharedCopy{{Copy: p.copy, MaxAge: maxAge}}, Choose: choose, StartTimeout: time.Second, Clock: s.clock, Client: messages, Log: log,
+		Self: p.member, Copies: []sharer.SharedCopy{{Copy: p.copy, MaxAge: maxAge}}, Choose: choose, StartTimeout: startTimeout, Clock: s.clock, Client: messages, Log: log,
 		Peers: func() []sharer.Peer { return s.peersOf(p) },
 	})
 	server, err := messenger.NewServer(messenger.ServerConfig{Handler: p.sharer.Serve, Concurrency: 256})
