--- a/shells/sharer/sharer.go
+++ b/shells/sharer/sharer.go
@@ -45,7 +45,7 @@
 	Copy
 	MaxAge time.Duration
 	// Bootstrap is true if the copy names the processes that may be followed: a process that
-	// has just started lists it itself.
+	// has just started reads it itself until it has all copies.
 	Bootstrap bool
 }
 
@@ -241,13 +241,13 @@
 // applyReading sets which copies are read from the store. The first one shows whether the
 // store answers; the others are not read while it does not.
 func (s *Sharer) applyReading() {
+	empty := s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }) == neverConfirmed
 	answers := false
 	for i, c := range s.config.Copies {
-		p, _ := c.Position()
-		if i == 0 {
+		if p, _ := c.Position(); i == 0 {
 			answers = p.Listed && c.scaledAge(s.config.Clock()-p.ReadAt) <= maxAge
 		}
-		c.SetReading(s.reading && (i == 0 || answers) || c.Bootstrap && !p.Listed, s.retryDelay)
+		c.SetReading(s.reading && (i == 0 || answers) || c.Bootstrap && empty, s.retryDelay)
 	}
 }
 
