--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"runtime/debug"
 	"slices"
 	"strings"
 
@@ -23,6 +24,7 @@
 	ProcessStopped      Event = 104
 	StepFailed          Event = 105
 	ListOutOfReach      Event = 106
+	PanicRecovered      Event = 107
 	ChangeApplied       Event = 201
 	ParentLost          Event = 202
 	StoreOutOfReach     Event = 203
@@ -91,6 +93,7 @@
 	{ProcessStopped, "ProcessStopped", "process", logrus.InfoLevel, "All work in flight has finished and the process exits.", noAction},
 	{StepFailed, "StepFailed", "process", logrus.WarnLevel, "A background step failed and will be retried.", "Check the step and the peer in the log line."},
 	{ListOutOfReach, "ListOutOfReach", "process", logrus.WarnLevel, "The host list is unreachable; the process keeps using the last known members.", "Check the platform's host list."},
+	{PanicRecovered, "PanicRecovered", "process", logrus.ErrorLevel, "A panic ended the handling of one request or message; the process goes on.", "Report it with the stack of the log line."},
 	{ChangeApplied, "ChangeApplied", "config", logrus.InfoLevel, "A configuration revision is in force in this process.", noAction},
 	{ParentLost, "ParentLost", "config", logrus.InfoLevel, "The subscription to a relay ended; the subscription to the other relay is used until it is restored.", "Check the relay if this repeats."},
 	{StoreOutOfReach, "StoreOutOfReach", "config", logrus.WarnLevel, "The object API is unreachable from this process.", "Check the platform; requests are still served."},
@@ -189,6 +192,20 @@
 	entry.Log(x.Level, x.Name)
 }
 
+// maxStackBytes is the maximum length of the stack in a log line.
+const maxStackBytes = 4 << 10
+
+// Panic logs, as the event, a panic with which the handling of one request or message has ended. It must
+// be called with the result of recover, which may be nil.
+func (l *Log) Panic(e Event, recovered any, f Fields) {
+	if recovered == nil {
+		return
+	}
+	stack := debug.Stack()
+	f["Panic"], f["Stack"] = fmt.Sprint(recovered), string(stack[:min(len(stack), maxStackBytes)])
+	l.Event(e, f)
+}
+
 // Markdown returns the catalogue as the Markdown text of docs/LOGS.md.
 func Markdown() string {
 	rows := slices.Clone(Catalogue)
--- a/transport/pulser/pulser.go
+++ b/transport/pulser/pulser.go
@@ -154,13 +154,21 @@
 		if err != nil {
 			continue // such as an ICMP error for a datagram that this process sent
 		}
-		pulse := &wire.Pulse{}
-		if err := proto.Unmarshal(buf[:n], pulse); err != nil || pulse.GetName() == "" {
-			p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "decode heartbeat", "Peer": from.String(), "Error": err})
-			continue
-		}
-		p.record(pulse)
+		p.handle(buf[:n], from)
+	}
+}
+
+// handle handles one datagram. A panic ends the handling of this datagram only.
+func (p *Pulser) handle(data []byte, from net.Addr) {
+	defer func() {
+		p.config.Log.Panic(reporter.PanicRecovered, recover(), reporter.Fields{"Step": "handle heartbeat", "Peer": from.String()})
+	}()
+	pulse := &wire.Pulse{}
+	if err := proto.Unmarshal(data, pulse); err != nil || pulse.GetName() == "" {
+		p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "decode heartbeat", "Peer": from.String(), "Error": err})
+		return
 	}
+	p.record(pulse)
 }
 
 // record stores a heartbeat if it is newer than the sender's last one.
--- a/transport/pulser/pulser_test.go
+++ b/transport/pulser/pulser_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,3 +118,36 @@
 		is.Equal(p.PeerNames(), []string{"a"})
 	})
 }
+
+// TestPanicEndsOneHeartbeat guards against a process that ends because the handling of one
+// heartbeat panics.
+func TestPanicEndsOneHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out strings.Builder
+		log := logrus.New()
+		log.SetOutput(&out)
+		s := &socket{in: make(chan []byte), closed: make(chan struct{})}
+		var handled []string
+		p := pulser.New(pulser.Config{
+			Self: filbertstile.Member{Name: "self"}, Conn: s, Log: reporter.New(reporter.Config{Logger: log}), Interval: time.Second,
+			Compose: func() []pulser.Message { return nil }, OnChange: func() {},
+			OnHeartbeat: func(p *wire.Pulse) {
+				if p.GetName() == "malformed" {
+					panic("no such load")
+				}
+				handled = append(handled, p.GetName())
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		s.send(t, &wire.Pulse{Name: "malformed", Incarnation: 1, Sequence: 1})
+		s.send(t, &wire.Pulse{Name: "sound", Incarnation: 1, Sequence: 1})
+		cancel()
+		<-done
+		is.Equal(handled, []string{"sound"})
+		is.True(strings.Contains(out.String(), "PanicRecovered"))
+		is.True(strings.Contains(out.String(), "no such load"))
+	})
+}
