--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -49,6 +49,9 @@
 	// maxViewAge is the maximum time since the store last confirmed the view. An entry
 	// with an older view is not ready, and callers are directed to other entries.
 	maxViewAge = 2900 * time.Millisecond
+	// newsDelay is the time that news takes from the store to this entry through another
+	// one that reads it.
+	newsDelay = 150 * time.Millisecond
 	// refreshInterval is the minimum time between two updates of what the entry works out
 	// from its sources and peers. All changes within it take one update.
 	refreshInterval = 100 * time.Millisecond
@@ -242,7 +245,6 @@
 // refresh applies the current routing, replicas and peers, and returns the log fields that
 // describe the result.
 func (e *Edge) refresh() reporter.Fields {
-	now := time.Now()
 	routing, known := e.routing()
 	if known {
 		if m := e.matcher.Load(); m == nil || m.Routing().Version < routing.Version {
@@ -250,16 +252,14 @@
 			e.config.Log.Event(reporter.ChangeApplied, reporter.Fields{"Config": routing.Version, "Routes": routing.Routes.Len()})
 		}
 	}
-	if e.learnVersions(now) {
-		e.pulser.SendNow()
-	}
+	e.LearnVersions()
 	outOfService := make(map[string]bool)
 	for _, m := range e.sources.Marks.View().Rows.All() {
 		outOfService[m.Name] = m.Out
 	}
 	replicas := e.sources.Replicas.View()
 	d := e.updateDivision(replicas.Rows, routing.Pools)
-	entries := 1 + d.LivePeerCount
+	entries, now := 1+d.LivePeerCount, time.Now()
 	e.placer.RetainPeers(now, d.LiveGroupPeers)
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, OutOfService: outOfService, Regions: e.config.Regions, Entries: entries,
@@ -283,8 +283,17 @@
 	return r, ok
 }
 
-// learnVersions records newly chosen versions, and reports whether there are any.
-func (e *Edge) learnVersions(now time.Time) bool {
+// LearnVersions records newly chosen versions, and announces them at once. It must be called
+// after each change of Sources.Weights: the time from which a version must be in use does
+// not wait for the next refresh.
+func (e *Edge) LearnVersions() {
+	if e.pulser != nil && e.recordVersions(time.Now()) {
+		e.pulser.SendNow()
+	}
+}
+
+// recordVersions records newly chosen versions, and reports whether there are any.
+func (e *Edge) recordVersions(now time.Time) bool {
 	learned := false
 	view := e.sources.Weights.View()
 	e.mu.Lock()
@@ -294,7 +303,7 @@
 		if len(list) > 0 && list[len(list)-1].version >= w.Version {
 			continue
 		}
-		learnedAt := now
+		learnedAt := now.Add(-newsDelay)
 		if !e.versionsListed {
 			// The version may have been chosen long before the start.
 			learnedAt = e.started.Add(e.config.Bounds.SettleTime - e.config.Bounds.RolloutTimeout)
