edgerunner, peerrunner, distributor, sharer: files by subject; docs of the shared copies

Versions, planned stops, dumps, manifests, the distributor's messages and the tests' store and fleet have files of their own; no code changes. docs/design/sharing.md sets out what was weighed; OPERATIONS.md goes from a refused request to the reader that failed.

--- /dev/null
+++ b/shells/edgerunner/dump.go
@@ -0,0 +1,60 @@
+package edgerunner
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/shells/forwarder"
+	"filbertstile.example/filbertstile/shells/sharer"
+)
+
+// recordRequestEnd updates the request metrics. It uses a histogram instead of a timer, as
+// a timer of the metrics library starts a goroutine that never ends.
+func (e *Edge) recordRequestEnd(c *forwarder.Call, status string, took time.Duration) {
+	metrics.GetOrRegisterCounter("Requests."+status, e.config.Metrics).Inc(1)
+	if h, ok := e.config.Metrics.GetOrRegister("Requests.TookMicroseconds."+string(c.Route.Kind), newHistogram).(metrics.Histogram); ok {
+		h.Update(took.Microseconds())
+	}
+}
+
+// Parameters of histograms that the metrics library recommends: 1,028 samples, weighted to
+// the last five minutes.
+const (
+	histogramSampleSize = 1028
+	histogramDecay      = 0.015
+)
+
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSampleSize, histogramDecay))
+}
+
+// Dump is the state of an entry.
+type Dump struct {
+	Self filbertstile.Member
+	// Config is the version of the routing in use; 0 if there is none.
+	Config int64
+	Ready  bool
+	// Heard lists the processes whose heartbeats arrive.
+	Heard []string
+	// Waiting is the number of queued requests.
+	Waiting  int
+	Replicas []placer.State
+	// Source is where the entry's copies of the store come from.
+	Source sharer.Source
+}
+
+// Dump returns the entry's state.
+func (e *Edge) Dump() Dump {
+	d := Dump{Self: e.config.Self, Ready: e.Ready(), Heard: e.pulser.PeerNames()}
+	if m := e.matcher.Load(); m != nil {
+		d.Config = m.Routing().Version
+	}
+	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
+	if e.sharer != nil {
+		d.Source = e.sharer.Source()
+	}
+	return d
+}
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -21,7 +21,6 @@
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/forwarder"
-	"filbertstile.example/filbertstile/shells/installer"
 	"filbertstile.example/filbertstile/shells/sharer"
 	"filbertstile.example/filbertstile/transport/messenger"
 	"filbertstile.example/filbertstile/transport/pulser"
@@ -155,14 +154,6 @@
 	otherGroupsSentLeaving bool
 }
 
-// chosenVersion is a version of the weights and the time at which this entry learned that
-// operators had chosen it. For a version that may have been chosen before the start, the
-// time is set so that the version must be in use when Bounds.SettleTime ends.
-type chosenVersion struct {
-	version   int64
-	learnedAt time.Time
-}
-
 // New returns an entry without sources; Connect sets them.
 func New(c Config) *Edge {
 	e := &Edge{
@@ -283,65 +274,6 @@
 	return r, ok
 }
 
-// LearnVersions records newly chosen versions, and announces them at once. It must be called
-// after each change of Sources.Weights: the time from which a version must be in use does
-// not wait for the next refresh.
-func (e *Edge) LearnVersions() {
-	if e.pulser != nil && e.recordVersions(time.Now()) {
-		e.pulser.SendNow()
-	}
-}
-
-// recordVersions records newly chosen versions, and reports whether there are any.
-func (e *Edge) recordVersions(now time.Time) bool {
-	learned := false
-	view := e.sources.Weights.View()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, w := range view.Rows.All() {
-		list := e.chosenVersions[w.Model]
-		if len(list) > 0 && list[len(list)-1].version >= w.Version {
-			continue
-		}
-		learnedAt := now.Add(-newsDelay)
-		if !e.versionsListed {
-			// The version may have been chosen long before the start.
-			learnedAt = e.started.Add(e.config.Bounds.SettleTime - e.config.Bounds.RolloutTimeout)
-		}
-		learned = true
-		e.chosenVersions[w.Model] = append(list, chosenVersion{version: w.Version, learnedAt: learnedAt})
-		e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision})
-	}
-	e.versionsListed = e.versionsListed || view.Listed
-	return learned
-}
-
-// versionFloor returns the minimum version of the weights for requests to the service. A
-// version becomes the minimum installer.EntryMargin before Bounds.RolloutTimeout ends.
-func (e *Edge) versionFloor(service string) placer.VersionFloor {
-	m := e.matcher.Load()
-	if m == nil {
-		return placer.VersionFloor{}
-	}
-	spec, ok := m.Routing().Pools.Get(service)
-	if !ok || spec.Engine == nil {
-		return placer.VersionFloor{}
-	}
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out placer.VersionFloor
-	for _, v := range e.chosenVersions[spec.Engine.Model] {
-		due := v.learnedAt.Add(e.config.Bounds.RolloutTimeout)
-		if !now.Before(due.Add(-installer.EntryMargin)) {
-			out.Version = v.version
-		} else if out.NextVersion == 0 {
-			out.NextVersion, out.NextAt = v.version, due
-		}
-	}
-	return out
-}
-
 // handleHeartbeat processes a heartbeat, or a message of sendLoads, of another process.
 func (e *Edge) handleHeartbeat(p *wire.Pulse) {
 	e.recordPeerHosts(p.GetHeard())
@@ -392,23 +324,6 @@
 	return loadInterval
 }
 
-// learnManifests records the digests of manifests, and reports whether one is new. A new
-// digest must be sent at once, as hosts wait for it.
-func (e *Edge) learnManifests(versions []*wire.WeightsVersion) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	learned := false
-	for _, w := range versions {
-		key := filbertstile.WeightsVersion{Model: w.GetModel(), Version: w.GetVersion()}
-		if e.manifestDigests[key] == "" && w.GetManifest() != "" {
-			e.manifestDigests[key] = w.GetManifest()
-			e.otherGroupsSentAt = time.Time{}
-			learned = true
-		}
-	}
-	return learned
-}
-
 // current reports whether the store has confirmed this entry's view within maxViewAge.
 func (e *Edge) current() bool {
 	age, known := e.sources.Routing.Age()
@@ -438,86 +353,3 @@
 	}
 	e.config.Log.Event(event, reporter.Fields{"Age": age.String(), "Known": known, "Leaving": e.leaving.Load()})
 }
-
-// Leaving reports whether a planned stop has begun.
-func (e *Edge) Leaving() bool { return e.leaving.Load() }
-
-// Leave begins a planned stop. It returns after addressTTL, the time for which callers may
-// still use the entry's address, has passed and no call is in flight, or earlier if the
-// time to stop runs out or the context ends. The result is the time by which the process
-// must have exited.
-func (e *Edge) Leave(ctx context.Context, addressTTL time.Duration) time.Time {
-	e.leavingSince.Store(time.Now().UnixNano())
-	e.leaving.Store(true)
-	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inFlight.Load()})
-	e.pulser.SendNow()
-	exitBy := time.Now().Add(e.config.Bounds.StopTimeout - stopMargin)
-	if sleeper.Sleep(ctx, min(addressTTL+addressTTLMargin, e.config.Bounds.StopTimeout/2)) != nil {
-		return exitBy
-	}
-	for e.inFlight.Load() > 0 && time.Now().Before(exitBy) {
-		if sleeper.Sleep(ctx, drainPollInterval) != nil {
-			return exitBy
-		}
-	}
-	return exitBy
-}
-
-const (
-	// drainPollInterval is the time between two checks whether calls are in flight.
-	drainPollInterval = 20 * time.Millisecond
-	// addressTTLMargin is added to the address TTL for callers that are slow to learn of
-	// other addresses.
-	addressTTLMargin = 700 * time.Millisecond
-	// stopMargin is the time between the process's exit and the time at which it would be
-	// killed.
-	stopMargin = 300 * time.Millisecond
-)
-
-// recordRequestEnd updates the request metrics. It uses a histogram instead of a timer, as
-// a timer of the metrics library starts a goroutine that never ends.
-func (e *Edge) recordRequestEnd(c *forwarder.Call, status string, took time.Duration) {
-	metrics.GetOrRegisterCounter("Requests."+status, e.config.Metrics).Inc(1)
-	if h, ok := e.config.Metrics.GetOrRegister("Requests.TookMicroseconds."+string(c.Route.Kind), newHistogram).(metrics.Histogram); ok {
-		h.Update(took.Microseconds())
-	}
-}
-
-// Parameters of histograms that the metrics library recommends: 1,028 samples, weighted to
-// the last five minutes.
-const (
-	histogramSampleSize = 1028
-	histogramDecay      = 0.015
-)
-
-func newHistogram() metrics.Histogram {
-	return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSampleSize, histogramDecay))
-}
-
-// Dump is the state of an entry.
-type Dump struct {
-	Self filbertstile.Member
-	// Config is the version of the routing in use; 0 if there is none.
-	Config int64
-	Ready  bool
-	// Heard lists the processes whose heartbeats arrive.
-	Heard []string
-	// Waiting is the number of queued requests.
-	Waiting  int
-	Replicas []placer.State
-	// Source is where the entry's copies of the store come from.
-	Source sharer.Source
-}
-
-// Dump returns the entry's state.
-func (e *Edge) Dump() Dump {
-	d := Dump{Self: e.config.Self, Ready: e.Ready(), Heard: e.pulser.PeerNames()}
-	if m := e.matcher.Load(); m != nil {
-		d.Config = m.Routing().Version
-	}
-	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
-	if e.sharer != nil {
-		d.Source = e.sharer.Source()
-	}
-	return d
-}
--- /dev/null
+++ b/shells/edgerunner/leaving.go
@@ -0,0 +1,44 @@
+package edgerunner
+
+import (
+	"context"
+	"time"
+
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
+)
+
+// Leaving reports whether a planned stop has begun.
+func (e *Edge) Leaving() bool { return e.leaving.Load() }
+
+// Leave begins a planned stop. It returns after addressTTL, the time for which callers may
+// still use the entry's address, has passed and no call is in flight, or earlier if the
+// time to stop runs out or the context ends. The result is the time by which the process
+// must have exited.
+func (e *Edge) Leave(ctx context.Context, addressTTL time.Duration) time.Time {
+	e.leavingSince.Store(time.Now().UnixNano())
+	e.leaving.Store(true)
+	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inFlight.Load()})
+	e.pulser.SendNow()
+	exitBy := time.Now().Add(e.config.Bounds.StopTimeout - stopMargin)
+	if sleeper.Sleep(ctx, min(addressTTL+addressTTLMargin, e.config.Bounds.StopTimeout/2)) != nil {
+		return exitBy
+	}
+	for e.inFlight.Load() > 0 && time.Now().Before(exitBy) {
+		if sleeper.Sleep(ctx, drainPollInterval) != nil {
+			return exitBy
+		}
+	}
+	return exitBy
+}
+
+const (
+	// drainPollInterval is the time between two checks whether calls are in flight.
+	drainPollInterval = 20 * time.Millisecond
+	// addressTTLMargin is added to the address TTL for callers that are slow to learn of
+	// other addresses.
+	addressTTLMargin = 700 * time.Millisecond
+	// stopMargin is the time between the process's exit and the time at which it would be
+	// killed.
+	stopMargin = 300 * time.Millisecond
+)
--- /dev/null
+++ b/shells/peerrunner/manifests.go
@@ -0,0 +1,85 @@
+package peerrunner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"filbertstile.example/filbertstile"
+)
+
+// ensureManifest ensures that the digest of a version's manifest becomes known. Two
+// hosts in the origin's region read the manifest from the origin. The others learn the
+// digest from heartbeats and get the manifest from those hosts, which leaves the
+// origin's link to the chunks, and its connections to the readers.
+func (p *Peer) ensureManifest(ctx context.Context, w filbertstile.WeightsVersion) error {
+	if p.weightSource.hasManifest(w) {
+		return nil
+	}
+	if _, known := p.weightSource.digest(w); known || !p.shouldReadManifest(w) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	_, _, err := p.weightSource.readManifest(ctx, w)
+	p.pulser.SendNow()
+	return err
+}
+
+// shouldReadManifest reports whether this host should read the manifest from the
+// origin now: it is one of the first readers, or has waited long enough for the
+// digest.
+func (p *Peer) shouldReadManifest(w filbertstile.WeightsVersion) bool {
+	p.mu.Lock()
+	waited := time.Since(p.learnedAt[w])
+	p.mu.Unlock()
+	return waited >= manifestDelay(manifestRank(p.fetcherMembers, p.config.Self.Name, p.originRegion), p.manifestWaitTime())
+}
+
+// manifestRank returns the place of the host in the order in which hosts read a manifest:
+// those of the origin's region come first.
+func manifestRank(hosts []filbertstile.Member, self, originRegion string) int {
+	var near, far []string
+	for _, m := range hosts {
+		if m.Region == originRegion {
+			near = append(near, m.Name)
+		} else {
+			far = append(far, m.Name)
+		}
+	}
+	order := slices.Concat(near, far)
+	if i := slices.Index(order, self); i >= 0 {
+		return i
+	}
+	return len(order)
+}
+
+// manifestDelay returns how long a host of the rank waits for the digest before it reads
+// the manifest. The first readers do not wait, and the others do not follow all at once:
+// the origin limits its connections, and would serve none of them.
+func manifestDelay(rank int, wait time.Duration) time.Duration {
+	if rank < maxFirstReaders {
+		return 0
+	}
+	return wait + time.Duration((rank-maxFirstReaders)/readersPerStep)*readersStep
+}
+
+const (
+	// maxFirstReaders is the number of hosts in the origin's region that read a new
+	// manifest at once. Every readersStep, readersPerStep others follow.
+	maxFirstReaders = 2
+	readersPerStep  = 4
+	readersStep     = 200 * time.Millisecond
+	// manifestWait is how long the other hosts wait for the digest before they read
+	// the manifest. severalGroupsManifestWait is the same if the entries form several
+	// groups: the digest then takes longer to reach all hosts.
+	manifestWait              = 600 * time.Millisecond
+	severalGroupsManifestWait = 1500 * time.Millisecond
+)
+
+func (p *Peer) manifestWaitTime() time.Duration {
+	if p.hasSeveralGroups() {
+		return severalGroupsManifestWait
+	}
+	return manifestWait
+}
