placer: a request waits for the prompts of other entries before its version is due to end

Change: maxTimeToFirstEvent allows for a prompt of each other entry that sends to the replica. Before: TestNoStartAfterNextFloorWithOtherEntries fails. After: it passes with all others of the package.

--- a/decisions/placer/placer_test.go
+++ b/decisions/placer/placer_test.go
@@ -399,6 +399,26 @@
 	})
 }
 
+// TestNoStartAfterNextFloorWithOtherEntries guards against requests that all entries of a group
+// send to the same idle replica shortly before its version is due to end, before they have
+// heard of each other's: the last one waits for the prompts of the others.
+func TestNoStartAfterNextFloorWithOtherEntries(t *testing.T) {
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		const entries, tokens = 8, 900
+		f := fleet(1, 16, entries, 0)
+		p.SetFleet(time.Now(), f)
+		spec, _ := f.Pools.Get(f.Replicas.All()[0].Service)
+		req := request(tokens)
+		req.TargetLatency = 5 * time.Second
+		due := entries * spec.Engine.PrefillTime(tokens)
+		req.VersionFloor = placer.VersionFloor{Version: 1, NextVersion: 2, NextAt: time.Now().Add(due)}
+		ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+		defer cancel()
+		_, err := p.Acquire(ctx, req)
+		is.True(err != nil)
+	})
+}
+
 // Requests must go to replicas of other groups only if no replica of the entry's own
 // group is eligible, and not if the eligible ones are full.
 func TestOtherGroupsOnlyIfNoneEligible(t *testing.T) {
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -168,9 +168,10 @@
 
 // maxTimeToFirstEvent returns the time within which the response to a new request almost
 // certainly begins. Entries that see the same free slots all use them, so a request to
-// a replica that is not idle may have to wait until others end.
+// a replica that is not idle may have to wait until others end, and a request to any
+// replica until a prompt of each other entry has been read.
 func (r *replicaState) maxTimeToFirstEvent(e filbertstile.EngineSpec, inFlight, tokens int) time.Duration {
-	out := latestStartFactor * r.timeToFirstEvent(e, inFlight, tokens)
+	out := latestStartFactor*r.timeToFirstEvent(e, inFlight, tokens) + e.PrefillTime((max(1, r.entries)-1)*tokens)
 	if inFlight > maxIdleRequests {
 		out += maxSlotWait
 	}
