sharer: the configuration is confirmed every 0.8 s, and copies count as old from 1.2 s

With 1.2 and 1.7 s an entry's configuration could be 1.85 s old where the reader is turned away (TestReaderFailsInSmallDomain), to which come 0.1 s until it is applied and the processor's share; the users' smallest systems allow 2 s. The age of a process without copies began at 0 where StartTimeout is longer than the age, so that hosts read too early. Change: both times; the age of such a process may begin below 0. Before: 1.847 s (limit 1.9 s).

--- a/shells/edgerunner/sharing.go
+++ b/shells/edgerunner/sharing.go
@@ -15,7 +15,7 @@
 // confirmations by a process that reads the store, and leaves another process the time to
 // take over before the copy is too old to be used.
 const (
-	maxRoutingAge  = 1700 * time.Millisecond
+	maxRoutingAge  = 1200 * time.Millisecond
 	maxReplicasAge = 3200 * time.Millisecond
 	maxMarksAge    = 5500 * time.Millisecond
 	maxWeightsAge  = 5500 * time.Millisecond
--- a/shells/sharer/sharer.go
+++ b/shells/sharer/sharer.go
@@ -180,7 +180,7 @@
 		Age:     s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }),
 	}
 	if out.Age == neverConfirmed {
-		out.Empty, out.Age = true, max(0, maxAge-s.config.StartTimeout)+time.Since(s.started)
+		out.Empty, out.Age = true, maxAge-s.config.StartTimeout+time.Since(s.started)
 	}
 	if s.following != nil {
 		out.FollowedAge, out.FollowingSince = s.following.age(s.config.Clock(), s.config.Copies), s.following.since
@@ -204,7 +204,7 @@
 
 // maxAge is the age of a copy in State, whose ages are scaled so that a copy of any kind
 // counts as old at maxAge: kinds differ in the time between two confirmations.
-const maxAge = 1700 * time.Millisecond
+const maxAge = 1200 * time.Millisecond
 
 // scaledAge returns the age of the copy, scaled to maxAge.
 func (c SharedCopy) scaledAge(age time.Duration) time.Duration {
--- a/shells/sharer/sharer_test.go
+++ b/shells/sharer/sharer_test.go
@@ -11,8 +11,8 @@
 
 const (
 	prefix       = "kind/"
-	watchTimeout = 1200 * time.Millisecond
-	maxCopyAge   = 1700 * time.Millisecond
+	watchTimeout = 800 * time.Millisecond
+	maxCopyAge   = 1200 * time.Millisecond
 	// maxHostCopyAge is the same for hosts, whose copies may be older.
 	maxHostCopyAge = 6 * time.Second
 	// revokeLimit is the age at which an entry stops honouring keys; it must not be
@@ -96,6 +96,29 @@
 	}
 }
 
+// TestReaderFailsInSmallDomain guards against a change of the configuration that is late at
+// an entry because the one that reads the store for it was turned away: the users' smallest
+// systems have two entries in a failure domain, and allow 2 s.
+func TestReaderFailsInSmallDomain(t *testing.T) {
+	const limit = 2*time.Second - 100*time.Millisecond // an entry applies a change within 100 ms
+	for _, stalled := range []bool{false, true} {
+		t.Run(fmt.Sprint(stalled), func(t *testing.T) {
+			withFleet(t, 3, 2, 5, func(s *fleet) {
+				s.run(8*time.Second, all)
+				failed := s.readers()
+				for _, p := range failed {
+					s.store.setRefused(p.member.Name, true)
+					s.fabric.SetStalled(p.member.Name, stalled)
+				}
+				age := s.run(12*time.Second, func(p *process) bool { return !p.host && !slices.Contains(failed, p) })
+				if t.Logf("highest age %s", age); age > limit {
+					t.Errorf("highest age %s, want at most %s", age, limit)
+				}
+			})
+		})
+	}
+}
+
 // TestAllFollowersReadWhenAlone guards against a process that nobody serves: all but one of
 // the domain's entries are gone.
 func TestAllFollowersReadWhenAlone(t *testing.T) {
