--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -25,6 +25,7 @@
 	StepFailed          Event = 105
 	ListOutOfReach      Event = 106
 	PanicRecovered      Event = 107
+	ProcessPaused       Event = 108
 	ChangeApplied       Event = 201
 	ParentLost          Event = 202
 	StoreOutOfReach     Event = 203
@@ -98,6 +99,7 @@
 	{StepFailed, "StepFailed", "process", logrus.WarnLevel, "A background step failed and will be retried.", "Check the step and the peer in the log line."},
 	{ListOutOfReach, "ListOutOfReach", "process", logrus.WarnLevel, "The host list is unreachable; the process keeps using the last known members.", "Check the platform's host list."},
 	{PanicRecovered, "PanicRecovered", "process", logrus.ErrorLevel, "A panic ended the handling of one request or message; the process goes on.", "Report it with the stack of the log line."},
+	{ProcessPaused, "ProcessPaused", "process", logrus.WarnLevel, "The process stood still, or its host was suspended, for the time in the log line.", "Check the host if this repeats."},
 	{ChangeApplied, "ChangeApplied", "config", logrus.InfoLevel, "A configuration revision is in force in this process.", noAction},
 	{ParentLost, "ParentLost", "config", logrus.InfoLevel, "The subscription to a relay ended; the subscription to the other relay is used until it is restored.", "Check the relay if this repeats."},
 	{StoreOutOfReach, "StoreOutOfReach", "config", logrus.WarnLevel, "The object API is unreachable from this process.", "Check the platform; requests are still served."},
--- a/shells/edgerunner/dump.go
+++ b/shells/edgerunner/dump.go
@@ -46,6 +46,17 @@
 	Suspects []Suspect
 	// Source is where the entry's copies of the store come from.
 	Source sharer.Source
+	// Versions are the chosen versions of the weights.
+	Versions []Version
+}
+
+// Version is a chosen version of the weights.
+type Version struct {
+	Model   string
+	Version int64
+	// DueIn is the time until requests must run only on the version or a later one; negative
+	// if it has passed.
+	DueIn string
 }
 
 // Suspect is a part of prompts that is suspected of crashing replicas, or blocked.
@@ -71,5 +82,19 @@
 	if e.sharer != nil {
 		d.Source = e.sharer.Source()
 	}
+	d.Versions = e.dumpVersions()
 	return d
 }
+
+func (e *Edge) dumpVersions() []Version {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []Version
+	for model, list := range e.chosenVersions {
+		for _, v := range list {
+			dueIn := time.Until(v.learnedAt.Add(e.config.Bounds.RolloutTimeout))
+			out = append(out, Version{Model: model, Version: v.version, DueIn: dueIn.String()})
+		}
+	}
+	return out
+}
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -102,7 +102,8 @@
 	// Messages connects to the other entries, so that a few of them read the store for all.
 	// If it is nil, the entry always reads the store itself.
 	Messages *messenger.Client
-	// Clock is the clock of the sources.
+	// Clock is the clock of the sources: it keeps running while the host is suspended. If it
+	// is nil, the runtime's clock is used, which does not.
 	Clock func() time.Duration
 	// CloseExpiredConns closes the connections to replicas that have been idle for too
 	// long. It is called periodically.
@@ -162,8 +163,12 @@
 
 // New returns an entry without sources; Connect sets them.
 func New(c Config) *Edge {
+	started := time.Now()
+	if c.Clock == nil {
+		c.Clock = func() time.Duration { return time.Since(started) }
+	}
 	e := &Edge{
-		config: c, placer: placer.New(c.Placer), started: time.Now(),
+		config: c, placer: placer.New(c.Placer), started: started,
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), evidenceNews: make(chan struct{}, 1),
 	}
@@ -203,7 +208,9 @@
 	if e.sharer != nil {
 		wg.Go(func() { e.sharer.Run(ctx) })
 	}
+	pauses := newPauseDetector(e.config.Clock, e.config.Log)
 	for sleeper.Sleep(ctx, maintenanceInterval) == nil {
+		pauses.check()
 		e.config.CloseExpiredConns()
 		if e.config.Messages != nil {
 			e.config.Messages.CloseIdle(idleSessionTimeout)
--- a/shells/edgerunner/versions.go
+++ b/shells/edgerunner/versions.go
@@ -36,7 +36,7 @@
 	for _, w := range view.Rows.All() {
 		if e.recordVersion(now, w) {
 			learned = true
-			e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision})
+			e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision, "ViewAge": e.viewAge()})
 		}
 	}
 	e.versionsListed = e.versionsListed || view.Listed
@@ -53,7 +53,7 @@
 	for _, w := range versions {
 		if e.recordVersion(now, filbertstile.WeightsVersion{Model: w.GetModel(), Version: w.GetVersion()}) {
 			learned = true
-			e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.GetModel(), "Version": w.GetVersion(), "Peer": peer})
+			e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.GetModel(), "Version": w.GetVersion(), "Peer": peer, "ViewAge": e.viewAge()})
 		}
 	}
 	return learned
@@ -117,3 +117,15 @@
 	}
 	return learned
 }
+
+// viewAge returns the time since the store last confirmed the entry's view, for log lines.
+func (e *Edge) viewAge() string {
+	if e.sources.Routing == nil {
+		return ""
+	}
+	age, known := e.sources.Routing.Age()
+	if !known {
+		return ""
+	}
+	return age.String()
+}
