edgerunner, tracker: the time of a version counts from when the store last lacked it

Cause: an entry counted the 8 s from when it had heard of the version, less 150 ms, on a clock that leaves suspensions out. Each guard built on that moment (placing, the check at the write, the withdrawal) was late with it. Ruled out: a restart (no ProcessStarted), slow connections and queues.

Now the time counts from the latest moment at which the store is known not to have had the version. It is a lower bound whatever the reason of late news is, through any number of readers, and on a clock that goes on while a host is suspended. Versions that an entry never saw, as two were named meanwhile, count from when its copy last lacked both. A version that another process reports counts from when the copy last lacked it, until the copy has it.

TestReportedVersionIsDue asked for the time of the report less 150 ms, which is the fault; it asks for the copy's confirmation, which is earlier. TestReportedVersionAtStart asks for the settling time less the time that a process takes to start. Not measured yet: what the earlier end of the older version costs.

--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -94,6 +94,8 @@
 	// history holds all changes after the revision historyFrom.
 	history     []Update
 	historyFrom uint64
+	// confirmations are the latest confirmations of the view, in ascending order.
+	confirmations []confirmation
 	// changed is closed and replaced when the view changes, ConfirmedAt included.
 	changed chan struct{}
 	// reading is false while another process's copy keeps this one up to date, and
--- a/outside/tracker/update.go
+++ b/outside/tracker/update.go
@@ -148,6 +148,7 @@
 	}
 	t.view, t.rowKeys, t.objects = next, rowKeys, objects
 	t.history, t.historyFrom = nil, u.Revision
+	t.recordConfirmation()
 	t.notifyChanged()
 	t.mu.Unlock()
 	if newEra && t.config.OnEra != nil {
@@ -206,6 +207,7 @@
 	v.ConfirmedAt = max(v.ConfirmedAt, confirmedAt)
 	v.ReadAt = max(v.ReadAt, readAt)
 	t.view = v
+	t.recordConfirmation()
 	t.notifyChanged()
 	t.mu.Unlock()
 	if changed {
--- a/shells/edgerunner/dump.go
+++ b/shells/edgerunner/dump.go
@@ -92,8 +92,7 @@
 	var out []Version
 	for model, list := range e.chosenVersions {
 		for _, v := range list {
-			dueIn := time.Until(v.learnedAt.Add(e.config.Bounds.RolloutTimeout))
-			out = append(out, Version{Model: model, Version: v.version, DueIn: dueIn.String()})
+			out = append(out, Version{Model: model, Version: v.version, DueIn: e.dueIn(v).String()})
 		}
 	}
 	return out
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -49,9 +49,6 @@
 	// maxViewAge is the maximum time since the store last confirmed the view. An entry
 	// with an older view is not ready, and callers are directed to other entries.
 	maxViewAge = 2900 * time.Millisecond
-	// newsDelay is the time that news takes from the store to this entry through another
-	// one that reads it.
-	newsDelay = 150 * time.Millisecond
 	// refreshInterval is the minimum time between two updates of what the entry works out
 	// from its sources and peers. All changes within it take one update.
 	refreshInterval = 100 * time.Millisecond
@@ -130,7 +127,8 @@
 	leavingSince atomic.Int64
 	// inFlight is the number of calls in flight.
 	inFlight atomic.Int64
-	started  time.Time
+	// startedAt is the time of New, on the sources' clock.
+	startedAt time.Duration
 
 	// division is the division of the system into groups, as of the last refresh.
 	division atomic.Pointer[grouper.Division]
@@ -168,7 +166,7 @@
 		c.Clock = func() time.Duration { return time.Since(started) }
 	}
 	e := &Edge{
-		config: c, placer: placer.New(c.Placer), started: started,
+		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(),
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), evidenceNews: make(chan struct{}, 1),
 	}
@@ -295,7 +293,7 @@
 func (e *Edge) handleHeartbeat(p *wire.Pulse) {
 	e.recordPeerHosts(p.GetHeard())
 	e.learnEvidence(p.GetEvidence())
-	newVersion := e.recordReportedVersions(time.Now(), p.GetName(), p.GetWeights())
+	newVersion := e.recordReportedVersions(p.GetName(), p.GetWeights())
 	if e.learnManifests(p.GetWeights()) || newVersion {
 		e.pulser.SendNow()
 	}
--- a/shells/edgerunner/latenews_test.go
+++ b/shells/edgerunner/latenews_test.go
@@ -155,7 +155,7 @@
 		Marks:    newNewsTracker(s, "evacuations/", 4500*time.Millisecond, log, nil, func(filbertstile.Object) filbertstile.Mark { return filbertstile.Mark{} }),
 		Members:  newNewsTracker(s, "members/", 6*time.Second, log, nil, func(filbertstile.Object) filbertstile.Member { return filbertstile.Member{} }),
 	}
-	e.sources.Weights = newNewsTracker(s, "versions/", 4500*time.Millisecond, log, func() { e.recordVersions(time.Now()) }, func(o filbertstile.Object) filbertstile.WeightsVersion {
+	e.sources.Weights = newNewsTracker(s, "versions/", 4500*time.Millisecond, log, func() { e.recordVersions() }, func(o filbertstile.Object) filbertstile.WeightsVersion {
 		n, _ := strconv.ParseInt(string(o.Value), 10, 64)
 		return filbertstile.WeightsVersion{Model: "m", Version: n}
 	})
@@ -266,7 +266,7 @@
 			time.Sleep(300 * time.Millisecond)
 			named := s.name()
 			time.Sleep(pause)
-			e.recordReportedVersions(time.Now(), "entry-2", []*wire.WeightsVersion{{Model: "m", Version: 2}})
+			e.recordReportedVersions("entry-2", []*wire.WeightsVersion{{Model: "m", Version: 2}})
 			return e, named
 		}},
 		{"restarted, and its first copy was older", func(ctx context.Context, s *newsStore) (*Edge, time.Duration) {
--- a/shells/edgerunner/versions.go
+++ b/shells/edgerunner/versions.go
@@ -1,78 +1,137 @@
 package edgerunner
 
 import (
+	"slices"
 	"time"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/installer"
 )
 
-// chosenVersion is a version of the weights and the time at which this entry learned that
-// operators had chosen it. For a version that may have been chosen before the start, the
-// time is set so that the version must be in use when Bounds.SettleTime ends.
+// chosenVersion is a version of the weights that operators have chosen.
 type chosenVersion struct {
-	version   int64
-	learnedAt time.Time
+	version int64
+	// chosenAfter is a time of the sources' clock before which the version was not chosen. The
+	// time in which it must be in use counts from then, whenever this entry heard of it.
+	chosenAfter time.Duration
+	// reported is true if only other processes have named the version so far.
+	reported bool
 }
 
+// startDelay is the time that a process takes from its start until New.
+const startDelay = 150 * time.Millisecond
+
 // LearnVersions records newly chosen versions, and announces them at once. It must be called
-// after each change of Sources.Weights: the time from which a version must be in use does
-// not wait for the next refresh.
+// after each change of Sources.Weights: hosts must not wait for the next refresh.
 func (e *Edge) LearnVersions() {
-	if e.pulser != nil && e.recordVersions(time.Now()) {
+	if e.recordVersions() && e.pulser != nil {
 		e.pulser.SendNow()
 	}
 }
 
 // recordVersions records newly chosen versions, and reports whether there are any.
-func (e *Edge) recordVersions(now time.Time) bool {
+func (e *Edge) recordVersions() bool {
 	learned := false
-	view := e.sources.Weights.View()
+	listed := e.sources.Weights.View().Listed
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, w := range view.Rows.All() {
-		if e.recordVersion(now, w) {
+	for _, w := range e.sources.Weights.Written() {
+		chosenAfter, absentAt := e.atStart(), e.atStart()
+		if e.versionsListed {
+			chosenAfter, absentAt = e.absentAt(w)
+		}
+		if e.recordVersion(w.Row, chosenVersion{version: w.Row.Version, chosenAfter: chosenAfter}, absentAt) {
 			learned = true
-			e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.Model, "Version": w.Version, "Revision": view.Revision, "ViewAge": e.viewAge()})
+			e.logVersion(w.Row, chosenAfter, reporter.Fields{"Revision": w.Revision})
 		}
 	}
-	e.versionsListed = e.versionsListed || view.Listed
+	e.versionsListed = e.versionsListed || listed
 	return learned
 }
 
 // recordReportedVersions records newly chosen versions that another process has reported, and
 // reports whether there are any. The report may overtake the copy of the store, which shares
 // its connection with large changes, or whose reader has failed.
-func (e *Edge) recordReportedVersions(now time.Time, peer string, versions []*wire.WeightsVersion) bool {
+func (e *Edge) recordReportedVersions(peer string, versions []*wire.WeightsVersion) bool {
 	learned := false
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, w := range versions {
-		if e.recordVersion(now, filbertstile.WeightsVersion{Model: w.GetModel(), Version: w.GetVersion()}) {
+	for _, reported := range versions {
+		w := filbertstile.WeightsVersion{Model: reported.GetModel(), Version: reported.GetVersion()}
+		chosenAfter := e.atStart()
+		if e.versionsListed {
+			// Its revision is not known, only that the copy lacked it.
+			chosenAfter = e.sources.Weights.View().ConfirmedAt
+		}
+		if e.recordVersion(w, chosenVersion{version: w.Version, chosenAfter: chosenAfter, reported: true}, chosenAfter) {
 			learned = true
-			e.config.Log.Event(reporter.VersionNamed, reporter.Fields{"Model": w.GetModel(), "Version": w.GetVersion(), "Peer": peer, "ViewAge": e.viewAge()})
+			e.logVersion(w, chosenAfter, reporter.Fields{"Peer": peer})
 		}
 	}
 	return learned
 }
 
-// recordVersion records a chosen version, and reports whether it is new. The caller holds
+// logVersion logs a newly chosen version.
+func (e *Edge) logVersion(w filbertstile.WeightsVersion, chosenAfter time.Duration, f reporter.Fields) {
+	f["Model"], f["Version"], f["ViewAge"] = w.Model, w.Version, e.viewAge()
+	f["ChosenWithin"] = (e.config.Clock() - chosenAfter).String()
+	e.config.Log.Event(reporter.VersionNamed, f)
+}
+
+// recordVersion records a chosen version of the model, and reports whether it is new. Versions
+// between it and the latest known one may have been chosen after absentAt. The caller holds
 // e.mu.
-func (e *Edge) recordVersion(now time.Time, w filbertstile.WeightsVersion) bool {
+func (e *Edge) recordVersion(w filbertstile.WeightsVersion, v chosenVersion, absentAt time.Duration) bool {
 	list := e.chosenVersions[w.Model]
-	if len(list) > 0 && list[len(list)-1].version >= w.Version {
+	if latest := latestVersion(list); v.version < latest || v.version == latest && (v.reported || !list[len(list)-1].reported) {
 		return false
 	}
-	learnedAt := now.Add(-newsDelay)
-	if !e.versionsListed {
-		// The version may have been chosen long before the start.
-		learnedAt = e.started.Add(e.config.Bounds.SettleTime - e.config.Bounds.RolloutTimeout)
+	learned := v.version > latestVersion(list)
+	if !v.reported {
+		list = slices.DeleteFunc(list, func(c chosenVersion) bool { return c.reported })
+	}
+	if latest := latestVersion(list); v.version > latest+1 {
+		list = append(list, chosenVersion{version: latest + 1, chosenAfter: absentAt, reported: v.reported})
+	}
+	e.chosenVersions[w.Model] = append(list, v)
+	return learned
+}
+
+// latestVersion returns the latest of the versions.
+func latestVersion(list []chosenVersion) int64 {
+	if len(list) == 0 {
+		return 0
 	}
-	e.chosenVersions[w.Model] = append(list, chosenVersion{version: w.Version, learnedAt: learnedAt})
-	return true
+	return list[len(list)-1].version
+}
+
+// atStart returns the time after which a version counts as chosen that may have been chosen
+// long before the start: requests must run on it when Bounds.SettleTime ends.
+func (e *Edge) atStart() time.Duration {
+	return e.startedAt - startDelay + e.config.Bounds.SettleTime - e.config.Bounds.RolloutTimeout
+}
+
+// absentAt returns a time after which the version was chosen, and one after which the copy has
+// lacked all versions that are newer than the one before. The first is the later of the two,
+// as copies of other kinds are confirmed more often.
+func (e *Edge) absentAt(w tracker.Written[filbertstile.WeightsVersion]) (version, all time.Duration) {
+	all, known := e.sources.Weights.CurrentBefore(w.Era, w.Revision)
+	if !known {
+		return e.atStart(), e.atStart()
+	}
+	version = all
+	for _, absentAt := range []func(era, revision uint64) (time.Duration, bool){
+		e.sources.Routing.AbsentAt, e.sources.Replicas.AbsentAt, e.sources.Marks.AbsentAt, e.sources.Members.AbsentAt,
+	} {
+		if at, ok := absentAt(w.Era, w.Revision); ok {
+			version = max(version, at)
+		}
+	}
+	return version, all
 }
 
 // versionFloor returns the minimum version of the weights for requests to the service. A
@@ -91,16 +150,21 @@
 	defer e.mu.Unlock()
 	var out placer.VersionFloor
 	for _, v := range e.chosenVersions[spec.Engine.Model] {
-		due := v.learnedAt.Add(e.config.Bounds.RolloutTimeout)
-		if !now.Before(due.Add(-installer.EntryMargin)) {
+		dueIn := e.dueIn(v)
+		if dueIn <= installer.EntryMargin {
 			out.Version = v.version
 		} else {
-			out.Next = append(out.Next, placer.DueVersion{Version: v.version, At: due})
+			out.Next = append(out.Next, placer.DueVersion{Version: v.version, At: now.Add(dueIn)})
 		}
 	}
 	return out
 }
 
+// dueIn returns the time until requests must run only on the version or a later one.
+func (e *Edge) dueIn(v chosenVersion) time.Duration {
+	return v.chosenAfter + e.config.Bounds.RolloutTimeout - e.config.Clock()
+}
+
 // learnManifests records the digests of manifests, and reports whether one is new. A new
 // digest must be sent at once, as hosts wait for it.
 func (e *Edge) learnManifests(versions []*wire.WeightsVersion) bool {
--- a/shells/edgerunner/versions_test.go
+++ b/shells/edgerunner/versions_test.go
@@ -1,19 +1,14 @@
 package edgerunner
 
 import (
-	"io"
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
-	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/base/wire"
-	"filbertstile.example/filbertstile/decisions/matcher"
 	"filbertstile.example/filbertstile/decisions/placer"
 )
 
@@ -22,22 +17,24 @@
 func TestReportedVersionIsDue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		e := New(Config{Metrics: metrics.NewRegistry(), Log: reporter.New(reporter.Config{Logger: log}), Bounds: Bounds{RolloutTimeout: 8 * time.Second, SettleTime: 3 * time.Second}})
-		e.matcher.Store(matcher.New(filbertstile.Routing{
-			Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: &filbertstile.EngineSpec{Model: "m"}}),
-		}))
-		e.versionsListed = true
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newNewsStore()
+		e := newNewsEntry(s)
+		s.keepCurrent(ctx, e)
 		time.Sleep(time.Minute)
-		reported := time.Now()
+		s.holdUp(time.Minute)
+		time.Sleep(time.Second)
 		versions := []*wire.WeightsVersion{{Model: "m", Version: 2, Manifest: "digest"}}
-		is.True(e.recordReportedVersions(reported, "entry-2", versions))
-		want := []placer.DueVersion{{Version: 2, At: reported.Add(8*time.Second - newsDelay)}}
+		is.True(e.recordReportedVersions("entry-2", versions))
+		due := e.sources.Weights.View().ConfirmedAt + rolloutTimeout
+		want := []placer.DueVersion{{Version: 2, At: time.Now().Add(due - s.clock())}}
 		is.Equal(e.versionFloor("s").Next, want)
 		time.Sleep(time.Second)
-		is.True(!e.recordReportedVersions(time.Now(), "entry-3", versions)) // the first report counts
+		is.True(!e.recordReportedVersions("entry-3", versions)) // the first report counts
 		is.Equal(e.versionFloor("s").Next, want)
+		cancel()
+		synctest.Wait()
 	})
 }
 
@@ -46,10 +43,11 @@
 func TestReportedVersionAtStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		e := New(Config{Metrics: metrics.NewRegistry(), Log: reporter.New(reporter.Config{Logger: log}), Bounds: Bounds{RolloutTimeout: 8 * time.Second, SettleTime: 3 * time.Second}})
-		is.True(e.recordReportedVersions(time.Now(), "entry-2", []*wire.WeightsVersion{{Model: "m", Version: 2}}))
-		is.Equal(e.chosenVersions["m"][0].learnedAt, e.started.Add(-5*time.Second))
+		e := newNewsEntry(newNewsStore())
+		is.True(e.recordReportedVersions("entry-2", []*wire.WeightsVersion{{Model: "m", Version: 2}}))
+		is.Equal(e.chosenVersions["m"][0].version, int64(1))
+		for _, v := range e.chosenVersions["m"] {
+			is.Equal(e.dueIn(v), settleTime-startDelay)
+		}
 	})
 }
