--- a/shells/peerrunner/manifests.go
+++ b/shells/peerrunner/manifests.go
@@ -31,9 +31,9 @@
 // digest.
 func (p *Peer) shouldReadManifest(w filbertstile.WeightsVersion) bool {
 	p.mu.Lock()
-	waited := time.Since(p.learnedAt[w])
+	at, known := p.learnedAt[w]
 	p.mu.Unlock()
-	return waited >= manifestDelay(manifestRank(p.fetcherMembers, p.config.Self.Name, p.originRegion), p.manifestWaitTime())
+	return !known || p.config.Clock()-at >= manifestDelay(manifestRank(p.fetcherMembers, p.config.Self.Name, p.originRegion), p.manifestWaitTime())
 }
 
 // manifestRank returns the place of the host in the order in which hosts read a manifest:
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -116,8 +116,9 @@
 	model string
 	// originRegion is the region of the origin of the weights.
 	originRegion string
-	// learnedAt is when this process learned that operators have chosen a version.
-	learnedAt         map[filbertstile.WeightsVersion]time.Time
+	// learnedAt is when this process learned that operators have chosen a version, on the
+	// sources' clock.
+	learnedAt         map[filbertstile.WeightsVersion]time.Duration
 	newestVersion     filbertstile.WeightsVersion
 	roster            roster
 	stagedChunksAdded bool
@@ -128,7 +129,7 @@
 	p := &Peer{
 		config: c, weightSource: newWeightSource(c.Log), started: time.Now(),
 		client:    messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
-		learnedAt: make(map[filbertstile.WeightsVersion]time.Time), roster: roster{lastListed: make(map[string]time.Time)},
+		learnedAt: make(map[filbertstile.WeightsVersion]time.Duration), roster: roster{lastListed: make(map[string]time.Time)},
 		syncRequested: make(chan struct{}, 1),
 	}
 	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning.Load})
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -42,10 +42,11 @@
 	if !known {
 		return false
 	}
-	if time.Since(at) < p.config.RolloutTimeout*3/4 {
+	now := p.config.Clock()
+	if now-at < p.config.RolloutTimeout*3/4 {
 		return true
 	}
-	return newerKnown && time.Since(newerAt) < p.config.RolloutTimeout-installer.EntryMargin-minUsefulTime && p.holdsMostChunks(d)
+	return newerKnown && now-newerAt < p.config.RolloutTimeout-installer.EntryMargin-minUsefulTime && p.holdsMostChunks(d)
 }
 
 // minUsefulTime is the minimum time for which a version must be of use to justify a
@@ -86,7 +87,7 @@
 	known := w.Version <= p.newestVersion.Version
 	if !known {
 		p.newestVersion = w
-		p.learnedAt[w] = time.Now()
+		p.learnedAt[w] = p.config.Clock()
 		for old := range p.learnedAt {
 			if old.Version <= w.Version-keptVersions {
 				delete(p.learnedAt, old)
@@ -122,13 +123,14 @@
 		// The hosts are not known yet.
 		rank = &rolloutRank{}
 	}
+	now, clock := time.Now(), p.config.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []installer.Wanted
 	for v := w.Version; v > w.Version-keptVersions; v-- {
 		version := filbertstile.WeightsVersion{Model: w.Model, Version: v}
 		if at, ok := p.learnedAt[version]; ok {
-			out = append(out, installer.Wanted{Weights: version, LearnedAt: at, RolloutTimeout: p.config.RolloutTimeout, Rank: rank.position, MaySkip: rank.odd})
+			out = append(out, installer.Wanted{Weights: version, LearnedAt: now.Add(at - clock), RolloutTimeout: p.config.RolloutTimeout, Rank: rank.position, MaySkip: rank.odd})
 		}
 	}
 	return out
