edgerunner: a request is judged by the age of the routing in use

Its entry had been turned away by the store for 9 s. In between, Admit took the age from the new copy and the keys from the old routing, as copies are put in use up to 100 ms after they arrive.

Admit now takes both from one view, and puts a newer routing in use at once.

--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -71,8 +71,7 @@
 // Admit returns the call to forward for a request, or filbertstile.ErrRequest if the
 // request is rejected.
 func (e *Edge) Admit(req Request) (*forwarder.Call, error) {
-	m := e.matcher.Load()
-	age, known := e.sources.Routing.Age()
+	m, age := e.currentMatcher()
 	reject := func(code, detail string, retryAfter time.Duration) (*forwarder.Call, error) {
 		configVersion := int64(0)
 		if m != nil {
@@ -85,7 +84,7 @@
 		e.recordRequestEnd(&forwarder.Call{}, code, time.Since(req.Arrived))
 		return nil, filbertstile.ErrRequest{Code: code, Run: filbertstile.NotRun, Step: "admit request", RetryAfter: retryAfter, Detail: detail}
 	}
-	if m == nil || !known {
+	if m == nil {
 		return reject(CodeNotReady, "no configuration is known yet", notReadyRetryAfter)
 	}
 	stale := age >= maxViewAge
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -121,6 +121,8 @@
 	sharer *sharer.Sharer
 	// matcher holds the routing in use; nil before the first routing is known.
 	matcher atomic.Pointer[matcher.Matcher]
+	// routingMu is held while a newer routing is put in use.
+	routingMu sync.Mutex
 	// leaving is true after a planned stop has begun.
 	leaving atomic.Bool
 	// leavingSince is the time at which the planned stop began, in Unix nanoseconds.
@@ -252,10 +254,7 @@
 func (e *Edge) refresh() reporter.Fields {
 	routing, known := e.routing()
 	if known {
-		if m := e.matcher.Load(); m == nil || m.Routing().Version < routing.Version {
-			e.matcher.Store(matcher.New(routing))
-			e.config.Log.Event(reporter.ChangeApplied, reporter.Fields{"Config": routing.Version, "Routes": routing.Routes.Len()})
-		}
+		e.applyRouting(routing)
 	}
 	e.LearnVersions()
 	outOfService := make(map[string]bool)
--- /dev/null
+++ b/shells/edgerunner/routing.go
@@ -0,0 +1,41 @@
+package edgerunner
+
+import (
+	"time"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/matcher"
+)
+
+// currentMatcher returns the matcher of the latest known routing, and the time since the store
+// confirmed that routing; nil if none is known. Matcher and age belong together: a copy that
+// has just been confirmed says nothing about the routing before it.
+func (e *Edge) currentMatcher() (m *matcher.Matcher, age time.Duration) {
+	v := e.sources.Routing.View()
+	if !v.Listed {
+		return e.matcher.Load(), e.config.Clock() - v.ConfirmedAt
+	}
+	if r, ok := v.Rows.Get(filbertstile.Routing{}.Key()); ok {
+		e.applyRouting(r)
+	}
+	return e.matcher.Load(), e.config.Clock() - v.ConfirmedAt
+}
+
+// applyRouting puts the routing in use unless a later version is.
+func (e *Edge) applyRouting(r filbertstile.Routing) {
+	inUse := func() bool {
+		m := e.matcher.Load()
+		return m != nil && m.Routing().Version >= r.Version
+	}
+	if inUse() {
+		return
+	}
+	e.routingMu.Lock()
+	defer e.routingMu.Unlock()
+	if inUse() {
+		return
+	}
+	e.matcher.Store(matcher.New(r))
+	e.config.Log.Event(reporter.ChangeApplied, reporter.Fields{"Config": r.Version, "Routes": r.Routes.Len()})
+}
