platform, forwarder: a key of the request in the lines of failed attempts

Each attempt of a caller has an ID of its own, and neither path nor body is logged, so that the logs could not tell whether replicas end under the same request.

--- a/shells/forwarder/crash.go
+++ b/shells/forwarder/crash.go
@@ -187,6 +187,9 @@
 // FormatPart returns the part as in log lines and dumps.
 func FormatPart(part uint64) string { return fmt.Sprintf("%x", part) }
 
+// FormatKey returns the key of a request as in log lines and dumps.
+func FormatKey(key uint64) string { return fmt.Sprintf("%016x", key) }
+
 // peerClosed reports whether the error says that the peer closed or reset the connection.
 func peerClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -72,6 +72,9 @@
 	PromptTokens int
 	// PromptParts identifies the parts of the prompt that other requests may share.
 	PromptParts []uint64
+	// Key identifies the request: a caller who repeats it sends one with the same key. It is
+	// 0 if it is not known.
+	Key uint64
 	// ConfigVersion is the version of the routing that was applied.
 	ConfigVersion int64
 	// ConfigAge is the time since the store had last confirmed that version.
