forwarder: failing test of a request that crashes plain replicas

The model of the platform gets replicas that are no engines, a request that ends each of them and comes again at any entry, ends of several replicas together, and keys of requests.

--- a/shells/forwarder/wave_test.go
+++ b/shells/forwarder/wave_test.go
@@ -9,17 +9,26 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile"
 )
 
-// stableWindow is the time after the fifth crash from which requests with the part that
-// crashes replicas must be kept away from them.
+// stableWindow is the time after the third crash under a request, or the fifth under a part,
+// from which requests that crash replicas must be kept away from them.
 const stableWindow = 3 * time.Second
 
 // wave describes a run of the model.
 type wave struct {
 	entries, replicas int
-	// badPerSecond is the rate of the requests that crash replicas, from 4 s on.
-	badPerSecond int
+	// plain is true if the replicas are no engines.
+	plain bool
+	// kind is the kind of the requests; a stream if it is not set.
+	kind filbertstile.CallKind
+	// badPerSecond is the rate of the requests with the part that crashes replicas, from
+	// 4 s on, and repeatsPerSecond that of the request that does.
+	badPerSecond, repeatsPerSecond int
+	// endTogether is the number of replicas that end together 2 s and 10 s after that.
+	endTogether int
 	// soundPerReplica is the rate of the sound requests for each replica; 0 means 3.
 	soundPerReplica int
 	// accounts is the number of accounts; 0 means 20. All requests that crash replicas
@@ -34,9 +43,11 @@
 // waveResult is what a run of the model shows.
 type waveResult struct {
 	crashes, badSends, badSendsAfter, probes, soundRefused int
+	// repeatCrashes and repeatsAfter are the same for the request that crashes replicas.
+	repeatCrashes, repeatsAfter int
 	// served is the share of sound requests that began at the caller's first attempt, and
-	// accountServed that of the first account.
-	served, accountServed float64
+	// accountServed that of the first account. servedAtLast also counts later attempts.
+	served, accountServed, servedAtLast float64
 }
 
 // play plays 4 s without and 16 s with requests that crash replicas.
@@ -45,14 +56,24 @@
 	var out waveResult
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancelCause(t.Context())
-		m := newModel(ctx, t, w.entries, w.replicas, w.seed)
-		m.accounts, m.oneAccount = cmp.Or(w.accounts, 20), w.oneAccount
+		m := newModel(ctx, t, w)
 		sending, stop := context.WithTimeout(ctx, 20*time.Second)
 		m.work.Go(func() { m.load(sending, cmp.Or(w.soundPerReplica, 3)*w.replicas) })
 		time.Sleep(4 * time.Second)
 		if w.badPerSecond > 0 {
 			m.work.Go(func() { m.wave(sending, w.badPerSecond) })
 		}
+		if w.repeatsPerSecond > 0 {
+			m.work.Go(func() { m.repeat(sending, w.repeatsPerSecond) })
+		}
+		if w.endTogether > 0 {
+			m.work.Go(func() {
+				time.Sleep(2 * time.Second)
+				m.endTogether(w.endTogether)
+				time.Sleep(8 * time.Second)
+				m.endTogether(w.endTogether)
+			})
+		}
 		for _, after := range w.restarts {
 			m.work.Go(func() {
 				time.Sleep(after)
@@ -67,8 +88,10 @@
 		cancel(errModelEnded)
 		m.work.Wait()
 		out = waveResult{
-			crashes: len(m.crashes), badSends: len(m.badSends), badSendsAfter: m.badSendsAfter(stableWindow), probes: m.probes, soundRefused: m.soundRefused,
+			crashes: len(m.crashes), badSends: len(m.badSends), badSendsAfter: m.badSendsAfter(badPart, 5), probes: m.probes, soundRefused: m.soundRefused,
+			repeatCrashes: m.crashesBy(badKey), repeatsAfter: m.badSendsAfter(badKey, 3),
 			served:        float64(m.begunAtFirst) / float64(max(1, m.sent)),
+			servedAtLast:  float64(m.served) / float64(max(1, m.sent)),
 			accountServed: float64(m.accountBegun) / float64(max(1, m.accountSent)),
 		}
 	})
--- a/shells/forwarder/wavemodel_test.go
+++ b/shells/forwarder/wavemodel_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,14 +33,22 @@
 	modelCrashDelay = 60 * time.Millisecond
 	modelDowntime   = 4 * time.Second
 	modelSlots      = 16
+	// modelRunTime is the time that a replica that is no engine takes for a sound request.
+	modelRunTime = 30 * time.Millisecond
 	// modelHeartbeat is the time between two heartbeats, and modelEvidenceDelay the minimum
 	// time between two messages with new evidence. One message in modelLoss is lost.
 	modelHeartbeat     = 800 * time.Millisecond
 	modelEvidenceDelay = 150 * time.Millisecond
 	modelLoss          = 20
-	// badPart is the part that crashes replicas, and systemPart is in all requests.
+	// badPart is the part that crashes replicas, badKey the key of the request that does, and
+	// systemPart is in all requests for engines.
 	badPart    = uint64(0xbad)
+	badKey     = uint64(0xbad0bad0)
 	systemPart = uint64(1)
+	// pollKey is the key of the requests that many callers send alike, and firstKey the first
+	// one of all others.
+	pollKey  = uint64(0x9011)
+	firstKey = uint64(1 << 40)
 	// accountPart is the part of the first account.
 	accountPart = uint64(100)
 )
@@ -51,9 +60,27 @@
 // modelRequest is the Call.Message of a request of the model.
 type modelRequest struct {
 	parts []uint64
+	key   uint64
 }
 
-func (r *modelRequest) bad() bool { return slices.Contains(r.parts, badPart) }
+// cause returns the part or the key by which the request crashes replicas; 0 if it does not.
+func (r *modelRequest) cause() uint64 {
+	switch {
+	case slices.Contains(r.parts, badPart):
+		return badPart
+	case r.key == badKey:
+		return badKey
+	}
+	return 0
+}
+
+func (r *modelRequest) bad() bool { return r.cause() != 0 }
+
+// moment is the time of something that a part or a key has caused.
+type moment struct {
+	at    time.Time
+	cause uint64
+}
 
 // model is a system of entries and replicas in virtual time.
 type model struct {
@@ -63,16 +90,21 @@
 	entries []*modelEntry
 	work    sync.WaitGroup
 
+	// plain is true if the replicas are no engines, and kind is the kind of the requests.
+	plain bool
+	kind  filbertstile.CallKind
+
 	mu       sync.Mutex
 	replicas []*modelReplica
 	boots    int
-	// crashes are the times at which replicas ended, and badSends those at which
-	// requests with the bad part reached replicas.
-	crashes, badSends []time.Time
+	// crashes are the moments at which replicas ended, and badSends those at which
+	// requests that crash replicas reached them.
+	crashes, badSends []moment
+	keys              uint64
 	probes            int
 	// sent and begunAtFirst count sound requests, and those of them whose first
-	// attempt of the caller began.
-	sent, begunAtFirst int
+	// attempt of the caller began; served counts those of which any attempt did.
+	sent, begunAtFirst, served int
 	// soundRefused counts refusals of sound requests because of a part.
 	soundRefused int
 	// accountSent and accountBegun count those of the first account only.
@@ -87,6 +119,8 @@
 type modelReplica struct {
 	filbertstile.Replica
 	engine *batcher.Engine
+	// running is the number of requests at a replica that is no engine; model.mu protects it.
+	running int
 	// ended is closed when the process ends.
 	ended context.Context
 	end   context.CancelFunc
@@ -102,13 +136,15 @@
 	news chan struct{}
 }
 
-func newModel(ctx context.Context, t *testing.T, entries, replicas int, seed uint64) *model {
-	m := &model{t: t, ctx: ctx, accounts: 20, rng: rand.New(rand.NewPCG(seed, 7))}
-	for i := range replicas {
+func newModel(ctx context.Context, t *testing.T, w wave) *model {
+	m := &model{
+		t: t, ctx: ctx, accounts: cmp.Or(w.accounts, 20), oneAccount: w.oneAccount, plain: w.plain, kind: cmp.Or(w.kind, filbertstile.CallStream), rng: rand.New(rand.NewPCG(w.seed, 7)),
+	}
+	for i := range w.replicas {
 		m.replicas = append(m.replicas, nil)
 		m.boot(i)
 	}
-	for i := range entries {
+	for i := range w.entries {
 		m.entries = append(m.entries, m.newEntry(i))
 	}
 	for i := range m.entries {
@@ -232,10 +268,11 @@
 			rows = append(rows, r.Replica)
 		}
 	}
-	return placer.Fleet{
-		Replicas: filbertstile.NewTable(rows...), Entries: max(1, len(m.entries)),
-		Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: &modelEngine}),
+	pool := filbertstile.PoolSpec{Service: "s"}
+	if !m.plain {
+		pool.Engine = &modelEngine
 	}
+	return placer.Fleet{Replicas: filbertstile.NewTable(rows...), Entries: max(1, len(m.entries)), Pools: filbertstile.NewTable(pool)}
 }
 
 // publish tells all entries the fleet, some time after it has changed.
@@ -248,13 +285,13 @@
 }
 
 // crash ends the boot of a replica, which is back later.
-func (m *model) crash(r *modelReplica) {
+func (m *model) crash(r *modelReplica, cause uint64) {
 	m.mu.Lock()
 	if r.ended.Err() != nil {
 		m.mu.Unlock()
 		return
 	}
-	m.crashes = append(m.crashes, time.Now())
+	m.crashes = append(m.crashes, moment{time.Now(), cause})
 	r.end()
 	m.mu.Unlock()
 	m.work.Go(func() {
@@ -288,17 +325,23 @@
 	if r.ID != a.Replica.ID {
 		return forwarder.Response{Verdict: forwarder.WrongReplica, Status: 421, Body: &body{Reader: strings.NewReader("")}}, nil
 	}
+	if err := a.CheckSend(); err != nil {
+		return forwarder.Response{}, exchanger.ErrNotSent{Peer: r.Address, Cause: err}
+	}
 	if req.bad() {
 		m.mu.Lock()
-		m.badSends = append(m.badSends, time.Now())
+		m.badSends = append(m.badSends, moment{time.Now(), req.cause()})
 		m.mu.Unlock()
 	}
+	if m.plain {
+		return m.runPlain(ctx, r, req)
+	}
 	b := &modelBody{ctx: ctx, replica: r, events: make(chan int, 64), total: 20}
 	submitted := r.engine.Submit(&batcher.Request{PromptTokens: a.Call.PromptTokens, Events: b.total, OnEvent: func(n int) {
 		switch {
 		case ctx.Err() != nil: // replicas drop requests whose connections are closed
 		case req.bad():
-			time.AfterFunc(modelCrashDelay, func() { m.crash(r) })
+			time.AfterFunc(modelCrashDelay, func() { m.crash(r, req.cause()) })
 		default:
 			b.events <- n
 		}
@@ -309,6 +352,37 @@
 	return forwarder.Response{Verdict: forwarder.Ran, Status: 200, Streamed: true, Body: b}, nil
 }
 
+// runPlain runs a request at a replica that is no engine.
+func (m *model) runPlain(ctx context.Context, r *modelReplica, req *modelRequest) (forwarder.Response, error) {
+	m.mu.Lock()
+	full := r.running == modelSlots
+	if !full {
+		r.running++
+	}
+	m.mu.Unlock()
+	if full {
+		return forwarder.Response{Verdict: forwarder.NotRun, Status: 503, Body: &body{Reader: strings.NewReader("")}}, nil
+	}
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		r.running--
+	}()
+	done := time.After(modelRunTime)
+	if req.bad() {
+		done = nil
+		time.AfterFunc(modelCrashDelay, func() { m.crash(r, req.cause()) })
+	}
+	select {
+	case <-done:
+		return forwarder.Response{Verdict: forwarder.Ran, Status: 200, Body: &body{Reader: strings.NewReader("answer")}}, nil
+	case <-r.ended.Done():
+		return forwarder.Response{}, exchanger.ErrNoResponse{Peer: r.Address, Cause: io.ErrUnexpectedEOF}
+	case <-ctx.Done():
+		return forwarder.Response{}, exchanger.ErrNoResponse{Peer: r.Address, Cause: ctx.Err()}
+	}
+}
+
 // modelBody is the body of a stream. It breaks off when the replica ends.
 type modelBody struct {
 	ctx      context.Context
@@ -356,12 +430,15 @@
 		now := time.Now()
 		c := &caller{}
 		m.randomEntry().forwarder.Serve(m.ctx, &forwarder.Call{
-			ID: "1", Service: "s", Route: route(filbertstile.CallStream), Arrived: now, Deadline: now.Add(6 * time.Second),
-			PromptTokens: 400, PromptParts: req.parts, Message: req,
+			ID: "1", Service: "s", Route: m.route(), Arrived: now, Deadline: now.Add(6 * time.Second),
+			PromptTokens: m.promptTokens(), PromptParts: req.parts, Key: req.key, Message: req,
 		}, c)
 		if c.status == 200 {
 			return attempt + 1
 		}
+		if m.kind == filbertstile.CallNonIdempotent && c.failure.Run != filbertstile.NotRun {
+			return 0
+		}
 		if c.failure != nil && c.failure.Code == forwarder.CodePromptPart && !req.bad() {
 			m.mu.Lock()
 			m.soundRefused++
@@ -372,13 +449,51 @@
 	return 0
 }
 
+func (m *model) route() filbertstile.Route {
+	r := route(m.kind)
+	if m.kind == filbertstile.CallNonIdempotent {
+		r.MaxAttempts, r.Resumable = 1, false
+	}
+	return r
+}
+
+func (m *model) promptTokens() int {
+	if m.plain {
+		return 0
+	}
+	return 400
+}
+
+// nextKey returns the key of a sound request. One in four is a poll, which many callers send
+// alike.
+func (m *model) nextKey(n uint64) uint64 {
+	if n%4 == 0 {
+		return pollKey
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keys++
+	return firstKey + m.keys
+}
+
+// newRequest returns a request with the parts. Those of replicas that are no engines have none.
+func (m *model) newRequest(key uint64, parts ...uint64) *modelRequest {
+	if m.plain {
+		return &modelRequest{key: key}
+	}
+	return &modelRequest{parts: parts, key: key}
+}
+
 // load sends sound requests at the rate per second until the context ends. They share the
 // system part and the parts of the accounts.
 func (m *model) load(ctx context.Context, perSecond int) {
-	m.send(ctx, perSecond, func(n uint64) []uint64 { return []uint64{systemPart, accountPart + n%m.accounts} }, func(n uint64, attempts int) {
+	m.send(ctx, perSecond, func(n uint64) *modelRequest { return m.newRequest(m.nextKey(n), systemPart, accountPart+n%m.accounts) }, func(n uint64, attempts int) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.sent++
+		if attempts > 0 {
+			m.served++
+		}
 		if attempts == 1 {
 			m.begunAtFirst++
 		}
@@ -393,17 +508,32 @@
 
 // wave sends requests with the bad part, whose other parts sound ones share.
 func (m *model) wave(ctx context.Context, perSecond int) {
-	m.send(ctx, perSecond, func(n uint64) []uint64 {
+	m.send(ctx, perSecond, func(n uint64) *modelRequest {
 		if m.oneAccount {
 			n = 0
 		}
-		return []uint64{systemPart, accountPart + n%m.accounts, badPart}
+		return m.newRequest(m.nextKey(1), systemPart, accountPart+n%m.accounts, badPart)
 	}, func(uint64, int) {})
 }
 
-func (m *model) send(ctx context.Context, perSecond int, parts func(n uint64) []uint64, done func(n uint64, attempts int)) {
+// repeat sends the request that crashes replicas again and again.
+func (m *model) repeat(ctx context.Context, perSecond int) {
+	m.send(ctx, perSecond, func(uint64) *modelRequest { return m.newRequest(badKey, systemPart, accountPart) }, func(uint64, int) {})
+}
+
+// endTogether ends the first n replicas, as a failure of their hosts' software does.
+func (m *model) endTogether(n int) {
+	m.mu.Lock()
+	failing := slices.Clone(m.replicas[:n])
+	m.mu.Unlock()
+	for _, r := range failing {
+		m.crash(r, 0)
+	}
+}
+
+func (m *model) send(ctx context.Context, perSecond int, newRequest func(n uint64) *modelRequest, done func(n uint64, attempts int)) {
 	for n := uint64(0); ctx.Err() == nil; n++ {
-		req := &modelRequest{parts: parts(n)}
+		req := newRequest(n)
 		m.work.Go(func() {
 			attempts := m.call(req)
 			if m.ctx.Err() == nil {
@@ -420,14 +550,33 @@
 	}
 }
 
-// badSendsAfter returns the number of requests with the bad part that reached replicas
-// later than d after the fifth crash.
-func (m *model) badSendsAfter(d time.Duration) int {
+// badSendsAfter returns the number of requests that reached replicas later than
+// stableWindow after the cause in them had ended the given number of replicas.
+func (m *model) badSendsAfter(cause uint64, crashes int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var last time.Time
+	for _, c := range m.crashes {
+		if c.cause == cause && crashes > 0 {
+			last, crashes = c.at, crashes-1
+		}
+	}
+	n := 0
+	for _, s := range m.badSends {
+		if crashes == 0 && s.cause == cause && s.at.Sub(last) > stableWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// crashesBy returns the number of replicas that the cause has ended.
+func (m *model) crashesBy(cause uint64) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 0
-	for _, at := range m.badSends {
-		if len(m.crashes) >= 5 && at.Sub(m.crashes[4]) > d {
+	for _, c := range m.crashes {
+		if c.cause == cause {
 			n++
 		}
 	}
