suspector: evidence is kept by keys

What speaks against a part of a prompt will also speak against a request as a whole. Renamed, nothing changes; the parts in messages keep their names.

--- a/decisions/suspector/suspector.go
+++ b/decisions/suspector/suspector.go
@@ -1,8 +1,9 @@
-// Package suspector decides which requests are kept away from replicas because a part of
-// their prompts is suspected of crashing replicas. When a replica crashes, the parts of the
-// requests whose answers had not begun there are suspects. An answer that has begun clears
-// the parts of its prompt. The part that causes the crashes is the one that several of them
-// have in common and that no begun answer has.
+// Package suspector decides which requests are kept away from replicas because something in
+// them is suspected of crashing replicas. Keys stand for what requests may have in common,
+// such as the parts of their prompts. When a replica crashes, the keys of the requests whose
+// answers had not begun there are suspects. An answer that has begun clears the keys of its
+// request. The key that causes the crashes is the one that several of them have in common
+// and that no begun answer has.
 package suspector
 
 import (
@@ -14,43 +15,43 @@
 )
 
 const (
-	// suspectCrashes is the number of crashes from which a part is suspected.
+	// suspectCrashes is the number of crashes from which a key is suspected.
 	suspectCrashes = 2
-	// blockEpisodes is the number of episodes from which a part is blocked.
+	// blockEpisodes is the number of episodes from which a key is blocked.
 	blockEpisodes = 3
 	// episodeWindow is the time within which crashes form one episode. Replicas that crash
 	// together mostly have a common cause other than the requests that each of them ran.
 	episodeWindow = 300 * time.Millisecond
-	// witnessReach is the time for which a begun answer clears its parts of crashes that
+	// witnessReach is the time for which a begun answer clears its keys of crashes that
 	// follow. Parts that many requests share are thus never suspects.
 	witnessReach = time.Second
 	// retrialAfter is the time from the last crash after which one entry may try a blocked
-	// part again.
+	// key again.
 	retrialAfter = 5 * time.Minute
 	// forgetSuspectedAfter and forgetBlockedAfter are the times from the last crash after
-	// which a part is forgotten.
+	// which a key is forgotten.
 	forgetSuspectedAfter = 5 * time.Minute
 	forgetBlockedAfter   = 30 * time.Minute
 	// maxSuspects, maxCrashes and maxChanges bound the tables.
 	maxSuspects = 1024
 	maxCrashes  = 128
 	maxChanges  = 64
-	// maxPartsPerCrash is the maximum number of suspects of one crash.
-	maxPartsPerCrash = 256
-	// maxCrashesPerPart is the maximum number of crashes that are kept for a part.
-	maxCrashesPerPart = 8
+	// maxKeysPerCrash is the maximum number of suspects of one crash.
+	maxKeysPerCrash = 256
+	// maxCrashesPerKey is the maximum number of crashes that are kept for a key.
+	maxCrashesPerKey = 8
 )
 
-// State is what may be done with requests that hold a part.
+// State is what may be done with requests that hold a key.
 type State int
 
 // States.
 const (
-	// Free means that requests with the part may be sent.
+	// Free means that requests with the key may be sent.
 	Free State = iota
-	// Suspected means that a single request with the part may be sent, as a trial.
+	// Suspected means that a single request with the key may be sent, as a trial.
 	Suspected
-	// Blocked means that no request with the part may be sent.
+	// Blocked means that no request with the key may be sent.
 	Blocked
 )
 
@@ -63,8 +64,8 @@
 	Self string
 }
 
-// Suspector holds an entry's evidence about parts of prompts. It is safe for concurrent
-// use.
+// Suspector holds an entry's evidence about keys of requests. It is safe for
+// concurrent use.
 type Suspector struct {
 	config Config
 
@@ -75,14 +76,14 @@
 	// in the order in which they became known.
 	crashes map[uint64]*crash
 	order   []*crash
-	// suspects holds the parts with crashes that no begun answer has cleared.
+	// suspects holds the keys with crashes that no begun answer has cleared.
 	suspects  map[uint64]*suspect
 	witnesses witnesses
-	// contested holds the time at which a part was last named as a suspect.
+	// contested holds the time at which a key was last named as a suspect.
 	contested map[uint64]time.Time
 	// changes lists the changes of state that TakeChanges has not returned yet.
 	changes []Change
-	// changed is closed and replaced when a part is cleared.
+	// changed is closed and replaced when a key is cleared.
 	changed chan struct{}
 }
 
@@ -90,11 +91,11 @@
 type crash struct {
 	replica uint64
 	at      time.Time
-	// parts are the suspects. A part is true if a request of this entry held it.
-	parts map[uint64]bool
+	// keys are the suspects. Its value is true if a request of this entry held the key.
+	keys map[uint64]bool
 }
 
-// suspect is a part with crashes that no begun answer has cleared.
+// suspect is a key with crashes that no begun answer has cleared.
 type suspect struct {
 	crashes []*crash
 	// episodes are the times of the first crashes of the episodes.
@@ -102,15 +103,15 @@
 	// reported is the highest number of episodes that another entry has reported.
 	reported  int
 	lastCrash time.Time
-	// inTrial is true while this entry has sent a request with the part as a trial.
+	// inTrial is true while this entry has sent a request with the key as a trial.
 	inTrial bool
 	// logged is the state in the last Change.
 	logged State
 }
 
-// Change is a change of a part's state.
+// Change is a change of a key's state.
 type Change struct {
-	Part  uint64
+	Key   uint64
 	State State
 	// Crashes is the number of crashes.
 	Crashes int
@@ -131,29 +132,29 @@
 	s.entries = append([]string{s.config.Self}, others...)
 }
 
-// RecordCrash records that a boot of a replica has crashed, with the parts of a request of
+// RecordCrash records that a boot of a replica has crashed, with the keys of a request of
 // this entry whose answer had not begun there. It reports whether other entries should be
 // told at once.
-func (s *Suspector) RecordCrash(now time.Time, replica uint64, parts []uint64) bool {
+func (s *Suspector) RecordCrash(now time.Time, replica uint64, keys []uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.crash(replica, now)
 	added := false
-	for _, part := range parts {
-		added = s.blame(now, c, part, true) || added
+	for _, key := range keys {
+		added = s.blame(now, c, key, true) || added
 	}
 	return added
 }
 
-// RecordWitness records that an answer to a request with the parts has begun, and that its
+// RecordWitness records that an answer to a request with the keys has begun, and that its
 // replica did not crash. It reports whether other entries should be told at once.
-func (s *Suspector) RecordWitness(now time.Time, parts []uint64) bool {
+func (s *Suspector) RecordWitness(now time.Time, keys []uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cleared := false
-	for _, part := range parts {
-		s.witnesses.add(part, now, true)
-		cleared = s.clear(part, now) || cleared
+	for _, key := range keys {
+		s.witnesses.add(key, now, true)
+		cleared = s.clear(key, now) || cleared
 	}
 	return cleared
 }
@@ -163,7 +164,7 @@
 	if c := s.crashes[replica]; c != nil {
 		return c
 	}
-	c := &crash{replica: replica, at: at, parts: make(map[uint64]bool)}
+	c := &crash{replica: replica, at: at, keys: make(map[uint64]bool)}
 	s.crashes[replica] = c
 	s.order = append(s.order, c)
 	if len(s.order) > maxCrashes {
@@ -173,33 +174,33 @@
 	return c
 }
 
-// blame adds the part to the suspects of the crash, and reports whether that is new. Own is
-// true if a request of this entry held the part.
-func (s *Suspector) blame(now time.Time, c *crash, part uint64, own bool) bool {
-	s.contest(now, part)
-	if known, ok := c.parts[part]; ok {
-		c.parts[part] = known || own
+// blame adds the key to the suspects of the crash, and reports whether that is new. Own is
+// true if a request of this entry held the key.
+func (s *Suspector) blame(now time.Time, c *crash, key uint64, own bool) bool {
+	s.contest(now, key)
+	if known, ok := c.keys[key]; ok {
+		c.keys[key] = known || own
 		return own && !known
 	}
-	if !s.witnesses.last(part).Add(witnessReach).Before(c.at) || len(c.parts) >= maxPartsPerCrash {
+	if !s.witnesses.last(key).Add(witnessReach).Before(c.at) || len(c.keys) >= maxKeysPerCrash {
 		return false
 	}
-	p := s.suspects[part]
+	p := s.suspects[key]
 	if p == nil {
 		p = &suspect{}
-		s.suspects[part] = p
+		s.suspects[key] = p
 	}
-	c.parts[part] = own
+	c.keys[key] = own
 	p.add(c)
-	s.logChange(now, part, p)
+	s.logChange(now, key, p)
 	s.evict(now)
 	return true
 }
 
-// clear removes the crashes up to witnessReach after the time from the part. It reports
-// whether the part was suspected or blocked before, and no longer is.
-func (s *Suspector) clear(part uint64, at time.Time) bool {
-	p := s.suspects[part]
+// clear removes the crashes up to witnessReach after the time from the key. It reports
+// whether the key was suspected or blocked before, and no longer is.
+func (s *Suspector) clear(key uint64, at time.Time) bool {
+	p := s.suspects[key]
 	if p == nil {
 		return false
 	}
@@ -209,19 +210,19 @@
 			if c.at.After(until) {
 				return false
 			}
-			delete(c.parts, part)
+			delete(c.keys, key)
 			return true
 		})
 		p.episodes = slices.DeleteFunc(p.episodes, func(t time.Time) bool { return !t.After(until) })
 		p.reported = min(p.reported, len(p.episodes))
-		s.logChange(at, part, p)
+		s.logChange(at, key, p)
 	} else {
-		s.forget(part, p)
+		s.forget(key, p)
 		if was != Free {
-			s.addChange(Change{Part: part, State: Free})
+			s.addChange(Change{Key: key, State: Free})
 		}
 	}
-	if was == Free || s.suspects[part] != nil && p.state() != Free {
+	if was == Free || s.suspects[key] != nil && p.state() != Free {
 		return false
 	}
 	close(s.changed)
@@ -235,8 +236,8 @@
 	if len(s.suspects) <= maxSuspects {
 		return
 	}
-	parts := slices.Collect(maps.Keys(s.suspects))
-	slices.SortFunc(parts, func(a, b uint64) int {
+	keys := slices.Collect(maps.Keys(s.suspects))
+	slices.SortFunc(keys, func(a, b uint64) int {
 		p, q := s.suspects[a], s.suspects[b]
 		if p.expired(now) != q.expired(now) {
 			if p.expired(now) {
@@ -246,33 +247,33 @@
 		}
 		return cmp.Or(cmp.Compare(p.state(), q.state()), p.lastCrash.Compare(q.lastCrash))
 	})
-	for _, part := range parts[:maxSuspects/8] {
-		s.forget(part, s.suspects[part])
+	for _, key := range keys[:maxSuspects/8] {
+		s.forget(key, s.suspects[key])
 	}
 }
 
-func (s *Suspector) forget(part uint64, p *suspect) {
+func (s *Suspector) forget(key uint64, p *suspect) {
 	for _, c := range slices.Concat(s.order, p.crashes) {
-		delete(c.parts, part)
+		delete(c.keys, key)
 	}
-	delete(s.suspects, part)
+	delete(s.suspects, key)
 }
 
-// suspect returns the part's record; nil if it has none or if it has expired.
-func (s *Suspector) suspect(now time.Time, part uint64) *suspect {
-	p := s.suspects[part]
+// suspect returns the key's record; nil if it has none or if it has expired.
+func (s *Suspector) suspect(now time.Time, key uint64) *suspect {
+	p := s.suspects[key]
 	if p != nil && p.expired(now) {
-		s.forget(part, p)
+		s.forget(key, p)
 		return nil
 	}
 	return p
 }
 
-// logChange records a change of the part's state.
-func (s *Suspector) logChange(now time.Time, part uint64, p *suspect) {
+// logChange records a change of the key's state.
+func (s *Suspector) logChange(now time.Time, key uint64, p *suspect) {
 	if state := p.state(); state != p.logged && !p.expired(now) {
 		p.logged = state
-		s.addChange(Change{Part: part, State: state, Crashes: p.count()})
+		s.addChange(Change{Key: key, State: state, Crashes: p.count()})
 	}
 }
 
@@ -291,9 +292,9 @@
 	return out
 }
 
-// Suspect describes a part in a dump.
+// Suspect describes a key in a dump.
 type Suspect struct {
-	Part    uint64
+	Key     uint64
 	State   string
 	Crashes int
 	// Age is the time since the last crash.
@@ -301,23 +302,23 @@
 	InTrial bool
 }
 
-// Dump returns the suspected and blocked parts.
+// Dump returns the suspected and blocked keys.
 func (s *Suspector) Dump(now time.Time) []Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Suspect
-	for part, p := range s.suspects {
+	for key, p := range s.suspects {
 		if p.state() != Free && !p.expired(now) {
-			out = append(out, Suspect{Part: part, State: p.state().String(), Crashes: p.count(), Age: now.Sub(p.lastCrash), InTrial: p.inTrial})
+			out = append(out, Suspect{Key: key, State: p.state().String(), Crashes: p.count(), Age: now.Sub(p.lastCrash), InTrial: p.inTrial})
 		}
 	}
-	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
 
 // add adds a crash.
 func (p *suspect) add(c *crash) {
-	if len(p.crashes) == maxCrashesPerPart {
+	if len(p.crashes) == maxCrashesPerKey {
 		p.crashes = slices.Delete(p.crashes, 0, 1)
 	}
 	p.crashes = append(p.crashes, c)
--- a/decisions/suspector/suspector_test.go
+++ b/decisions/suspector/suspector_test.go
@@ -35,7 +35,7 @@
 // stateOf returns the state of the part.
 func stateOf(s *suspector.Suspector, now time.Time, part uint64) string {
 	for _, x := range s.Dump(now) {
-		if x.Part == part {
+		if x.Key == part {
 			return x.State
 		}
 	}
@@ -150,9 +150,9 @@
 	e := s.Evidence(now)
 	is.True(len(e.Crashes) <= 8 && len(e.Suspicions) <= 32 && len(e.Witnesses) <= 64)
 	for _, c := range e.Crashes {
-		is.True(len(c.Parts) <= 48)
+		is.True(len(c.Keys) <= 48)
 	}
-	is.Equal(e.Suspicions[0].Part, bad)
+	is.Equal(e.Suspicions[0].Key, bad)
 }
 
 // TestCompanionIsTried guards against sound requests that are refused for minutes because
--- a/shells/edgerunner/dump.go
+++ b/shells/edgerunner/dump.go
@@ -77,7 +77,7 @@
 	}
 	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
 	for _, x := range e.suspector.Dump(time.Now()) {
-		d.Suspects = append(d.Suspects, Suspect{Part: forwarder.FormatPart(x.Part), State: x.State, Crashes: x.Crashes, Age: x.Age.String(), InTrial: x.InTrial})
+		d.Suspects = append(d.Suspects, Suspect{Part: forwarder.FormatPart(x.Key), State: x.State, Crashes: x.Crashes, Age: x.Age.String(), InTrial: x.InTrial})
 	}
 	if e.sharer != nil {
 		d.Source = e.sharer.Source()
--- a/shells/edgerunner/evidence.go
+++ b/shells/edgerunner/evidence.go
@@ -63,13 +63,13 @@
 	out := &wire.PartEvidence{}
 	evidence := e.suspector.Evidence(time.Now())
 	for _, c := range evidence.Crashes {
-		out.Crashes = append(out.Crashes, &wire.ReplicaCrash{Replica: c.Replica, AgeMilliseconds: c.Age.Milliseconds(), Parts: c.Parts})
+		out.Crashes = append(out.Crashes, &wire.ReplicaCrash{Replica: c.Replica, AgeMilliseconds: c.Age.Milliseconds(), Parts: c.Keys})
 	}
 	for _, w := range evidence.Witnesses {
-		out.Witnesses = append(out.Witnesses, &wire.PartWitness{Part: w.Part, AgeMilliseconds: w.Age.Milliseconds()})
+		out.Witnesses = append(out.Witnesses, &wire.PartWitness{Part: w.Key, AgeMilliseconds: w.Age.Milliseconds()})
 	}
 	for _, s := range evidence.Suspicions {
-		out.Suspicions = append(out.Suspicions, &wire.PartSuspicion{Part: s.Part, Episodes: int32(s.Episodes), AgeMilliseconds: s.Age.Milliseconds()})
+		out.Suspicions = append(out.Suspicions, &wire.PartSuspicion{Part: s.Key, Episodes: int32(s.Episodes), AgeMilliseconds: s.Age.Milliseconds()})
 	}
 	return out
 }
@@ -81,13 +81,13 @@
 	}
 	var evidence suspector.Evidence
 	for _, c := range p.GetCrashes() {
-		evidence.Crashes = append(evidence.Crashes, suspector.Crash{Replica: c.GetReplica(), Age: milliseconds(c.GetAgeMilliseconds()), Parts: c.GetParts()})
+		evidence.Crashes = append(evidence.Crashes, suspector.Crash{Replica: c.GetReplica(), Age: milliseconds(c.GetAgeMilliseconds()), Keys: c.GetParts()})
 	}
 	for _, w := range p.GetWitnesses() {
-		evidence.Witnesses = append(evidence.Witnesses, suspector.Witness{Part: w.GetPart(), Age: milliseconds(w.GetAgeMilliseconds())})
+		evidence.Witnesses = append(evidence.Witnesses, suspector.Witness{Key: w.GetPart(), Age: milliseconds(w.GetAgeMilliseconds())})
 	}
 	for _, s := range p.GetSuspicions() {
-		evidence.Suspicions = append(evidence.Suspicions, suspector.Suspicion{Part: s.GetPart(), Episodes: int(s.GetEpisodes()), Age: milliseconds(s.GetAgeMilliseconds())})
+		evidence.Suspicions = append(evidence.Suspicions, suspector.Suspicion{Key: s.GetPart(), Episodes: int(s.GetEpisodes()), Age: milliseconds(s.GetAgeMilliseconds())})
 	}
 	if e.suspector.Merge(time.Now(), evidence) {
 		e.announceEvidence()
--- a/shells/forwarder/crash_test.go
+++ b/shells/forwarder/crash_test.go
@@ -166,7 +166,7 @@
 		r.is.Equal(r.prober.probes.Load(), int32(1))
 		e := r.suspector.Evidence(time.Now())
 		r.is.Equal(len(e.Crashes), 1)
-		r.is.Equal(len(e.Crashes[0].Parts), 40) // each request's part is a suspect
+		r.is.Equal(len(e.Crashes[0].Keys), 40) // each request's part is a suspect
 		r.is.True(r.evidence.Load() > 0)
 	})
 }
--- a/shells/forwarder/parts.go
+++ b/shells/forwarder/parts.go
@@ -106,7 +106,7 @@
 			return d.InTrial, true
 		}
 		if d.Verdict == suspector.Refuse || !waiting {
-			x.partRefused(d.Part, d.RetryAfter)
+			x.partRefused(d.Key, d.RetryAfter)
 			return nil, false
 		}
 		select {
@@ -128,7 +128,7 @@
 		return false
 	}
 	x.release(g, placer.Abandoned)
-	x.partRefused(d.Part, d.RetryAfter)
+	x.partRefused(d.Key, d.RetryAfter)
 	return true
 }
 
@@ -143,6 +143,6 @@
 // LogPartChanges logs changes of the states of parts of prompts.
 func LogPartChanges(log *reporter.Log, changes []suspector.Change) {
 	for _, c := range changes {
-		log.Event(reporter.PromptPartChanged, reporter.Fields{"Part": FormatPart(c.Part), "State": c.State.String(), "Crashes": c.Crashes})
+		log.Event(reporter.PromptPartChanged, reporter.Fields{"Part": FormatPart(c.Key), "State": c.State.String(), "Crashes": c.Crashes})
 	}
 }
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -51,7 +51,7 @@
 		return ErrDeclined
 	}
 	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.call.PromptParts); d.Verdict == suspector.Refuse {
-		return ErrPartBlocked{Step: "send request", Peer: g.Replica.Address, Part: FormatPart(d.Part)}
+		return ErrPartBlocked{Step: "send request", Peer: g.Replica.Address, Part: FormatPart(d.Key)}
 	}
 	return nil
 }
