suspector, forwarder: requests that crash replicas are kept away from them

Callers saw a service refuse four of ten requests for seconds: one request crashed a replica, was retried at once, crashed the next, and came again at any entry when the replicas were back. 13 to 19 ends of a service of three replicas.

Cause: evidence was kept by parts of prompts only, and requests without parts left none. The class is that of the crashing parts: a failure that travels with the input, handled by retries that suppose a failure of the place. Ruled out by the failing test, which shows the waves from this alone: that load or a common failure is needed.

The table of suspects now has keys of two kinds, a part and a request as a whole. What exists for parts works for both: shared evidence, witnesses, trials, and the check again after the queue and when the connection is ready. Requests differ in this: - A crash under a request that was sent after the crash before it counts by itself, however close. Replicas that end together, under requests that had all been sent before, still count once, and such a request is tried at once. - After two crashes one after the other, the request is held until the replicas are back, and then tried by one entry. The third crash blocks it. - A blocked request is tried once more, after five minutes. A trial that neither crashes a replica nor is answered counts like a crash, since it has reached a replica. - Witnesses of requests have a table of their own, so that they do not push out those of parts. A held or blocked request is refused at once, with 503 and the true delay, or none if it is not tried again.

Existing tests call RecordCrash and EndTrial with their new parameters; nothing else of them has changed.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -57,6 +57,7 @@
 	PromptPartChanged   Event = 314
 	ReplicaLeaving      Event = 316
 	ReplicaPaused       Event = 317
+	RequestSuspected    Event = 318
 	TransferStarted     Event = 401
 	TransferDone        Event = 402
 	ChunkRefused        Event = 403
@@ -129,8 +130,9 @@
 	{ReplicaPaused, "ReplicaPaused", "requests", logrus.InfoLevel, "A replica has rejected a request and named a time for which it wants none from this process.", "Check the replica's load if this repeats."},
 	{ReplicasChanged, "ReplicasChanged", "requests", logrus.InfoLevel, "The set of replicas that take requests has changed.", noAction},
 	{PeersChanged, "PeersChanged", "process", logrus.InfoLevel, "The set of processes whose heartbeats arrive has changed.", noAction},
-	{ReplicaCrashed, "ReplicaCrashed", "requests", logrus.WarnLevel, "A replica's process ended while requests of this entry were in flight there; the parts of the prompts of those without a begun answer are suspects.", "Look for a part that the lines have in common."},
+	{ReplicaCrashed, "ReplicaCrashed", "requests", logrus.WarnLevel, "A replica's process ended while requests of this entry were in flight there; the keys of those without a begun answer, and the parts of their prompts, are suspects.", "Look for a part or a key that the lines have in common."},
 	{PromptPartChanged, "PromptPartChanged", "requests", logrus.WarnLevel, "A part of prompts is now suspected of crashing replicas, blocked, or free again.", "Check which requests hold a blocked part; they are refused for minutes after the last crash."},
+	{RequestSuspected, "RequestSuspected", "requests", logrus.WarnLevel, "A request is now suspected of crashing replicas, blocked, or free again; AttemptEnded names the route and the account of its Key.", "Find out why replicas crash under the request; while it is blocked, it and its repeats are refused."},
 	{TransferStarted, "TransferStarted", "weights", logrus.InfoLevel, "A host has started to fetch a release.", noAction},
 	{TransferDone, "TransferDone", "weights", logrus.InfoLevel, "All chunks of a release are stored and verified.", noAction},
 	{ChunkRefused, "ChunkRefused", "weights", logrus.WarnLevel, "A chunk did not match its digest and was discarded.", "Check the peer or source in the log line."},
--- a/decisions/suspector/decide.go
+++ b/decisions/suspector/decide.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// trialShareInterval is the time after which twice as many entries may try a suspected
-	// key: one at first, so that requests with it end few replicas, and all after a few
-	// seconds, so that requests with a sound one need not find the right entry.
-	trialShareInterval = 500 * time.Millisecond
 	// maxTrialDoublings bounds the doublings: no system has more than 2^16 entries.
 	maxTrialDoublings = 16
 	// suspectedRetryAfter is the retry delay for requests with a suspected key.
@@ -39,7 +35,8 @@
 	Verdict Verdict
 	// Part is the key that speaks against the request; 0 if there is none.
 	Key uint64
-	// RetryAfter is the time after which the request may be accepted, if it is not sent.
+	// RetryAfter is the time after which the request may be accepted, if it is not sent; 0 if
+	// it will not be accepted.
 	RetryAfter time.Duration
 	// InTrial lists the keys on trial.
 	InTrial []uint64
@@ -59,13 +56,18 @@
 			continue
 		}
 		d.Key = key
-		sinceCrash := max(0, now.Sub(p.lastCrash))
-		trialEntries := 1 << min(maxTrialDoublings, sinceCrash/trialShareInterval)
-		if p.state() == Blocked && !s.explained(p, key, keys) {
-			if sinceCrash < retrialAfter {
-				d.Verdict, d.RetryAfter, d.InTrial = Refuse, retrialAfter-sinceCrash, nil
+		triedFor := max(0, now.Sub(p.lastCrash))
+		explained := s.explained(p, key, keys)
+		if !explained {
+			wait, never := p.heldBack(now)
+			if wait > 0 || never {
+				d.Verdict, d.RetryAfter, d.InTrial = Refuse, max(0, wait), nil
 				return d
 			}
+			triedFor = -wait
+		}
+		trialEntries := 1 << min(maxTrialDoublings, triedFor/p.policy.trialInterval)
+		if !explained && (p.state() == Blocked || p.held()) {
 			trialEntries = 1
 		}
 		mayTry = mayTry && !p.inTrial && s.rank(key) < trialEntries
@@ -85,32 +87,68 @@
 	return d
 }
 
+// held reports whether the suspected key is tried only after a while, and by one entry.
+func (p *suspect) held() bool {
+	return p.state() == Suspected && p.policy.holdFor > 0 && p.counted() > 1
+}
+
+// heldBack returns the time until requests with the key may be tried; it is negative if they
+// may be tried since then. Never is true if they are not tried before the key is forgotten.
+func (p *suspect) heldBack(now time.Time) (wait time.Duration, never bool) {
+	since := max(0, now.Sub(p.lastCrash))
+	switch {
+	case p.state() == Blocked:
+		if p.policy.maxEpisodes > 0 && p.counted() >= p.policy.maxEpisodes {
+			return 0, true
+		}
+		return retrialAfter - since, false
+	case p.held():
+		return p.policy.holdFor - since, false
+	}
+	return -since, false
+}
+
 // Recheck decides again about a request that Admit has let pass. It returns Send, or Refuse
-// if a key has been blocked since.
+// if a key is held back since.
 func (s *Suspector) Recheck(now time.Time, keys []uint64) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, key := range keys {
 		p := s.suspect(now, key)
-		if p == nil || p.state() != Blocked || s.explained(p, key, keys) {
+		if p == nil || p.state() == Free || s.explained(p, key, keys) {
 			continue
 		}
-		if wait := retrialAfter - now.Sub(p.lastCrash); wait > 0 {
-			return Decision{Verdict: Refuse, Key: key, RetryAfter: wait}
+		if wait, never := p.heldBack(now); wait > 0 || never {
+			return Decision{Verdict: Refuse, Key: key, RetryAfter: max(0, wait)}
 		}
 	}
 	return Decision{Verdict: Send}
 }
 
-// EndTrial ends a trial of the keys.
-func (s *Suspector) EndTrial(keys []uint64) {
+// EndTrial ends a trial of the keys. Sent is true if the request has reached a replica: unless
+// it was cleared or crashed the replica, the trial then counts against a request that was
+// held, as no more than a few may be sent. EndTrial reports whether other entries should be
+// told at once.
+func (s *Suspector) EndTrial(now time.Time, keys []uint64, sent bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	counted := false
 	for _, key := range keys {
-		if p := s.suspects[key]; p != nil {
-			p.inTrial = false
+		p := s.suspects[key]
+		if p == nil {
+			continue
+		}
+		p.inTrial = false
+		if sent && p.policy.ordered && p.counted() > 1 && p.addEpisode(episode{at: now}) {
+			if p.reported >= len(p.episodes) {
+				p.reported = min(p.reported+1, p.maxCounted())
+			}
+			p.lastCrash = now
+			s.logChange(now, key, p)
+			counted = true
 		}
 	}
+	return counted
 }
 
 // explained reports whether each crash of the key may have been caused by another blocked
--- a/decisions/suspector/exchange.go
+++ b/decisions/suspector/exchange.go
@@ -51,7 +51,7 @@
 type Suspicion struct {
 	Key uint64
 	// Episodes is the number of crashes that did not happen together, as far as it
-	// matters, but at least 2.
+	// matters, but at least 2 for a part.
 	Episodes int
 	// Age is the time since the last crash.
 	Age time.Duration
@@ -78,8 +78,8 @@
 			break
 		}
 		x := Crash{Replica: c.replica, Age: now.Sub(c.at)}
-		for key, own := range c.keys {
-			if own {
+		for key, b := range c.keys {
+			if b.own {
 				x.Keys = append(x.Keys, key)
 			}
 		}
@@ -102,7 +102,7 @@
 			delete(s.contested, key)
 			continue
 		}
-		if own := s.witnesses.get(key).own; !own.IsZero() {
+		if own := s.witness(key).own; !own.IsZero() {
 			out = append(out, Witness{Key: key, Age: now.Sub(own)})
 		}
 	}
@@ -114,7 +114,11 @@
 	var out []Suspicion
 	for key, p := range s.suspects {
 		if p.state() != Free && !p.expired(now) {
-			out = append(out, Suspicion{Key: key, Episodes: max(suspectCrashes, len(p.episodes), p.reported), Age: now.Sub(p.lastCrash)})
+			episodes := p.counted()
+			if !p.policy.ordered {
+				episodes = max(suspectCrashes, episodes)
+			}
+			out = append(out, Suspicion{Key: key, Episodes: episodes, Age: now.Sub(p.lastCrash)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Suspicion) int {
@@ -124,20 +128,20 @@
 }
 
 // Merge adds the evidence of another entry. It reports whether that entry should be told at
-// once that a key that it suspects has a witness here, or that a key is blocked of which
-// it does not know, as after its restart.
+// once that a key that it suspects has a witness here, or that a key is blocked or held of
+// which it does not know, as after its restart.
 func (s *Suspector) Merge(now time.Time, e Evidence) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range e.Witnesses {
 		at := now.Add(-max(0, w.Age))
-		s.witnesses.add(w.Key, at, false)
+		s.addWitness(w.Key, at, false)
 		s.clear(w.Key, at)
 	}
 	for _, x := range e.Crashes {
 		c := s.crash(x.Replica, now.Add(-max(0, x.Age)))
 		for _, key := range x.Keys {
-			s.blame(now, c, key, false)
+			s.blame(now, c, key, blame{})
 		}
 	}
 	reply := false
@@ -147,14 +151,14 @@
 	return reply || s.knowsMore(now, e.Suspicions)
 }
 
-// knowsMore reports whether a key is blocked here that the suspicions of another entry do
-// not contain.
+// knowsMore reports whether a key is blocked or held here that the suspicions of another
+// entry do not contain.
 func (s *Suspector) knowsMore(now time.Time, others []Suspicion) bool {
 	if len(others) == maxSharedSuspicions {
 		return false
 	}
 	for key, p := range s.suspects {
-		if p.state() == Blocked && !p.expired(now) && !slices.ContainsFunc(others, func(x Suspicion) bool { return x.Key == key }) {
+		if (p.state() == Blocked || p.held()) && !p.expired(now) && !slices.ContainsFunc(others, func(x Suspicion) bool { return x.Key == key }) {
 			return true
 		}
 	}
@@ -166,15 +170,11 @@
 func (s *Suspector) addSuspicion(now time.Time, x Suspicion) bool {
 	at := now.Add(-max(0, x.Age))
 	s.contest(now, x.Key)
-	if w := s.witnesses.get(x.Key); !w.last.Add(witnessReach).Before(at) {
+	if w := s.witness(x.Key); !w.last.Add(witnessReach).Before(at) {
 		return !w.own.Add(witnessReach).Before(at)
 	}
-	p := s.suspects[x.Key]
-	if p == nil {
-		p = &suspect{}
-		s.suspects[x.Key] = p
-	}
-	p.reported = max(p.reported, min(x.Episodes, blockEpisodes))
+	p := s.suspectOf(x.Key)
+	p.reported = max(p.reported, min(x.Episodes, p.maxCounted()))
 	if at.Sub(p.lastCrash) > ageTolerance {
 		p.lastCrash = at
 	}
--- a/decisions/suspector/exchange_test.go
+++ b/decisions/suspector/exchange_test.go
@@ -34,7 +34,7 @@
 			now = now.Add(100 * time.Millisecond)
 			if step%5 == 0 && step/5 < crashes {
 				for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, entries-1), 1, 3, rapid.ID[int]).Draw(t, "seen by") {
-					all[i].RecordCrash(now, uint64(step), []uint64{system, bad})
+					all[i].RecordCrash(now, uint64(step), suspector.LostRequest{Keys: []uint64{system, bad}})
 				}
 			}
 			if step%8 == 0 {
@@ -82,9 +82,9 @@
 func TestRepeatedEvidenceCountsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := newSuspector(0, 2), newSuspector(1, 2)
-		a.RecordCrash(start, 1, []uint64{bad})
-		b.RecordCrash(start.Add(5*time.Millisecond), 1, []uint64{bad})
-		b.RecordCrash(start.Add(apart), 2, []uint64{bad})
+		a.RecordCrash(start, 1, suspector.LostRequest{Keys: []uint64{bad}})
+		b.RecordCrash(start.Add(5*time.Millisecond), 1, suspector.LostRequest{Keys: []uint64{bad}})
+		b.RecordCrash(start.Add(apart), 2, suspector.LostRequest{Keys: []uint64{bad}})
 		now := start.Add(apart)
 		for range rapid.IntRange(1, 40).Draw(t, "messages") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "delay")) * time.Millisecond)
--- a/decisions/suspector/suspector.go
+++ b/decisions/suspector/suspector.go
@@ -28,10 +28,9 @@
 	// retrialAfter is the time from the last crash after which one entry may try a blocked
 	// key again.
 	retrialAfter = 5 * time.Minute
-	// forgetSuspectedAfter and forgetBlockedAfter are the times from the last crash after
-	// which a key is forgotten.
+	// forgetSuspectedAfter is the time from the last crash after which a key that is not
+	// blocked is forgotten.
 	forgetSuspectedAfter = 5 * time.Minute
-	forgetBlockedAfter   = 30 * time.Minute
 	// maxSuspects, maxCrashes and maxChanges bound the tables.
 	maxSuspects = 1024
 	maxCrashes  = 128
@@ -77,8 +76,10 @@
 	crashes map[uint64]*crash
 	order   []*crash
 	// suspects holds the keys with crashes that no begun answer has cleared.
-	suspects  map[uint64]*suspect
-	witnesses witnesses
+	suspects map[uint64]*suspect
+	// witnesses holds those of parts and of contested requests, and requestWitnesses those of
+	// all other requests, which are many more.
+	witnesses, requestWitnesses witnesses
 	// contested holds the time at which a key was last named as a suspect.
 	contested map[uint64]time.Time
 	// changes lists the changes of state that TakeChanges has not returned yet.
@@ -91,22 +92,24 @@
 type crash struct {
 	replica uint64
 	at      time.Time
-	// keys are the suspects. Its value is true if a request of this entry held the key.
-	keys map[uint64]bool
+	// keys are the suspects.
+	keys map[uint64]blame
 }
 
-// suspect is a key with crashes that no begun answer has cleared.
-type suspect struct {
-	crashes []*crash
-	// episodes are the times of the first crashes of the episodes.
-	episodes []time.Time
-	// reported is the highest number of episodes that another entry has reported.
-	reported  int
-	lastCrash time.Time
-	// inTrial is true while this entry has sent a request with the key as a trial.
-	inTrial bool
-	// logged is the state in the last Change.
-	logged State
+// blame says why a key is a suspect of a crash.
+type blame struct {
+	// own is true if a request of this entry held the key.
+	own bool
+	// sentAt is the time at which the last of these requests was sent; zero if none is known.
+	sentAt time.Time
+}
+
+// LostRequest is a request of this entry whose answer had not begun at a replica when it
+// crashed.
+type LostRequest struct {
+	Keys []uint64
+	// SentAt is the time at which the request was sent there; zero if it is not known.
+	SentAt time.Time
 }
 
 // Change is a change of a key's state.
@@ -122,6 +125,7 @@
 	return &Suspector{
 		config: c, entries: []string{c.Self}, crashes: make(map[uint64]*crash), suspects: make(map[uint64]*suspect),
 		contested: make(map[uint64]time.Time), changed: make(chan struct{}),
+		witnesses: witnesses{maxAge: witnessAge}, requestWitnesses: witnesses{maxAge: requestWitnessAge},
 	}
 }
 
@@ -132,16 +136,17 @@
 	s.entries = append([]string{s.config.Self}, others...)
 }
 
-// RecordCrash records that a boot of a replica has crashed, with the keys of a request of
-// this entry whose answer had not begun there. It reports whether other entries should be
-// told at once.
-func (s *Suspector) RecordCrash(now time.Time, replica uint64, keys []uint64) bool {
+// RecordCrash records that a boot of a replica has crashed, and which requests were lost. It
+// reports whether other entries should be told at once.
+func (s *Suspector) RecordCrash(now time.Time, replica uint64, requests ...LostRequest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.crash(replica, now)
 	added := false
-	for _, key := range keys {
-		added = s.blame(now, c, key, true) || added
+	for _, r := range requests {
+		for _, key := range r.Keys {
+			added = s.blame(now, c, key, blame{own: true, sentAt: r.SentAt}) || added
+		}
 	}
 	return added
 }
@@ -153,18 +158,33 @@
 	defer s.mu.Unlock()
 	cleared := false
 	for _, key := range keys {
-		s.witnesses.add(key, now, true)
+		s.addWitness(key, now, true)
 		cleared = s.clear(key, now) || cleared
 	}
 	return cleared
 }
 
+func (s *Suspector) addWitness(key uint64, at time.Time, own bool) {
+	if _, contested := s.contested[key]; IsRequest(key) && !contested {
+		s.requestWitnesses.add(key, at, own)
+	} else {
+		s.witnesses.add(key, at, own)
+	}
+}
+
+func (s *Suspector) witness(key uint64) witness {
+	if IsRequest(key) {
+		return s.witnesses.get(key).merge(s.requestWitnesses.get(key))
+	}
+	return s.witnesses.get(key)
+}
+
 // crash returns the crash of the boot, after adding it if it is not known.
 func (s *Suspector) crash(replica uint64, at time.Time) *crash {
 	if c := s.crashes[replica]; c != nil {
 		return c
 	}
-	c := &crash{replica: replica, at: at, keys: make(map[uint64]bool)}
+	c := &crash{replica: replica, at: at, keys: make(map[uint64]blame)}
 	s.crashes[replica] = c
 	s.order = append(s.order, c)
 	if len(s.order) > maxCrashes {
@@ -174,27 +194,51 @@
 	return c
 }
 
-// blame adds the key to the suspects of the crash, and reports whether that is new. Own is
-// true if a request of this entry held the key.
-func (s *Suspector) blame(now time.Time, c *crash, key uint64, own bool) bool {
+// blame adds the key to the suspects of the crash, and reports whether that is new.
+func (s *Suspector) blame(now time.Time, c *crash, key uint64, b blame) bool {
+	if b.sentAt.After(c.at) {
+		return false // the replica's end is known from another entry
+	}
 	s.contest(now, key)
+	if !policyOf(key).ordered {
+		b.sentAt = time.Time{}
+	}
 	if known, ok := c.keys[key]; ok {
-		c.keys[key] = known || own
-		return own && !known
+		c.keys[key] = known.merge(b)
+		if p := s.suspects[key]; p != nil {
+			p.addEpisode(episode{c.at, b.sentAt})
+			s.logChange(now, key, p)
+		}
+		return b.own && !known.own
 	}
-	if !s.witnesses.last(key).Add(witnessReach).Before(c.at) || len(c.keys) >= maxKeysPerCrash {
+	if !s.witness(key).last.Add(witnessReach).Before(c.at) || len(c.keys) >= maxKeysPerCrash {
 		return false
 	}
+	p := s.suspectOf(key)
+	c.keys[key] = b
+	p.add(c, b.sentAt)
+	s.logChange(now, key, p)
+	s.evict(now)
+	return true
+}
+
+// merge returns the blame by all requests of both.
+func (b blame) merge(o blame) blame {
+	if o.sentAt.After(b.sentAt) {
+		b.sentAt = o.sentAt
+	}
+	b.own = b.own || o.own
+	return b
+}
+
+// suspectOf returns the key's record, after adding it if there is none.
+func (s *Suspector) suspectOf(key uint64) *suspect {
 	p := s.suspects[key]
 	if p == nil {
-		p = &suspect{}
+		p = &suspect{policy: policyOf(key)}
 		s.suspects[key] = p
 	}
-	c.keys[key] = own
-	p.add(c)
-	s.logChange(now, key, p)
-	s.evict(now)
-	return true
+	return p
 }
 
 // clear removes the crashes up to witnessReach after the time from the key. It reports
@@ -213,7 +257,7 @@
 			delete(c.keys, key)
 			return true
 		})
-		p.episodes = slices.DeleteFunc(p.episodes, func(t time.Time) bool { return !t.After(until) })
+		p.episodes = slices.DeleteFunc(p.episodes, func(e episode) bool { return !e.at.After(until) })
 		p.reported = min(p.reported, len(p.episodes))
 		s.logChange(at, key, p)
 	} else {
@@ -315,44 +359,3 @@
 	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Key, b.Key) })
 	return out
 }
-
-// add adds a crash.
-func (p *suspect) add(c *crash) {
-	if len(p.crashes) == maxCrashesPerKey {
-		p.crashes = slices.Delete(p.crashes, 0, 1)
-	}
-	p.crashes = append(p.crashes, c)
-	sameEpisode := func(t time.Time) bool { return c.at.Sub(t).Abs() < episodeWindow }
-	if !slices.ContainsFunc(p.episodes, sameEpisode) {
-		if p.reported > len(p.episodes) && c.at.Sub(p.lastCrash) > ageTolerance {
-			// This crash is later than those that another entry has counted.
-			p.reported = min(p.reported+1, blockEpisodes)
-		}
-		if len(p.episodes) < blockEpisodes {
-			p.episodes = append(p.episodes, c.at)
-		}
-	}
-	if c.at.After(p.lastCrash) {
-		p.lastCrash = c.at
-	}
-}
-
-// count returns the number of crashes, as far as they are kept.
-func (p *suspect) count() int { return max(len(p.crashes), p.reported) }
-
-func (p *suspect) state() State {
-	switch {
-	case max(len(p.episodes), p.reported) >= blockEpisodes:
-		return Blocked
-	case p.count() >= suspectCrashes:
-		return Suspected
-	}
-	return Free
-}
-
-func (p *suspect) expired(now time.Time) bool {
-	if p.state() == Blocked {
-		return now.Sub(p.lastCrash) > forgetBlockedAfter
-	}
-	return now.Sub(p.lastCrash) > forgetSuspectedAfter
-}
--- a/decisions/suspector/suspector_test.go
+++ b/decisions/suspector/suspector_test.go
@@ -46,7 +46,7 @@
 // after them.
 func crash(s *suspector.Suspector, now time.Time, from, n int, parts ...uint64) time.Time {
 	for i := range n {
-		s.RecordCrash(now, uint64(from+i), parts)
+		s.RecordCrash(now, uint64(from+i), suspector.LostRequest{Keys: parts})
 		now = now.Add(apart)
 	}
 	return now
@@ -60,7 +60,7 @@
 	for i := range 3 {
 		s.RecordWitness(now, []uint64{system, 100, 101, 102})
 		is.Equal(s.Admit(now, []uint64{system, bad}).Verdict != suspector.Refuse, true)
-		s.RecordCrash(now, uint64(i), []uint64{system, uint64(100 + i), bad})
+		s.RecordCrash(now, uint64(i), suspector.LostRequest{Keys: []uint64{system, uint64(100 + i), bad}})
 		now = now.Add(apart)
 	}
 	is.Equal(stateOf(s, now, bad), "Blocked")
@@ -94,7 +94,7 @@
 		for i := range 8 {
 			at := now.Add(time.Duration(rapid.IntRange(0, 250).Draw(t, "offset")) * time.Millisecond)
 			held := rapid.SliceOfN(rapid.SampledFrom(parts), 1, 12).Draw(t, "held")
-			s.RecordCrash(at, uint64(i), held)
+			s.RecordCrash(at, uint64(i), suspector.LostRequest{Keys: held})
 		}
 		now = now.Add(250 * time.Millisecond)
 		for _, part := range parts {
@@ -117,7 +117,7 @@
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "gap")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "crash") {
-				s.RecordCrash(now.Add(-time.Millisecond), uint64(i), []uint64{system, bad})
+				s.RecordCrash(now.Add(-time.Millisecond), uint64(i), suspector.LostRequest{Keys: []uint64{system, bad}})
 			}
 			s.RecordWitness(now, []uint64{system})
 			if v := s.Admit(now, []uint64{system}).Verdict; v != suspector.Send {
@@ -142,8 +142,8 @@
 		}
 		now = now.Add(10 * time.Millisecond)
 		s.RecordWitness(now, parts[:32])
-		s.RecordCrash(now, uint64(1000+i), parts[32:])
-		s.RecordCrash(now, uint64(5000+i), parts[32:])
+		s.RecordCrash(now, uint64(1000+i), suspector.LostRequest{Keys: parts[32:]})
+		s.RecordCrash(now, uint64(5000+i), suspector.LostRequest{Keys: parts[32:]})
 	}
 	is.Equal(stateOf(s, now, bad), "Blocked")
 	is.True(len(s.Dump(now)) <= 1024)
@@ -165,7 +165,7 @@
 	d := s.Admit(now, []uint64{7})
 	is.Equal(d.Verdict, suspector.Trial)
 	s.RecordWitness(now, []uint64{7})
-	s.EndTrial(d.InTrial)
+	s.EndTrial(now, d.InTrial, true)
 	is.Equal(s.Admit(now, []uint64{7}).Verdict, suspector.Send)
 	is.Equal(s.Admit(now, []uint64{bad}).Verdict, suspector.Refuse)
 }
@@ -178,13 +178,13 @@
 	trials := 0
 	for i := range entries {
 		s := newSuspector(i, entries)
-		s.RecordCrash(start, 1, []uint64{bad})
-		s.RecordCrash(start, 2, []uint64{bad})
+		s.RecordCrash(start, 1, suspector.LostRequest{Keys: []uint64{bad}})
+		s.RecordCrash(start, 2, suspector.LostRequest{Keys: []uint64{bad}})
 		d := s.Admit(start, []uint64{bad})
 		if d.Verdict == suspector.Trial {
 			trials++
 			is.Equal(s.Admit(start, []uint64{bad}).Verdict, suspector.Wait)
-			s.EndTrial(d.InTrial)
+			s.EndTrial(start, d.InTrial, true)
 			is.Equal(s.Admit(start, []uint64{bad}).Verdict, suspector.Trial)
 		}
 		is.Equal(s.Admit(start.Add(10*time.Second), []uint64{bad}).Verdict == suspector.Trial, d.Verdict != suspector.Trial)
@@ -198,7 +198,7 @@
 	is := is.New(t)
 	s := newSuspector(0, 1)
 	for i := range 3 {
-		s.RecordCrash(start, uint64(i), []uint64{bad})
+		s.RecordCrash(start, uint64(i), suspector.LostRequest{Keys: []uint64{bad}})
 		s.Admit(start.Add(-time.Second), []uint64{bad})
 		s.Evidence(start.Add(-time.Second))
 	}
@@ -222,8 +222,8 @@
 			continue
 		}
 		trials++
-		s.RecordCrash(now, 77, []uint64{bad})
-		s.EndTrial(d.InTrial)
+		s.RecordCrash(now, 77, suspector.LostRequest{Keys: []uint64{bad}})
+		s.EndTrial(now, d.InTrial, true)
 		is.Equal(s.Admit(now, []uint64{bad}).Verdict, suspector.Refuse)
 	}
 	is.Equal(trials, 1)
--- a/decisions/suspector/witnesses.go
+++ b/decisions/suspector/witnesses.go
@@ -4,9 +4,11 @@
 
 const (
 	// maxWitnesses is the maximum number of keys in one generation of witnesses, and
-	// maxWitnessAge the time after which a generation is replaced.
-	maxWitnesses  = 4096
-	maxWitnessAge = 30 * time.Second
+	// witnessAge and requestWitnessAge are the times after which a generation is replaced.
+	// Most requests come once, and their witnesses are of use for witnessReach.
+	maxWitnesses      = 4096
+	witnessAge        = 30 * time.Second
+	requestWitnessAge = 2 * time.Second
 )
 
 // witness holds the times at which begun answers last cleared a key.
@@ -17,26 +19,36 @@
 	last time.Time
 }
 
+// merge returns the later times of both.
+func (w witness) merge(o witness) witness {
+	if o.own.After(w.own) {
+		w.own = o.own
+	}
+	if o.last.After(w.last) {
+		w.last = o.last
+	}
+	return w
+}
+
 // witnesses holds the latest witnesses of keys, in two generations: the older one is
 // dropped when the newer one is full or old.
 type witnesses struct {
+	// maxAge is the time after which the newer generation becomes the older one.
+	maxAge       time.Duration
 	newer, older map[uint64]witness
 	startedAt    time.Time
 }
 
 // add records a witness of the key.
 func (w *witnesses) add(key uint64, at time.Time, own bool) {
-	if w.newer == nil || len(w.newer) >= maxWitnesses || at.Sub(w.startedAt) > maxWitnessAge {
+	if w.newer == nil || len(w.newer) >= maxWitnesses || at.Sub(w.startedAt) > w.maxAge {
 		w.newer, w.older, w.startedAt = make(map[uint64]witness), w.newer, at
 	}
-	x := w.get(key)
-	if own && at.After(x.own) {
+	x := witness{last: at}
+	if own {
 		x.own = at
 	}
-	if at.After(x.last) {
-		x.last = at
-	}
-	w.newer[key] = x
+	w.newer[key] = w.get(key).merge(x)
 }
 
 func (w *witnesses) get(key uint64) witness {
@@ -45,6 +57,3 @@
 	}
 	return w.older[key]
 }
-
-// last returns the time of the key's last witness; zero if none is known.
-func (w *witnesses) last(key uint64) time.Time { return w.get(key).last }
--- a/shells/edgerunner/dump.go
+++ b/shells/edgerunner/dump.go
@@ -7,6 +7,7 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/decisions/suspector"
 	"filbertstile.example/filbertstile/shells/forwarder"
 	"filbertstile.example/filbertstile/shells/sharer"
 )
@@ -42,7 +43,8 @@
 	// Waiting is the number of queued requests.
 	Waiting  int
 	Replicas []placer.State
-	// Suspects are the parts of prompts that are suspected of crashing replicas.
+	// Suspects are the parts of prompts and the requests that are suspected of crashing
+	// replicas.
 	Suspects []Suspect
 	// Source is where the entry's copies of the store come from.
 	Source sharer.Source
@@ -59,9 +61,12 @@
 	DueIn string
 }
 
-// Suspect is a part of prompts that is suspected of crashing replicas, or blocked.
+// Suspect is a part of prompts or a request that is suspected of crashing replicas, or
+// blocked. Either Part or Key is empty.
 type Suspect struct {
-	Part    string
+	Part string
+	// Key is the key of a request.
+	Key     string
 	State   string
 	Crashes int
 	// Age is the time since the last crash.
@@ -77,7 +82,13 @@
 	}
 	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
 	for _, x := range e.suspector.Dump(time.Now()) {
-		d.Suspects = append(d.Suspects, Suspect{Part: forwarder.FormatPart(x.Key), State: x.State, Crashes: x.Crashes, Age: x.Age.String(), InTrial: x.InTrial})
+		suspect := Suspect{State: x.State, Crashes: x.Crashes, Age: x.Age.String(), InTrial: x.InTrial}
+		if suspector.IsRequest(x.Key) {
+			suspect.Key = forwarder.FormatKey(x.Key)
+		} else {
+			suspect.Part = forwarder.FormatKey(x.Key)
+		}
+		d.Suspects = append(d.Suspects, suspect)
 	}
 	if e.sharer != nil {
 		d.Source = e.sharer.Source()
--- a/shells/edgerunner/evidence.go
+++ b/shells/edgerunner/evidence.go
@@ -19,8 +19,8 @@
 // to heartbeats. A new crash must reach all entries within a second or two.
 const evidenceInterval = 150 * time.Millisecond
 
-// announceEvidence makes shareEvidence tell the other entries of new evidence about parts
-// of prompts. It does not block.
+// announceEvidence makes shareEvidence tell the other entries of new evidence about requests
+// that crash replicas. It does not block.
 func (e *Edge) announceEvidence() {
 	select {
 	case e.evidenceNews <- struct{}{}:
@@ -29,7 +29,7 @@
 }
 
 // shareEvidence sends new evidence to all other entries, and logs changes of the states of
-// parts, until the context ends.
+// keys, until the context ends.
 func (e *Edge) shareEvidence(ctx context.Context) {
 	for {
 		select {
@@ -37,7 +37,7 @@
 		case <-ctx.Done():
 			return
 		}
-		e.recordPartChanges()
+		e.recordSuspectChanges()
 		d := e.division.Load()
 		e.pulser.Send(pulser.Message{
 			Pulse: &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Evidence: e.evidence()},
@@ -49,16 +49,20 @@
 	}
 }
 
-// recordPartChanges logs and counts changes of the states of parts.
-func (e *Edge) recordPartChanges() {
+// recordSuspectChanges logs and counts changes of the states of keys.
+func (e *Edge) recordSuspectChanges() {
 	changes := e.suspector.TakeChanges()
-	forwarder.LogPartChanges(e.config.Log, changes)
+	forwarder.LogSuspectChanges(e.config.Log, changes)
 	for _, c := range changes {
-		metrics.GetOrRegisterCounter("PromptParts."+c.State.String(), e.config.Metrics).Inc(1)
+		name := "PromptParts."
+		if suspector.IsRequest(c.Key) {
+			name = "SuspectedRequests."
+		}
+		metrics.GetOrRegisterCounter(name+c.State.String(), e.config.Metrics).Inc(1)
 	}
 }
 
-// evidence returns this entry's evidence about parts of prompts.
+// evidence returns this entry's evidence about requests that crash replicas.
 func (e *Edge) evidence() *wire.PartEvidence {
 	out := &wire.PartEvidence{}
 	evidence := e.suspector.Evidence(time.Now())
@@ -92,7 +96,7 @@
 	if e.suspector.Merge(time.Now(), evidence) {
 		e.announceEvidence()
 	}
-	e.recordPartChanges()
+	e.recordSuspectChanges()
 }
 
 // maxAgeMilliseconds bounds the ages that other processes send.
--- a/shells/forwarder/crash.go
+++ b/shells/forwarder/crash.go
@@ -15,6 +15,7 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/suspector"
 )
 
 const (
@@ -28,8 +29,8 @@
 	aliveFor = 250 * time.Millisecond
 	// crashMemory is the time for which a replica that has crashed is remembered.
 	crashMemory = 30 * time.Second
-	// maxLoggedParts is the maximum number of parts in a log line.
-	maxLoggedParts = 16
+	// maxLoggedKeys is the maximum number of parts, and of keys of requests, in a log line.
+	maxLoggedKeys = 16
 )
 
 // Liveness says whether a process runs.
@@ -69,10 +70,9 @@
 	done chan struct{}
 	// result may be read once done is closed.
 	result Liveness
-	// requests is the number of requests whose connections ended before the result was
-	// known, and parts are the parts of their prompts; crashChecks.mu protects both.
-	requests int
-	parts    []uint64
+	// lost are the requests whose connections ended before the result was known;
+	// crashChecks.mu protects them.
+	lost []suspector.LostRequest
 }
 
 func newCrashChecks(c Config) *crashChecks {
@@ -84,45 +84,44 @@
 	return xxhash.Sum64String(r.ID + "\x00" + strconv.FormatInt(r.Born.UnixMilli(), 10))
 }
 
-// connectionEnded reports whether the replica has crashed, and blames the parts if it has.
-// If the result is not known within the given time, it returns false, and the parts are
-// blamed later. The attempt began at sentAt.
-func (k *crashChecks) connectionEnded(ctx context.Context, r filbertstile.Replica, sentAt time.Time, parts []uint64, wait time.Duration) bool {
+// connectionEnded returns whether the replica runs, and blames the keys of the request if it
+// has crashed. If the result is not known within the given time, it returns Unknown, and the
+// keys are blamed later.
+func (k *crashChecks) connectionEnded(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest, wait time.Duration) Liveness {
 	if k.config.Prober == nil {
-		return false
+		return Unknown
 	}
-	check := k.join(r, sentAt, parts)
+	check := k.join(r, lost)
 	if check == nil {
-		return false
+		return Unknown
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-check.done:
-		return check.result == Ended
+		return check.result
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false
+	return Unknown
 }
 
 // join adds a request to the check of the replica, which is started if there is none. It
 // returns nil if the request was sent after the replica had crashed: another process, whose
 // start is not known yet, has its address.
-func (k *crashChecks) join(r filbertstile.Replica, sentAt time.Time, parts []uint64) *crashCheck {
+func (k *crashChecks) join(r filbertstile.Replica, lost suspector.LostRequest) *crashCheck {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, boot := time.Now(), bootOf(r)
 	check := k.checks[boot]
 	if check != nil && !check.mayRepeat(now) {
 		if check.result == Ended {
-			if sentAt.After(check.startedAt) {
+			if lost.SentAt.After(check.startedAt) {
 				return nil
 			}
-			k.blame(check, parts)
+			k.blame(check, lost)
 		} else {
-			check.requests++
-			check.parts = append(check.parts, parts...)
+			check.lost = append(check.lost, lost)
 		}
 		return check
 	}
@@ -131,7 +130,7 @@
 			delete(k.checks, key)
 		}
 	}
-	check = &crashCheck{replica: r, boot: boot, startedAt: now, done: make(chan struct{}), requests: 1, parts: slices.Clone(parts)}
+	check = &crashCheck{replica: r, boot: boot, startedAt: now, done: make(chan struct{}), lost: []suspector.LostRequest{lost}}
 	k.checks[boot] = check
 	go k.run(check)
 	return check
@@ -160,35 +159,43 @@
 	if result != Ended {
 		return
 	}
-	slices.Sort(c.parts)
-	c.parts = slices.Compact(c.parts)
+	parts, requests := c.suspects()
 	k.config.Log.Event(reporter.ReplicaCrashed, reporter.Fields{
-		"Peer": c.replica.ID, "Address": c.replica.Address, "Service": c.replica.Service, "Requests": c.requests, "Parts": formatParts(c.parts),
+		"Peer": c.replica.ID, "Address": c.replica.Address, "Service": c.replica.Service, "Requests": len(c.lost), "Parts": parts, "Keys": requests,
 	})
-	k.blame(c, c.parts)
+	k.blame(c, c.lost...)
 }
 
-// blame records the parts as suspects of the crash.
-func (k *crashChecks) blame(c *crashCheck, parts []uint64) {
-	if k.config.Suspector.RecordCrash(c.startedAt, c.boot, parts) {
+// blame records the keys of the requests as suspects of the crash.
+func (k *crashChecks) blame(c *crashCheck, lost ...suspector.LostRequest) {
+	if k.config.Suspector.RecordCrash(c.startedAt, c.boot, lost...) {
 		k.config.OnEvidence()
 	}
 }
 
-// formatParts returns the parts as in the caller's prompt, up to maxLoggedParts.
-func formatParts(parts []uint64) []string {
-	out := make([]string, 0, maxLoggedParts)
-	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
-		out = append(out, FormatPart(part))
+// suspects returns the parts of the lost requests and their keys as in log lines, up to
+// maxLoggedKeys of each.
+func (c *crashCheck) suspects() (parts, requests []string) {
+	var keys []uint64
+	for _, r := range c.lost {
+		keys = append(keys, r.Keys...)
+	}
+	slices.Sort(keys)
+	for _, key := range slices.Compact(keys) {
+		out := &parts
+		if suspector.IsRequest(key) {
+			out = &requests
+		}
+		if len(*out) < maxLoggedKeys {
+			*out = append(*out, FormatKey(key))
+		}
 	}
-	return out
+	return parts, requests
 }
 
-// FormatPart returns the part as in log lines and dumps.
-func FormatPart(part uint64) string { return fmt.Sprintf("%x", part) }
-
-// FormatKey returns the key of a request as in log lines and dumps.
-func FormatKey(key uint64) string { return fmt.Sprintf("%016x", key) }
+// FormatKey returns the key as in log lines and dumps. That of a part is the part's ID, if it
+// fits.
+func FormatKey(key uint64) string { return fmt.Sprintf("%x", key) }
 
 // peerClosed reports whether the error says that the peer closed or reset the connection.
 func peerClosed(err error) bool {
--- a/shells/forwarder/crash_test.go
+++ b/shells/forwarder/crash_test.go
@@ -17,6 +17,7 @@
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/decisions/suspector"
+	"filbertstile.example/filbertstile/outside/exchanger"
 	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
@@ -139,6 +140,23 @@
 	})
 }
 
+func discardLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func notSentBecause(err error) error { return exchanger.ErrNotSent{Cause: err} }
+
+// lostLater is a Link whose requests each end 50 ms after they were sent.
+type lostLater struct{ sends atomic.Int32 }
+
+func (l *lostLater) Send(context.Context, forwarder.Attempt) (forwarder.Response, error) {
+	l.sends.Add(1)
+	time.Sleep(50 * time.Millisecond)
+	return forwarder.Response{}, connectionLost.err
+}
+
 // lostTogether is a Link whose requests all end together.
 type lostTogether struct{ at time.Time }
 
@@ -197,8 +215,8 @@
 		c := r.serve(r.ctx, s, 7)
 		r.is.True(c.failedWith(filbertstile.Unknown))
 		r.is.Equal(c.failure.RetryAfter, time.Duration(0))
-		r.suspector.RecordCrash(time.Now().Add(400*time.Millisecond), 100, []uint64{7})
-		r.suspector.RecordCrash(time.Now().Add(800*time.Millisecond), 101, []uint64{7})
+		r.suspector.RecordCrash(time.Now().Add(400*time.Millisecond), 100, suspector.LostRequest{Keys: []uint64{7}})
+		r.suspector.RecordCrash(time.Now().Add(800*time.Millisecond), 101, suspector.LostRequest{Keys: []uint64{7}})
 		started := time.Now()
 		s = &script{steps: []step{connectionLost}}
 		c = r.serve(r.ctx, s, 5, 7)
--- a/shells/forwarder/ending_test.go
+++ b/shells/forwarder/ending_test.go
@@ -92,7 +92,7 @@
 		send(1)
 		time.Sleep(10 * time.Second)
 		send(2)
-		s.RecordCrash(time.Now(), 77, []uint64{2})
+		s.RecordCrash(time.Now(), 77, suspector.LostRequest{Keys: []uint64{2}})
 		is.Equal(s.Admit(time.Now(), []uint64{2}).Verdict, suspector.Send)
 	})
 }
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -48,6 +48,8 @@
 	CodeRetryBudget   = "RetryBudgetSpent"
 	// CodePromptPart means that a part of the prompt is suspected of crashing replicas.
 	CodePromptPart = "PromptPartBlocked"
+	// CodeRequest means that the request itself is suspected of crashing replicas.
+	CodeRequest = "RequestBlocked"
 )
 
 // Call is a caller's request to forward.
@@ -72,8 +74,8 @@
 	PromptTokens int
 	// PromptParts identifies the parts of the prompt that other requests may share.
 	PromptParts []uint64
-	// Key identifies the request: a caller who repeats it sends one with the same key. It is
-	// 0 if it is not known.
+	// Key identifies the request: a caller who repeats it sends one with the same key, which
+	// is a suspector.RequestKey. It is 0 if it is not known.
 	Key uint64
 	// ConfigVersion is the version of the routing that was applied.
 	ConfigVersion int64
@@ -177,13 +179,13 @@
 	Placer      *placer.Placer
 	Link        Link
 	RetryBudget RetryBudgetConfig
-	// Suspector decides which parts of prompts are kept away from replicas; nil means one
-	// that knows only of this forwarder's requests.
+	// Suspector decides which requests are kept away from replicas; nil means one that knows
+	// only of this forwarder's requests.
 	Suspector *suspector.Suspector
 	// Prober tells whether a replica's process has ended; nil means that it is never known.
 	Prober Prober
-	// OnEvidence is called when other entries should be told of new evidence about parts
-	// of prompts; nil if there are none.
+	// OnEvidence is called when other entries should be told of new evidence about requests
+	// that crash replicas; nil if there are none.
 	OnEvidence func()
 	// BufferBytes is the memory for the bodies of all responses that are being read; 0
 	// means the default. Streams do not count.
@@ -223,7 +225,9 @@
 	forwarder *Forwarder
 	ctx       context.Context
 	call      *Call
-	writer    ResponseWriter
+	// keys is what may be suspected of crashing replicas.
+	keys   []uint64
+	writer ResponseWriter
 	// tried lists the IDs of the replicas of all attempts.
 	tried []string
 	// sends is the number of sends.
@@ -241,7 +245,7 @@
 	writeDelay time.Duration
 	// crashes is the number of replicas that crashed before the answer had begun there.
 	crashes int
-	// onTrial is true while the request is a trial of a suspected part.
+	// onTrial is true while the request is a trial of a suspected key.
 	onTrial bool
 	// answer is the progress of the answer of the current attempt.
 	answer answer
@@ -253,18 +257,18 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	f.retryBudget.requestArrived(c.Service, c.Arrived)
-	x := &requestState{forwarder: f, ctx: ctx, call: c, writer: w, lastEventID: c.LastEventID}
+	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, lastEventID: c.LastEventID}
 	for x.nextAttempt() {
 	}
 }
 
 // nextAttempt makes one attempt and reports whether another one must follow.
 func (x *requestState) nextAttempt() bool {
-	trial, ok := x.admitParts()
+	trial, ok := x.admit()
 	if !ok {
 		return false
 	}
-	defer x.forwarder.config.Suspector.EndTrial(trial)
+	defer x.endTrial(trial, x.sends)
 	g, err := x.forwarder.config.Placer.Acquire(x.ctx, x.placerRequest())
 	if err != nil {
 		x.placementFailed(err)
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -28,18 +28,18 @@
 	return fmt.Sprintf("%s: peer %s: %s too late for the version of its weights", e.Step, e.Peer, e.Late)
 }
 
-// ErrPartBlocked reports an attempt that was not sent because a part of its prompt has been
-// blocked meanwhile.
-type ErrPartBlocked struct {
+// ErrBlocked reports an attempt that was not sent because a key of the request is held back
+// since it was placed.
+type ErrBlocked struct {
 	Step string
 	Peer string
-	// Part is the part in the form of the logs.
-	Part string
+	// Key is the key in the form of the logs.
+	Key string
 }
 
-// Error returns a message with the step, the peer and the part.
-func (e ErrPartBlocked) Error() string {
-	return fmt.Sprintf("%s: peer %s: prompt part %s is blocked", e.Step, e.Peer, e.Part)
+// Error returns a message with the step, the peer and the key.
+func (e ErrBlocked) Error() string {
+	return fmt.Sprintf("%s: peer %s: %s is suspected of crashing replicas", e.Step, e.Peer, e.Key)
 }
 
 // checkSend returns an error if the request of the grant may no longer be sent.
@@ -50,8 +50,8 @@
 	if !x.forwarder.config.Placer.MaySend(g) {
 		return ErrDeclined
 	}
-	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.call.PromptParts); d.Verdict == suspector.Refuse {
-		return ErrPartBlocked{Step: "send request", Peer: g.Replica.Address, Part: FormatPart(d.Key)}
+	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.keys); d.Verdict == suspector.Refuse {
+		return ErrBlocked{Step: "send request", Peer: g.Replica.Address, Key: FormatKey(d.Key)}
 	}
 	return nil
 }
@@ -60,7 +60,7 @@
 // not failed if the attempt was given up for another reason than the time to connect.
 func notSentOutcome(ctx context.Context, err error) placer.Outcome {
 	var tooLate ErrTooLate
-	var blocked ErrPartBlocked
+	var blocked ErrBlocked
 	if errors.Is(err, ErrDeclined) || errors.As(err, &tooLate) || errors.As(err, &blocked) || errors.Is(context.Cause(ctx), errVersionDue) {
 		return placer.Abandoned
 	}
--- a/shells/forwarder/wave_test.go
+++ b/shells/forwarder/wave_test.go
@@ -48,6 +48,9 @@
 	// served is the share of sound requests that began at the caller's first attempt, and
 	// accountServed that of the first account. servedAtLast also counts later attempts.
 	served, accountServed, servedAtLast float64
+	// refusedFor is the time from the last end of a replica to the last refusal of a sound
+	// request because of a suspicion; 0 if there was none.
+	refusedFor time.Duration
 }
 
 // play plays 4 s without and 16 s with requests that crash replicas.
@@ -94,6 +97,9 @@
 			servedAtLast:  float64(m.served) / float64(max(1, m.sent)),
 			accountServed: float64(m.accountBegun) / float64(max(1, m.accountSent)),
 		}
+		if n := len(m.crashes); n > 0 {
+			out.refusedFor = max(0, m.lastSoundRefused.Sub(m.crashes[n-1].at))
+		}
 	})
 	return out
 }
--- a/shells/forwarder/wavemodel_test.go
+++ b/shells/forwarder/wavemodel_test.go
@@ -43,12 +43,12 @@
 	// badPart is the part that crashes replicas, badKey the key of the request that does, and
 	// systemPart is in all requests for engines.
 	badPart    = uint64(0xbad)
-	badKey     = uint64(0xbad0bad0)
+	badKey     = uint64(1<<63 + 0xbad)
 	systemPart = uint64(1)
 	// pollKey is the key of the requests that many callers send alike, and firstKey the first
 	// one of all others.
-	pollKey  = uint64(0x9011)
-	firstKey = uint64(1 << 40)
+	pollKey  = uint64(1<<63 + 0x9011)
+	firstKey = uint64(1<<63 + 1<<40)
 	// accountPart is the part of the first account.
 	accountPart = uint64(100)
 )
@@ -105,8 +105,10 @@
 	// sent and begunAtFirst count sound requests, and those of them whose first
 	// attempt of the caller began; served counts those of which any attempt did.
 	sent, begunAtFirst, served int
-	// soundRefused counts refusals of sound requests because of a part.
-	soundRefused int
+	// soundRefused counts refusals of sound requests because of a suspicion, and
+	// lastSoundRefused is the time of the last one.
+	soundRefused     int
+	lastSoundRefused time.Time
 	// accountSent and accountBegun count those of the first account only.
 	accountSent, accountBegun int
 	// accounts is the number of accounts with a part of their own, which is the first
@@ -439,9 +441,10 @@
 		if m.kind == filbertstile.CallNonIdempotent && c.failure.Run != filbertstile.NotRun {
 			return 0
 		}
-		if c.failure != nil && c.failure.Code == forwarder.CodePromptPart && !req.bad() {
+		if c.failure != nil && (c.failure.Code == forwarder.CodePromptPart || c.failure.Code == forwarder.CodeRequest) && !req.bad() {
 			m.mu.Lock()
 			m.soundRefused++
+			m.lastSoundRefused = time.Now()
 			m.mu.Unlock()
 		}
 		time.Sleep(200 * time.Millisecond)
