--- a/decisions/suspector/requests_test.go
+++ b/decisions/suspector/requests_test.go
@@ -161,6 +161,53 @@
 	is.Equal(s.Evidence(now).Suspicions[0].Key, badRequest)
 }
 
+// TestAnyEvidenceIsBounded guards against a message of another entry that ends the process, or
+// makes it keep or send any amount of evidence.
+func TestAnyEvidenceIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := newSuspector(0, 3), start
+		key := rapid.OneOf(rapid.Uint64Range(0, 5), rapid.Map(rapid.Uint64Range(0, 5), suspector.RequestKey), rapid.Uint64())
+		keys := rapid.SliceOfN(key, 0, 300)
+		age := rapid.Map(rapid.IntRange(-10, 10_000), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
+		boot := rapid.Uint64Range(0, 200)
+		t.Repeat(map[string]func(*rapid.T){
+			"merge": func(t *rapid.T) {
+				s.Merge(now, suspector.Evidence{
+					Crashes: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) suspector.Crash {
+						return suspector.Crash{Replica: boot.Draw(t, "boot"), Age: age.Draw(t, "age"), Keys: keys.Draw(t, "keys")}
+					}), 0, 3).Draw(t, "crashes"),
+					Witnesses: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) suspector.Witness {
+						return suspector.Witness{Key: key.Draw(t, "key"), Age: age.Draw(t, "age")}
+					}), 0, 3).Draw(t, "witnesses"),
+					Suspicions: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) suspector.Suspicion {
+						return suspector.Suspicion{Key: key.Draw(t, "key"), Age: age.Draw(t, "age"), Episodes: rapid.IntRange(-3, 1<<30).Draw(t, "episodes")}
+					}), 0, 40).Draw(t, "suspicions"),
+				})
+			},
+			"crash": func(t *rapid.T) {
+				s.RecordCrash(now, boot.Draw(t, "boot"), suspector.LostRequest{Keys: keys.Draw(t, "keys"), SentAt: now.Add(-age.Draw(t, "age"))})
+			},
+			"witness": func(t *rapid.T) { s.RecordWitness(now, keys.Draw(t, "keys")) },
+			"request": func(t *rapid.T) {
+				held := keys.Draw(t, "keys")
+				d := s.Admit(now, held)
+				if d.RetryAfter < 0 {
+					t.Fatalf("retry delay %v", d.RetryAfter)
+				}
+				s.Recheck(now, held)
+				s.EndTrial(now, d.InTrial, rapid.Bool().Draw(t, "sent"))
+			},
+			"": func(t *rapid.T) {
+				now = now.Add(age.Draw(t, "pause"))
+				e := s.Evidence(now)
+				if len(e.Crashes) > 8 || len(e.Witnesses) > 64 || len(e.Suspicions) > 32 || len(s.Dump(now)) > 1024 {
+					t.Fatalf("%d crashes, %d witnesses, %d suspicions", len(e.Crashes), len(e.Witnesses), len(e.Suspicions))
+				}
+			},
+		})
+	})
+}
+
 // TestBlockedRequestStaysAway guards against entries that together send a request more than
 // three times later than 3 s after it has ended the third replica: it comes at any entry, at
 // any time, several at once, evidence takes up to 300 ms, and some sends end without a crash.
--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -110,8 +110,11 @@
 	})
 }
 
-// crashingReplicas is a Link whose replicas end under requests with the part 7, and a Prober
-// that finds all of them ended.
+// badKey is the key of the request that ends replicas.
+const badKey = uint64(1<<63 + 7)
+
+// crashingReplicas is a Link whose replicas end under requests with the part 7 or with badKey,
+// and a Prober that finds all of them ended.
 type crashingReplicas struct {
 	mu    sync.Mutex
 	sends int
@@ -126,7 +129,7 @@
 	if c.ended[a.Replica.ID] {
 		return forwarder.Response{}, exchanger.ErrNotSent{Cause: syscall.ECONNREFUSED}
 	}
-	if a.Call.PromptParts[1] == 7 {
+	if a.Call.Key == badKey || len(a.Call.PromptParts) > 1 && a.Call.PromptParts[1] == 7 {
 		c.sends++
 		c.ended[a.Replica.ID] = true
 		return forwarder.Response{}, exchanger.ErrNoResponse{Cause: io.ErrUnexpectedEOF}
@@ -197,9 +200,14 @@
 
 // send sends a request with the parts and returns the code of its error.
 func (r *evidenceRig) send(ctx context.Context, is *is.I, e *edgerunner.Edge, parts ...uint64) string {
+	return r.sendWithKey(ctx, is, e, 0, parts...)
+}
+
+// sendWithKey is like send, with the key of the request.
+func (r *evidenceRig) sendWithKey(ctx context.Context, is *is.I, e *edgerunner.Edge, key uint64, parts ...uint64) string {
 	c, err := e.Admit(edgerunner.Request{ID: "1", HostName: "a", Path: "/public/x", PromptParts: parts, Arrived: time.Now()})
 	is.NoErr(err)
-	c.Route.TargetLatency = 500 * time.Millisecond
+	c.Route.TargetLatency, c.Key = 500*time.Millisecond, key
 	w := &errorWriter{}
 	e.Serve(ctx, c, w)
 	if w.failure == nil {
@@ -208,6 +216,49 @@
 	return w.failure.Code
 }
 
+// TestAllEntriesLearnBlockedRequest guards against entries, in other groups and after a restart
+// too, that send a request that has crashed replicas of others.
+func TestAllEntriesLearnBlockedRequest(t *testing.T) {
+	for _, entries := range []int{2, 12, 100} {
+		t.Run(fmt.Sprintf("entries=%d", entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := &evidenceRig{
+					network: &datagrams{inboxes: make(map[string]chan []byte)}, replicas: &crashingReplicas{ended: make(map[string]bool)}, entries: entries,
+					store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 40, "members/": entries}},
+				}
+				edges, stops := make([]*edgerunner.Edge, entries), make([]func(), entries)
+				for i := range entries {
+					edges[i], stops[i] = r.start(t.Context(), i, 1)
+				}
+				defer func() {
+					for _, stop := range stops {
+						stop()
+					}
+					advance(time.Second)
+				}()
+				advance(3 * time.Second)
+				for i := range 200 {
+					r.sendWithKey(t.Context(), is, edges[i*7%entries], badKey)
+					advance(100 * time.Millisecond)
+				}
+				sends := r.replicas.sent()
+				t.Logf("sent %d times; largest datagram %d bytes", sends, r.network.largestSent())
+				is.True(sends <= 6) // three later than 3 s after the third
+				is.True(r.network.largestSent() < 1400)
+				stops[0]()
+				edges[0], stops[0] = r.start(t.Context(), 0, 2)
+				advance(2 * time.Second)
+				for i, e := range edges {
+					is.Equal(r.sendWithKey(t.Context(), is, e, badKey), forwarder.CodeRequest)
+					is.Equal(r.sendWithKey(t.Context(), is, e, badKey+1+uint64(i)), "")
+				}
+				is.Equal(r.replicas.sent(), sends)
+			})
+		})
+	}
+}
+
 // TestAllEntriesLearnBlockedPart guards against entries, in other groups and after a restart
 // too, that send requests with a part that has crashed replicas of others.
 func TestAllEntriesLearnBlockedPart(t *testing.T) {
