edgerunner: an entry that hears no other yet shares limits with all that are registered

Entries divide the limit of cold replicas, and the budget of retries, by the entries that they hear. Until heartbeats had the time to arrive, all registered entries count now. A cut between entries that both reach a replica is not covered: each side counts the entries that it hears.

--- a/decisions/suspector/decide.go
+++ b/decisions/suspector/decide.go
@@ -33,7 +33,7 @@
 // Decision says whether a request may be sent.
 type Decision struct {
 	Verdict Verdict
-	// Part is the key that speaks against the request; 0 if there is none.
+	// Key is the key that speaks against the request; 0 if there is none.
 	Key uint64
 	// RetryAfter is the time after which the request may be accepted, if it is not sent; 0 if
 	// it will not be accepted.
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -138,6 +138,7 @@
 	dividedFrom *divisionInputs
 	// refreshRequested makes refreshLoop update the entry's view.
 	refreshRequested chan struct{}
+	senders          *senderCounter
 	// replicasKnown is true after the placer has got the first complete list of replicas.
 	replicasKnown atomic.Bool
 
@@ -168,7 +169,7 @@
 		c.Clock = func() time.Duration { return time.Since(started) }
 	}
 	e := &Edge{
-		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(),
+		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(), senders: newSenderCounter(c.Clock),
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), evidenceNews: make(chan struct{}, 1),
 	}
@@ -263,11 +264,12 @@
 	}
 	replicas := e.sources.Replicas.View()
 	d := e.updateDivision(replicas.Rows, routing.Pools)
-	entries, now := 1+d.LivePeerCount, time.Now()
+	now := time.Now()
+	entries, groupEntries := e.senders.counts(d)
 	e.placer.RetainPeers(now, d.LiveGroupPeers)
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, OutOfService: outOfService, Regions: e.config.Regions, Entries: entries,
-		GroupReplicas: d.GroupReplicas, GroupEntries: 1 + len(d.LiveGroupPeers),
+		GroupReplicas: d.GroupReplicas, GroupEntries: groupEntries,
 	})
 	e.replicasKnown.Store(replicas.Listed)
 	e.forwarder.SetEntryCount(entries)
@@ -315,7 +317,12 @@
 // group, until the context ends.
 func (e *Edge) sendLoads(ctx context.Context) {
 	lastAll := time.Now()
+	time.AfterFunc(pulser.HeartbeatTimeout, e.Refresh)
 	for sleeper.Sleep(ctx, e.nextLoadInterval()) == nil {
+		if e.senders.tick() {
+			e.Refresh()
+			time.AfterFunc(pulser.HeartbeatTimeout, e.Refresh)
+		}
 		all := time.Since(lastAll) >= allLoadsInterval
 		loads := e.placer.LocalLoads(all)
 		if len(loads) == 0 && !all {
