--- a/outside/requester/idle_test.go
+++ b/outside/requester/idle_test.go
@@ -5,101 +5,104 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/outside/requester"
 	"filbertstile.example/filbertstile/rigs/shaper"
 )
 
+const idleAddress = "10.0.0.1:80"
+
+// openConns are the connections of a server.
+type openConns struct {
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// closeAll closes the connections and returns how many there were.
+func (o *openConns) closeAll() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.conns {
+		_ = c.Close()
+	}
+	return len(o.conns)
+}
+
+// serveIdle serves the handler at idleAddress.
+func serveIdle(t *testing.T, h http.HandlerFunc) (filbertstile.Network, *openConns) {
+	t.Helper()
+	network, open := shaper.NewMemory(), &openConns{}
+	l, err := network.Listen(idleAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h, ConnState: func(c net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			open.mu.Lock()
+			defer open.mu.Unlock()
+			open.conns = append(open.conns, c)
+		}
+	}}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return network, open
+}
+
+func call(c *requester.Client, method, path string) error {
+	_, err := c.Do(context.Background(), requester.Call{Step: "test", Method: method, Path: path})
+	return err
+}
+
 // TestCallAfterIdleConnectionsEnded guards against calls that fail one after another on idle connections
 // that have ended unnoticed, as after a partition, although the server can be reached.
 func TestCallAfterIdleConnectionsEnded(t *testing.T) {
 	is := is.New(t)
-	const address, idle = "10.0.0.1:80", 5
-	network := shaper.NewMemory()
-	l, err := network.Listen(address)
-	is.NoErr(err)
-	var mu sync.Mutex
-	var open []net.Conn
+	const idle = 5
 	var together sync.WaitGroup
 	together.Add(idle)
-	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/together" {
-				together.Done()
-				together.Wait()
-			}
-		}),
-		ConnState: func(c net.Conn, s http.ConnState) {
-			if s == http.StateNew {
-				mu.Lock()
-				defer mu.Unlock()
-				open = append(open, c)
-			}
-		},
-	}
-	go func() { _ = server.Serve(l) }()
-	defer func() { _ = server.Close() }()
-	c := requester.New(requester.Config{Network: network, Address: address, Timeout: 5 * time.Second})
+	network, open := serveIdle(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/together" {
+			together.Done()
+			together.Wait()
+		}
+	})
+	c := requester.New(requester.Config{Network: network, Address: idleAddress, Timeout: 5 * time.Second})
 	var calls sync.WaitGroup
+	errs := make(chan error, idle)
 	for range idle {
-		calls.Go(func() {
-			_, err := c.Do(context.Background(), requester.Call{Step: "test", Method: http.MethodGet, Path: "/together"})
-			is.NoErr(err)
-		})
+		calls.Go(func() { errs <- call(c, http.MethodGet, "/together") })
 	}
 	calls.Wait()
-	is.Equal(len(open), idle)
-	for _, conn := range open {
-		is.NoErr(conn.Close())
+	for range idle {
+		is.NoErr(<-errs)
 	}
-	_, err = c.Do(context.Background(), requester.Call{Step: "test", Method: http.MethodPut, Path: "/"})
-	is.True(err != nil) // a write may have been done, and must not be repeated
-	_, err = c.Do(context.Background(), requester.Call{Step: "test", Method: http.MethodGet, Path: "/"})
-	is.NoErr(err)
+	is.Equal(open.closeAll(), idle)
+	is.True(call(c, http.MethodPut, "/") != nil) // a write may have been done, and must not be repeated
+	is.NoErr(call(c, http.MethodGet, "/"))
 }
 
 // TestReadAfterIdleConnectionsEnded guards against a read that fails on an idle connection that has ended
 // unnoticed, although it can be repeated at once.
 func TestReadAfterIdleConnectionsEnded(t *testing.T) {
 	is := is.New(t)
-	const address = "10.0.0.1:80"
-	network := shaper.NewMemory()
-	l, err := network.Listen(address)
-	is.NoErr(err)
-	var mu sync.Mutex
-	var open []net.Conn
-	requests := 0
-	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			mu.Lock()
-			requests++
-			mu.Unlock()
-			if r.URL.Path == "/abort" {
-				panic(http.ErrAbortHandler)
-			}
-		}),
-		ConnState: func(c net.Conn, s http.ConnState) {
-			if s == http.StateNew {
-				mu.Lock()
-				defer mu.Unlock()
-				open = append(open, c)
-			}
-		},
-	}
-	go func() { _ = server.Serve(l) }()
-	defer func() { _ = server.Close() }()
-	c := requester.New(requester.Config{Network: network, Address: address, Timeout: 5 * time.Second})
-	_, err = c.Do(context.Background(), requester.Call{Step: "test", Method: http.MethodGet, Path: "/"})
-	is.NoErr(err)
-	is.NoErr(open[0].Close())
-	_, err = c.Do(context.Background(), requester.Call{Step: "test", Method: http.MethodGet, Path: "/"})
-	is.NoErr(err)
-	is.Equal(requests, 2)
-	_, err = c.Do(context.Background(), requester.Call{Step: "test", Method: http.MethodGet, Path: "/abort"})
-	is.True(err != nil)
-	is.True(requests <= 4) // one repetition at most
+	var requests atomic.Int32
+	network, open := serveIdle(t, func(_ http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		if r.URL.Path == "/abort" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := requester.New(requester.Config{Network: network, Address: idleAddress, Timeout: 5 * time.Second})
+	is.NoErr(call(c, http.MethodGet, "/"))
+	is.Equal(open.closeAll(), 1)
+	is.NoErr(call(c, http.MethodGet, "/"))
+	is.Equal(requests.Load(), int32(2))
+	is.True(call(c, http.MethodGet, "/abort") != nil)
+	is.True(requests.Load() <= 4) // one repetition at most
 }
