--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -3,7 +3,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -99,14 +101,38 @@
 	if err := command(".", "go", "test", "./_scripts"); err != nil {
 		return err
 	}
+	args := []string{"test", "-timeout", "9m"}
+	red, err := os.ReadFile("KNOWN-RED.txt")
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("known red tests: %w", err)
+	}
+	if names := passedOver(string(red)); len(names) > 0 {
+		fmt.Println("passed over, see KNOWN-RED.txt:", strings.Join(names, ", "))
+		args = append(args, "-skip", "^("+strings.Join(names, "|")+")$")
+	}
 	for _, m := range modules() {
-		if err := command(m, "go", "test", "-timeout", "9m", "./..."); err != nil {
+		if err := command(m, "go", append(args, "./...")...); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// passedOver returns the names of the tests that the list of known faults says to pass over:
+// those whose entry begins with the name and has the line "CI: passes over it".
+func passedOver(list string) []string {
+	var out []string
+	name := ""
+	for line := range strings.SplitSeq(list, "\n") {
+		if !strings.HasPrefix(line, " ") {
+			name, _, _ = strings.Cut(line, " ")
+		} else if strings.TrimSpace(line) == "CI: passes over it" && strings.HasPrefix(name, "Test") {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 func lint() error {
 	out, err := exec.Command("gofmt", "-l", ".").Output()
 	if err != nil {
--- a/decisions/suspector/exchange_test.go
+++ b/decisions/suspector/exchange_test.go
@@ -138,3 +138,22 @@
 	is.Equal(stateOf(a, now, 5), "Free")
 	<-changed
 }
+
+// TestPauseHidesNoCrash guards against an entry that stood still while others sent evidence, and takes an
+// answer that had begun before a crash for one that began after it.
+func TestPauseHidesNoCrash(t *testing.T) {
+	is := is.New(t)
+	witness, reporter, paused := newSuspector(0, 3), newSuspector(1, 3), newSuspector(2, 3)
+	for i := range uint64(4) {
+		reporter.RecordCrash(start.Add(time.Duration(i+1)*2*time.Second), i, suspector.LostRequest{Keys: []uint64{bad}})
+	}
+	// An answer began 1.5 s before the first crash; the message waits until the entry runs again.
+	witness.RecordWitness(start.Add(500*time.Millisecond), []uint64{bad})
+	witness.Merge(start.Add(550*time.Millisecond), suspector.Evidence{Suspicions: []suspector.Suspicion{{Key: bad, Episodes: 2}}})
+	fromWitness := witness.Evidence(start.Add(600 * time.Millisecond))
+	fromReporter := reporter.Evidence(start.Add(8100 * time.Millisecond))
+	resumed := start.Add(8200 * time.Millisecond)
+	paused.Merge(resumed, fromWitness)
+	paused.Merge(resumed, fromReporter)
+	is.Equal(stateOf(reporter, resumed, bad), stateOf(paused, resumed, bad))
+}
--- a/outside/tracker/absence_test.go
+++ b/outside/tracker/absence_test.go
@@ -1,11 +1,18 @@
 package tracker_test
 
 import (
+	"context"
+	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/outside/tracker"
 )
 
@@ -80,3 +87,52 @@
 		is.True(at <= written && at >= written-2*watchTimeout)
 	})
 }
+
+// earlyStore answers watches before their timeout, and the answers reach the tracker late, as when
+// its process stands still.
+type earlyStore struct {
+	filbertstile.Store
+	answeredAfter, arrivesAfter time.Duration
+	written                     func() bool
+}
+
+func (s earlyStore) batch() filbertstile.Batch {
+	if s.written() {
+		return filbertstile.Batch{Revision: 2}
+	}
+	return filbertstile.Batch{Revision: 1}
+}
+
+func (s earlyStore) List(context.Context, string, string) (filbertstile.Batch, error) {
+	return s.batch(), nil
+}
+
+func (s earlyStore) Watch(ctx context.Context, _ string, _ uint64) (filbertstile.Batch, error) {
+	if err := sleeper.Sleep(ctx, s.answeredAfter); err != nil {
+		return filbertstile.Batch{}, err
+	}
+	b := s.batch()
+	return b, sleeper.Sleep(ctx, s.arrivesAfter)
+}
+
+// TestEarlyAnswerThatArrivesLate guards against a watch that the store ended early and whose answer
+// arrived late, and which counts as if the store had waited for the whole timeout.
+func TestEarlyAnswerThatArrivesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		started := time.Now()
+		clock := func() time.Duration { return time.Since(started) }
+		s := earlyStore{answeredAfter: 100 * time.Millisecond, arrivesAfter: 3 * time.Second, written: func() bool { return clock() >= 500*time.Millisecond }}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		x := tracker.New(tracker.Config[row]{Store: s, Prefix: "kind/", WatchTimeout: watchTimeout, Clock: clock, Log: reporter.New(reporter.Config{Logger: log})})
+		go x.Run(ctx)
+		time.Sleep(4 * time.Second)
+		at, known := x.AbsentAt(0, 2)
+		is.True(known)
+		is.True(at <= 500*time.Millisecond) // the store had the revision at that time
+		cancel()
+		synctest.Wait()
+	})
+}
