edgerunner, tracker: names of the review

absentAt was a method, a parameter and a local at once; CurrentBefore and the fields of the pause detector were hard to guess. Behaviour is unchanged. TestReportedVersionIsDue also checks that the bound is earlier than the report.

--- a/outside/tracker/absence.go
+++ b/outside/tracker/absence.go
@@ -6,8 +6,8 @@
 	"filbertstile.example/filbertstile"
 )
 
-// maxConfirmations is the number of confirmations that are kept. With one each 0.6 s they reach
-// back for longer than news of a change may take.
+// maxConfirmations is the number of confirmations that are kept. With one or two a second they
+// reach back for longer than news of a change may take.
 const maxConfirmations = 64
 
 // confirmation is a time at which the store had not gone beyond the revision of the era.
@@ -52,9 +52,9 @@
 	return t.lastConfirmation(func(c confirmation) bool { return c.era == era && c.revision < revision })
 }
 
-// CurrentBefore returns the latest time of the clock at which the copy was up to date without
+// CopyAbsentAt returns the latest time of the clock at which the copy was up to date without
 // the revision of the era, and whether there is one.
-func (t *Tracker[T]) CurrentBefore(era, revision uint64) (time.Duration, bool) {
+func (t *Tracker[T]) CopyAbsentAt(era, revision uint64) (time.Duration, bool) {
 	return t.lastConfirmation(func(c confirmation) bool { return c.era < era || c.era == era && c.revision < revision })
 }
 
--- a/outside/tracker/absence_test.go
+++ b/outside/tracker/absence_test.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// TestCurrentBeforeNewEra guards against an object of a new era that counts as written at any
+// TestAbsenceBeforeNewEra guards against an object of a new era that counts as written at any
 // time, although the copy of the era before lacked it.
-func TestCurrentBeforeNewEra(t *testing.T) {
+func TestAbsenceBeforeNewEra(t *testing.T) {
 	withTracker(t, func(is *is.I, s *store, x *tracker.Tracker[row]) {
 		started := time.Now()
 		s.set("a", "1")
@@ -82,7 +82,7 @@
 		settle()
 		era, revision := writeOf(x, "kind/b")
 		is.Equal(era, uint64(1))
-		at, known := x.CurrentBefore(era, revision)
+		at, known := x.CopyAbsentAt(era, revision)
 		is.True(known)
 		is.True(at <= written && at >= written-2*watchTimeout)
 	})
--- a/shells/edgerunner/pauses.go
+++ b/shells/edgerunner/pauses.go
@@ -15,21 +15,21 @@
 type pauseDetector struct {
 	clock func() time.Duration
 	log   *reporter.Log
-	// checkedAt and checkedAfter are the times of the last check, on the clock and on the
+	// checkedClock and checkedRuntime are the times of the last check, on the clock and on the
 	// runtime's clock.
-	checkedAt    time.Duration
-	checkedAfter time.Time
+	checkedClock   time.Duration
+	checkedRuntime time.Time
 }
 
 func newPauseDetector(clock func() time.Duration, log *reporter.Log) *pauseDetector {
-	return &pauseDetector{clock: clock, log: log, checkedAt: clock(), checkedAfter: time.Now()}
+	return &pauseDetector{clock: clock, log: log, checkedClock: clock(), checkedRuntime: time.Now()}
 }
 
 // check must be called every maintenanceInterval.
 func (d *pauseDetector) check() {
-	at, after := d.clock(), time.Now()
-	elapsed, counted := at-d.checkedAt, after.Sub(d.checkedAfter)
-	d.checkedAt, d.checkedAfter = at, after
+	onClock, onRuntime := d.clock(), time.Now()
+	elapsed, counted := onClock-d.checkedClock, onRuntime.Sub(d.checkedRuntime)
+	d.checkedClock, d.checkedRuntime = onClock, onRuntime
 	if pause := elapsed - maintenanceInterval; pause >= minLoggedPause {
 		// Uncounted is the part that the runtime's clock leaves out.
 		d.log.Event(reporter.ProcessPaused, reporter.Fields{"For": pause.String(), "Uncounted": (elapsed - counted).String()})
--- a/shells/edgerunner/versions.go
+++ b/shells/edgerunner/versions.go
@@ -40,11 +40,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, w := range e.sources.Weights.Written() {
-		chosenAfter, absentAt := e.atStart(), e.atStart()
+		chosenAfter, missedAfter := e.atStart(), e.atStart()
 		if e.versionsListed {
-			chosenAfter, absentAt = e.absentAt(w)
+			chosenAfter, missedAfter = e.lowerBounds(w)
 		}
-		if e.recordVersion(w.Row, chosenVersion{version: w.Row.Version, chosenAfter: chosenAfter}, absentAt) {
+		if e.recordVersion(w.Row, chosenVersion{version: w.Row.Version, chosenAfter: chosenAfter}, missedAfter) {
 			learned = true
 			e.logVersion(w.Row, chosenAfter, reporter.Fields{"Revision": w.Revision})
 		}
@@ -83,9 +83,9 @@
 }
 
 // recordVersion records a chosen version of the model, and reports whether it is new. All
-// versions between it and the one before may have been chosen right after absentAt. The caller
+// versions between it and the one before may have been chosen right after missedAfter. The caller
 // holds e.mu.
-func (e *Edge) recordVersion(w filbertstile.WeightsVersion, v chosenVersion, absentAt time.Duration) bool {
+func (e *Edge) recordVersion(w filbertstile.WeightsVersion, v chosenVersion, missedAfter time.Duration) bool {
 	// Reported versions follow those of the own copy, which are more exact and replace them.
 	list := e.chosenVersions[w.Model]
 	known, reported := list, []chosenVersion(nil)
@@ -96,7 +96,7 @@
 		return false
 	}
 	if v.version > latestVersion(known)+1 {
-		known = append(known, chosenVersion{version: v.version - 1, chosenAfter: absentAt, reported: v.reported})
+		known = append(known, chosenVersion{version: v.version - 1, chosenAfter: missedAfter, reported: v.reported})
 	}
 	known = append(known, v)
 	for _, c := range reported {
@@ -122,16 +122,17 @@
 	return e.startedAt - startDelay + e.config.Bounds.SettleTime - e.config.Bounds.RolloutTimeout
 }
 
-// absentAt returns a time after which the version was chosen, and one after which the copy has
-// lacked all versions that are newer than the one before. The first is the later of the two,
-// as copies of other kinds are confirmed more often. The members are not among them: their
-// reads may be out of date, and show nothing about the time at which they were sent.
-func (e *Edge) absentAt(w tracker.Written[filbertstile.WeightsVersion]) (version, all time.Duration) {
-	all, known := e.sources.Weights.CurrentBefore(w.Era, w.Revision)
+// lowerBounds returns a time after which the version was chosen, and one after which all versions
+// between it and the one before were, if there are any. The first is the later of the two, as
+// copies of other kinds are confirmed more often. The members are not among them: their reads may
+// be out of date, and show nothing about the time at which they were sent. The version's object
+// must not be written again without a change.
+func (e *Edge) lowerBounds(w tracker.Written[filbertstile.WeightsVersion]) (version, between time.Duration) {
+	between, known := e.sources.Weights.CopyAbsentAt(w.Era, w.Revision)
 	if !known {
 		return e.atStart(), e.atStart()
 	}
-	version = all
+	version = between
 	for _, absentAt := range []func(era, revision uint64) (time.Duration, bool){
 		e.sources.Routing.AbsentAt, e.sources.Replicas.AbsentAt, e.sources.Marks.AbsentAt,
 	} {
@@ -139,7 +140,7 @@
 			version = max(version, at)
 		}
 	}
-	return version, all
+	return version, between
 }
 
 // versionFloor returns the minimum version of the weights for requests to the service. A
--- a/shells/edgerunner/versions_test.go
+++ b/shells/edgerunner/versions_test.go
@@ -28,11 +28,13 @@
 		versions := []*wire.WeightsVersion{{Model: "m", Version: 2, Manifest: "digest"}}
 		is.True(e.recordReportedVersions("entry-2", versions))
 		due := e.sources.Weights.View().ConfirmedAt + rolloutTimeout
+		is.True(due <= s.clock()+rolloutTimeout-time.Second) // the copy was confirmed before the wait
 		want := []placer.DueVersion{{Version: 2, At: time.Now().Add(due - s.clock())}}
 		is.Equal(e.versionFloor("s").Next, want)
 		time.Sleep(time.Second)
 		is.True(!e.recordReportedVersions("entry-3", versions)) // the first report counts
 		is.Equal(e.versionFloor("s").Next, want)
+		is.Equal(len(e.chosenVersions["m"]), 2)
 		cancel()
 		synctest.Wait()
 	})
