placer, platform: limits that replicas name are read and logged

Server-Limit is decoded, each entry logs ReplicaLimited with the rate when it learns a limit and when it ends, HeaderUnreadable once for each value that is no rate, and the dump and the gauge Replicas.Limited show who knows it. Placing is unchanged.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -58,6 +58,8 @@
 	ReplicaLeaving      Event = 316
 	ReplicaPaused       Event = 317
 	RequestSuspected    Event = 318
+	ReplicaLimited      Event = 319
+	HeaderUnreadable    Event = 320
 	TransferStarted     Event = 401
 	TransferDone        Event = 402
 	ChunkRefused        Event = 403
@@ -133,6 +135,8 @@
 	{ReplicaCrashed, "ReplicaCrashed", "requests", logrus.WarnLevel, "A replica's process ended while requests of this entry were in flight there; the keys of those without a begun answer, and the parts of their prompts, are suspects.", "Look for a part or a key that the lines have in common."},
 	{PromptPartChanged, "PromptPartChanged", "requests", logrus.WarnLevel, "A part of prompts is now suspected of crashing replicas, blocked, or free again.", "Check which requests hold a blocked part; they are refused for minutes after the last crash."},
 	{RequestSuspected, "RequestSuspected", "requests", logrus.WarnLevel, "A request is now suspected of crashing replicas, blocked, or free again; AttemptEnded names the route and the account of its Key.", "Find out why replicas crash under the request; while it is blocked, it and its repeats are refused."},
+	{ReplicaLimited, "ReplicaLimited", "requests", logrus.InfoLevel, "A replica has named the number of requests per second that it takes from all entries together, or no longer names one.", "Check the replica's load if this lasts."},
+	{HeaderUnreadable, "HeaderUnreadable", "requests", logrus.WarnLevel, "A response of a replica has a header field with a value that cannot be read; it is ignored.", "Check the replica's release."},
 	{TransferStarted, "TransferStarted", "weights", logrus.InfoLevel, "A host has started to fetch a release.", noAction},
 	{TransferDone, "TransferDone", "weights", logrus.InfoLevel, "All chunks of a release are stored and verified.", noAction},
 	{ChunkRefused, "ChunkRefused", "weights", logrus.WarnLevel, "A chunk did not match its digest and was discarded.", "Check the peer or source in the log line."},
--- a/decisions/placer/announcements.go
+++ b/decisions/placer/announcements.go
@@ -19,6 +19,8 @@
 	// RetryAfter is the time for which the replica, which has rejected the request, wants no
 	// requests from this entry; 0 if it gives none.
 	RetryAfter time.Duration
+	// Limit is the rate of requests that the replica names.
+	Limit Limit
 }
 
 // announced holds the announcements of one start of a replica.
@@ -31,6 +33,12 @@
 	leaving bool
 	// pausedUntil is the latest end of the pauses that the replica has asked for.
 	pausedUntil time.Time
+	// limit is the latest limit that the replica has named.
+	limit Limit
+	// limitedAt is the time of the latest response that named a limit.
+	limitedAt time.Time
+	// unreadableLimit is the latest value in place of a limit that could not be read.
+	unreadableLimit string
 	// confirmed is true if the fleet has shown since that this start ends.
 	confirmed bool
 	// missingSince is the time from which the fleet lacks the replica; zero if it lists it.
@@ -59,6 +67,9 @@
 		}
 		x.pausedUntil = end
 	}
+	if a.Limit != (Limit{}) && !earlierStart {
+		news.Limit = x.setLimit(now, a.Limit)
+	}
 	if news != (Announcement{}) {
 		p.serveQueue(now)
 		p.endHopelessWaits(now)
@@ -157,13 +168,13 @@
 	return out
 }
 
-// state returns whether the replica has announced that it leaves, and the rest of the pause
-// that it has asked for.
-func (x *announced) state(now time.Time) (leaving bool, paused time.Duration) {
+// state returns whether the replica has announced that it leaves, the rest of the pause that
+// it has asked for, and the limit that it has named.
+func (x *announced) state(now time.Time) (leaving bool, paused time.Duration, limit Limit) {
 	if x == nil {
-		return false, 0
+		return false, 0, Limit{}
 	}
-	return x.leaving, max(0, x.pausedUntil.Sub(now))
+	return x.leaving, max(0, x.pausedUntil.Sub(now)), x.limit
 }
 
 // endHopelessWaits ends the wait of queued requests for which no replica is eligible.
--- a/decisions/placer/dump.go
+++ b/decisions/placer/dump.go
@@ -27,6 +27,8 @@
 	Leaving bool
 	// Paused is the rest of the pause that the replica has asked for in a response.
 	Paused time.Duration
+	// Limit is the rate of requests that the replica has named in a response.
+	Limit Limit
 }
 
 // Dump returns the states of all replicas and the length of the queue.
@@ -36,10 +38,10 @@
 	var out []State
 	for _, x := range p.fleet.Replicas.All() {
 		r := p.byID[x.ID]
-		leaving, paused := p.announced[x.ID].state(now)
+		leaving, paused, limit := p.announced[x.ID].state(now)
 		out = append(out, State{
 			Replica: x, Own: r.localRequests, Others: r.peerLoad.Requests, Load: r.load, LoadAge: now.Sub(r.loadAt), Failures: r.failures, Rate: r.failureRate,
-			Held: max(0, r.cooldownUntil.Sub(now)), Leaving: leaving, Paused: paused,
+			Held: max(0, r.cooldownUntil.Sub(now)), Leaving: leaving, Paused: paused, Limit: limit,
 		})
 	}
 	return out, len(p.queue)
--- a/shells/edgerunner/gauges.go
+++ b/shells/edgerunner/gauges.go
@@ -16,6 +16,7 @@
 	}
 	register("Replicas.Leaving", func(s placer.State) bool { return s.Leaving })
 	register("Replicas.Paused", func(s placer.State) bool { return s.Paused > 0 })
+	register("Replicas.Limited", func(s placer.State) bool { return s.Limit.Named })
 }
 
 // countReplicas returns the number of replicas for which holds is true.
--- a/shells/forwarder/announcements.go
+++ b/shells/forwarder/announcements.go
@@ -12,6 +12,7 @@
 func (x *requestState) recordAnnouncement(g *placer.Grant, resp Response) {
 	if resp.Verdict != WrongReplica {
 		x.announced(g, resp, g.Replica.ID, g.Replica.Born, resp.Announcement)
+		x.limitEnded(g, resp)
 		return
 	}
 	x.announced(g, resp, resp.Responder, time.Time{}, resp.Announcement)
@@ -30,4 +31,23 @@
 	if news.RetryAfter > 0 {
 		x.forwarder.config.Log.Event(reporter.ReplicaPaused, fields("RetryAfter", news.RetryAfter.String()))
 	}
+	if news.Limit.Named {
+		x.forwarder.config.Log.Event(reporter.ReplicaLimited, fields("PerSecond", news.Limit.PerSecond))
+	}
+	if news.Limit.Unreadable != "" {
+		x.forwarder.config.Log.Event(reporter.HeaderUnreadable, fields("Limit", news.Limit.Unreadable))
+	}
+}
+
+// limitEnded records that the replica of the grant has responded without naming a limit. A
+// response that is not valid says nothing about it.
+func (x *requestState) limitEnded(g *placer.Grant, resp Response) {
+	if resp.Announcement.Limit != (placer.Limit{}) || resp.Verdict == Invalid {
+		return
+	}
+	if x.forwarder.config.Placer.LimitEnded(g.Replica.ID, g.Replica.Born, resp.WrittenAt) {
+		x.forwarder.config.Log.Event(reporter.ReplicaLimited, reporter.Fields{
+			"Request": x.call.ID, "Peer": g.Replica.ID, "Address": g.Replica.Address, "Status": resp.Status, "Ended": true,
+		})
+	}
 }
