--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -166,7 +166,9 @@
 	network  *datagrams
 	store    *listedStore
 	replicas *crashingReplicas
-	entries  int
+	// link replaces replicas; nil if replicas takes the requests.
+	link    forwarder.Link
+	entries int
 }
 
 // start starts the entry with the index, and returns a function that stops it.
@@ -179,8 +181,12 @@
 		return filbertstile.Member{Name: "e" + name, Role: filbertstile.RoleEntry, Domain: "d", Region: "r1", Address: fmt.Sprintf("10.0.0.%s:80", name)}
 	}
 	self := member(fmt.Sprint(i))
+	link := r.link
+	if link == nil {
+		link = r.replicas
+	}
 	e := edgerunner.New(edgerunner.Config{
-		Self: self, Log: log, Metrics: metrics.NewRegistry(), CloseExpiredConns: func() {}, Link: r.replicas, Prober: r.replicas,
+		Self: self, Log: log, Metrics: metrics.NewRegistry(), CloseExpiredConns: func() {}, Link: link, Prober: r.replicas,
 		RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000},
 		Bounds:      edgerunner.Bounds{RevokeTimeout: 5 * time.Second, RolloutTimeout: 8 * time.Second, StopTimeout: 8 * time.Second, SettleTime: 3 * time.Second},
 	})
