placer, edgerunner: limits that replicas name hold over all entries

The class is a limit over all entries that each keeps for itself. Equal shares were ruled out: of a limit of 1 among 100 entries they are one request in 100 s each, and a bucket that may save up one request lets 100 go at once. A limit is now divided among as few entries as have a share of a request per second, in a hash order that all compute alike from those whose heartbeats arrive, that do not stop and have requests; the others send nothing. A share is saved up from nothing. The token is taken when a request is placed, or at the latest when it is written if the limit became known meanwhile, and is given back if nothing was written. What an entry has read itself it tells all others, at once and with each heartbeat. A limit ends with the first response without it to a request that was written after the last one that named it, of the same start; a limit below one request in four seconds is used at that rate, as only a response shows its end. If nobody hears of the replica for 6 s, further entries get shares. If all replicas are limited, queued requests get what there is by priority; the rest is refused at once with the time that all entries need for what waits.

The test now takes 16 slots and asks the entries in turn, as with 7 entries the first one got all requests, and has cases with few entries that have callers and with groups; its bounds are the same.

--- a/decisions/placer/announcements.go
+++ b/decisions/placer/announcements.go
@@ -33,12 +33,8 @@
 	leaving bool
 	// pausedUntil is the latest end of the pauses that the replica has asked for.
 	pausedUntil time.Time
-	// limit is the latest limit that the replica has named.
-	limit Limit
-	// limitedAt is the time of the latest response that named a limit.
-	limitedAt time.Time
-	// unreadableLimit is the latest value in place of a limit that could not be read.
-	unreadableLimit string
+	// limit is the limit that the replica has named.
+	limit limitState
 	// confirmed is true if the fleet has shown since that this start ends.
 	confirmed bool
 	// missingSince is the time from which the fleet lacks the replica; zero if it lists it.
@@ -67,8 +63,8 @@
 		}
 		x.pausedUntil = end
 	}
-	if a.Limit != (Limit{}) && !earlierStart {
-		news.Limit = x.setLimit(now, a.Limit)
+	if !earlierStart {
+		news.Limit = p.recordLimit(now, id, x, a.Limit)
 	}
 	if news != (Announcement{}) {
 		p.serveQueue(now)
@@ -77,17 +73,38 @@
 	return news
 }
 
-// MaySend reports whether the request of the grant may still be sent: the replica may have
-// announced since that it wants none, may be leaving, or its failure domain may be out of
-// service.
-func (p *Placer) MaySend(g *Grant) bool {
+// ConfirmSend reports whether the request of the grant may still be sent: the replica may have
+// announced since that it wants none or fewer, may be leaving, or its failure domain may be
+// out of service. If it may, the request counts as sent.
+func (p *Placer) ConfirmSend(g *Grant) bool {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.byID[g.Replica.ID]
 	if r != nil && (r.replica.Leaving || p.fleet.OutOfService[r.replica.Domain]) {
 		return false
 	}
-	return !p.declines(time.Now(), g.Replica.ID)
+	if p.declines(now, g.Replica.ID) || !p.takeLimitToken(now, g) {
+		return false
+	}
+	g.sent = true
+	return true
+}
+
+// recordLimit records what a response of the replica to this entry says about its limit, and
+// returns it if it is news.
+func (p *Placer) recordLimit(now time.Time, id string, x *announced, l Limit) (news Limit) {
+	s := &x.limit
+	switch {
+	case l.Named:
+		if s.record(now, l, true) {
+			news = l
+		}
+		p.divideLimit(now, id, s)
+	case l.Unreadable != "" && l.Unreadable != s.unreadable:
+		s.unreadable, news = l.Unreadable, l
+	}
+	return news
 }
 
 // announcedBy returns the announcements of the latest known start of the replica, and whether
@@ -146,9 +163,13 @@
 	return x != nil && (x.leaving || now.Before(x.pausedUntil))
 }
 
-// eligible reports whether the replica may run the request, regardless of its load.
+// eligible reports whether the replica may run the request now, regardless of its load.
 func (p *Placer) eligible(now time.Time, req Request, r *replicaState) bool {
-	return p.suitable(now, req, r) && !p.declines(now, r.replica.ID)
+	if !p.suitable(now, req, r) || p.declines(now, r.replica.ID) {
+		return false
+	}
+	wait, held := p.limitWait(now, r.replica.ID)
+	return held && wait == 0
 }
 
 // pauseEnd returns the earliest end of the pauses of replicas that may run the request after
@@ -174,13 +195,13 @@
 	if x == nil {
 		return false, 0, Limit{}
 	}
-	return x.leaving, max(0, x.pausedUntil.Sub(now)), x.limit
+	return x.leaving, max(0, x.pausedUntil.Sub(now)), x.limit.limit
 }
 
 // endHopelessWaits ends the wait of queued requests for which no replica is eligible.
 func (p *Placer) endHopelessWaits(now time.Time) {
 	for _, w := range p.queue {
-		if _, anyEligible := p.choose(now, w.request, latencyBudget(now, w.request)); anyEligible {
+		if _, anyEligible := p.choose(now, w.request, latencyBudget(now, w.request)); anyEligible || p.limitsServe(now, w.request, 1) {
 			continue
 		}
 		select {
--- a/decisions/placer/announcements_test.go
+++ b/decisions/placer/announcements_test.go
@@ -270,13 +270,13 @@
 		p.SetFleet(time.Now(), fleet(1, 2, 1, 0))
 		g, err := p.Acquire(ctx, request(100))
 		is.NoErr(err)
-		is.True(p.MaySend(&g))
+		is.True(p.ConfirmSend(&g))
 		p.Announced("r00", time.Time{}, placer.Announcement{RetryAfter: time.Second})
-		is.True(!p.MaySend(&g))
+		is.True(!p.ConfirmSend(&g))
 		time.Sleep(time.Second)
-		is.True(p.MaySend(&g))
+		is.True(p.ConfirmSend(&g))
 		p.Announced("r00", time.Time{}, placer.Announcement{Leaving: true})
-		is.True(!p.MaySend(&g))
+		is.True(!p.ConfirmSend(&g))
 	})
 }
 
@@ -304,15 +304,15 @@
 		p.SetFleet(time.Now(), f)
 		g, err := p.Acquire(ctx, request(100))
 		is.NoErr(err)
-		is.True(p.MaySend(&g))
+		is.True(p.ConfirmSend(&g))
 		f.OutOfService["a"] = true
 		p.SetFleet(time.Now(), f)
-		is.True(!p.MaySend(&g))
+		is.True(!p.ConfirmSend(&g))
 		f.OutOfService["a"] = false
 		r := f.Replicas.All()[0]
 		r.Leaving = true
 		f.Replicas = f.Replicas.With(r)
 		p.SetFleet(time.Now(), f)
-		is.True(!p.MaySend(&g))
+		is.True(!p.ConfirmSend(&g))
 	})
 }
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -42,6 +42,8 @@
 
 // Config configures a Placer.
 type Config struct {
+	// Self is the name of the entry.
+	Self string
 	// Region is the region of the entry.
 	Region string
 	// Seed seeds the random part of the decisions.
@@ -68,6 +70,9 @@
 	GroupReplicas map[string]bool
 	// GroupEntries is the number of entries in the group, including this one.
 	GroupEntries int
+	// Senders are the names of the entries that share the limits that replicas name, this one
+	// included unless it stops; empty means only this one.
+	Senders []string
 }
 
 // senders returns the number of entries that send requests to the replica, and
@@ -159,6 +164,10 @@
 	// promptTokens is the length of the request's prompt; 0 after the replica has read
 	// it.
 	promptTokens int
+	// hasLimitToken is true if the request counts toward the limit of its replica.
+	hasLimitToken bool
+	// sent is true if the request may have been sent.
+	sent bool
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
 }
@@ -208,6 +217,11 @@
 	ratesUpdatedAt time.Time
 	// announced are the announcements of replicas, by ID.
 	announced map[string]*announced
+	// tokenDueAt is the time at which the queue is served for a limited replica; zero if no
+	// such time is set.
+	tokenDueAt time.Time
+	// requestedAt is the time of the latest request.
+	requestedAt time.Time
 }
 
 // New returns a placer without replicas.
@@ -240,6 +254,7 @@
 	}
 	p.fleet, p.byID, p.byAddress, p.byHash = f, byID, byAddress, byHash
 	p.retainAnnouncements(now)
+	p.divideLimits(now)
 	p.sumPeerLoads()
 	p.serveQueue(now)
 }
@@ -263,6 +278,7 @@
 func (p *Placer) Acquire(ctx context.Context, req Request) (Grant, error) {
 	now := time.Now()
 	p.mu.Lock()
+	p.requestedAt = now
 	best, anyEligible := p.choose(now, req, latencyBudget(now, req))
 	if best != nil {
 		g := p.place(now, best, req)
@@ -275,6 +291,7 @@
 	}
 	w := &queuedRequest{request: req, queuedAt: now, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
 	p.enqueue(w)
+	p.serveQueueAtToken(now)
 	p.mu.Unlock()
 	timer := time.NewTimer(req.Arrived.Add(queueTimeout(req)).Sub(now))
 	defer timer.Stop()
@@ -303,6 +320,7 @@
 	r.localRequests++
 	r.localTokens += req.PromptTokens
 	r.coldTokens--
+	p.takeLimitToken(now, &g)
 	p.countPlacement(now, req.Service)
 	return g
 }
@@ -350,6 +368,7 @@
 }
 
 func (p *Placer) release(now time.Time, g *Grant, o Outcome) time.Time {
+	p.returnLimitToken(g)
 	r := p.byID[g.Replica.ID]
 	if r == nil {
 		return time.Time{}
@@ -376,4 +395,5 @@
 	}
 	clear(p.queue[len(kept):])
 	p.queue = kept
+	p.serveQueueAtToken(now)
 }
--- a/decisions/placer/queue.go
+++ b/decisions/placer/queue.go
@@ -62,7 +62,7 @@
 	if !now.Before(req.Arrived.Add(queueTimeout(req))) {
 		return p.rejection(req, "no free replica, and queue timeout exceeded", anyEligible)
 	}
-	if !anyEligible {
+	if !anyEligible && !p.limitsServe(now, req, p.queuedAhead(req)+1) {
 		return p.rejection(req, "no eligible replica", anyEligible)
 	}
 	rate := p.placementRates[req.Service]
@@ -92,6 +92,10 @@
 			reason, anyEligible = "all eligible replicas have asked for a pause", true
 			after = end.Sub(now) + time.Duration(p.rng.Int64N(int64(pauseEndSpread)))
 		}
+		if delay := p.limitDelay(now, req); delay > 0 {
+			reason, anyEligible = "all eligible replicas have named limits", true
+			after = max(after, delay)
+		}
 	}
 	if limit := time.Until(req.Deadline) / retryAfterDivisor; after > limit {
 		after = limit * time.Duration(75+p.rng.IntN(25)) / 100
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -272,7 +272,7 @@
 	var cooling *replicaState
 	spec := p.engine(req.Service)
 	for _, r := range p.byID {
-		if r.otherGroup != otherGroup || !p.eligible(now, req, r) {
+		if p.belongsToOtherGroup(r) != otherGroup || !p.eligible(now, req, r) {
 			continue
 		}
 		anyEligible = true
@@ -315,6 +315,15 @@
 	return best, anyEligible
 }
 
+// belongsToOtherGroup reports whether only entries of other groups choose the replica as long
+// as others are eligible. The limit of a replica is shared by entries of all groups.
+func (p *Placer) belongsToOtherGroup(r *replicaState) bool {
+	if x := p.announced[r.replica.ID]; x != nil && x.limit.limit.Named {
+		return false
+	}
+	return r.otherGroup
+}
+
 func (p *Placer) engine(service string) *filbertstile.EngineSpec {
 	spec, _ := p.fleet.Pools.Get(service)
 	return spec.Engine
@@ -324,7 +333,7 @@
 // cooldown.
 func (p *Placer) anyOutsideCooldown(now time.Time, req Request, otherGroup bool) bool {
 	for _, r := range p.byID {
-		if r.otherGroup == otherGroup && p.eligible(now, req, r) && !now.Before(r.cooldownUntil) {
+		if p.belongsToOtherGroup(r) == otherGroup && p.eligible(now, req, r) && !now.Before(r.cooldownUntil) {
 			return true
 		}
 	}
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -115,8 +115,8 @@
 	forwarder *forwarder.Forwarder
 	pulser    *pulser.Pulser
 	suspector *suspector.Suspector
-	// evidenceNews makes shareEvidence send evidence about parts of prompts.
-	evidenceNews chan struct{}
+	// news makes shareNews send news about replicas.
+	news chan struct{}
 	// sharer keeps the sources up to date; nil if the entry always reads the store.
 	sharer *sharer.Sharer
 	// matcher holds the routing in use; nil before the first routing is known.
@@ -168,16 +168,17 @@
 	if c.Clock == nil {
 		c.Clock = func() time.Duration { return time.Since(started) }
 	}
+	c.Placer.Self = c.Self.Name
 	e := &Edge{
 		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(), senders: newSenderCounter(c.Clock),
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
-		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), evidenceNews: make(chan struct{}, 1),
+		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), news: make(chan struct{}, 1),
 	}
 	e.registerGauges()
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Placer: e.placer, Link: c.Link, RetryBudget: c.RetryBudget, BufferBytes: c.BufferBytes, Log: c.Log, VersionFloor: e.versionFloor, OnRequestEnd: e.recordRequestEnd,
-		Suspector: e.suspector, Prober: c.Prober, OnEvidence: e.announceEvidence,
+		Suspector: e.suspector, Prober: c.Prober, OnNews: e.announceNews,
 	})
 	return e
 }
@@ -204,14 +205,19 @@
 	wg.Go(func() { e.sources.Members.Run(ctx) })
 	wg.Go(func() { e.pulser.Run(ctx) })
 	wg.Go(func() { e.sendLoads(ctx) })
-	wg.Go(func() { e.shareEvidence(ctx) })
+	wg.Go(func() { e.shareNews(ctx) })
 	wg.Go(func() { e.refreshLoop(ctx) })
 	if e.sharer != nil {
 		wg.Go(func() { e.sharer.Run(ctx) })
 	}
-	pauses := newPauseDetector(e.config.Clock, e.config.Log)
+	pauses, serving := newPauseDetector(e.config.Clock, e.config.Log), false
 	for sleeper.Sleep(ctx, maintenanceInterval) == nil {
 		pauses.check()
+		e.placer.Tick()
+		if now := e.placer.Serving(); now != serving {
+			serving = now
+			e.Refresh()
+		}
 		e.config.CloseExpiredConns()
 		if e.config.Messages != nil {
 			e.config.Messages.CloseIdle(idleSessionTimeout)
@@ -269,7 +275,7 @@
 	e.placer.RetainPeers(now, d.LiveGroupPeers)
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, OutOfService: outOfService, Regions: e.config.Regions, Entries: entries,
-		GroupReplicas: d.GroupReplicas, GroupEntries: groupEntries,
+		GroupReplicas: d.GroupReplicas, GroupEntries: groupEntries, Senders: e.senderNames(d),
 	})
 	e.replicasKnown.Store(replicas.Listed)
 	e.forwarder.SetEntryCount(entries)
@@ -294,6 +300,7 @@
 func (e *Edge) handleHeartbeat(p *wire.Pulse) {
 	e.recordPeerHosts(p.GetHeard())
 	e.learnEvidence(p.GetEvidence())
+	e.learnLimits(p.GetName(), p.GetLimits())
 	newVersion := e.recordReportedVersions(p.GetName(), p.GetWeights())
 	if e.learnManifests(p.GetWeights()) || newVersion {
 		e.pulser.SendNow()
@@ -331,7 +338,8 @@
 		if all {
 			lastAll = time.Now()
 		}
-		p := &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), AllLoads: all}
+		p := e.newPulse()
+		p.AllLoads = all
 		for id, l := range loads {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens)})
 		}
--- a/shells/edgerunner/evidence.go
+++ b/shells/edgerunner/evidence.go
@@ -1,54 +1,16 @@
 package edgerunner
 
 import (
-	"context"
-	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile"
-	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/suspector"
 	"filbertstile.example/filbertstile/shells/forwarder"
-	"filbertstile.example/filbertstile/transport/pulser"
 )
 
-// evidenceInterval is the minimum time between two messages with new evidence, in addition
-// to heartbeats. A new crash must reach all entries within a second or two.
-const evidenceInterval = 150 * time.Millisecond
-
-// announceEvidence makes shareEvidence tell the other entries of new evidence about requests
-// that crash replicas. It does not block.
-func (e *Edge) announceEvidence() {
-	select {
-	case e.evidenceNews <- struct{}{}:
-	default:
-	}
-}
-
-// shareEvidence sends new evidence to all other entries, and logs changes of the states of
-// keys, until the context ends.
-func (e *Edge) shareEvidence(ctx context.Context) {
-	for {
-		select {
-		case <-e.evidenceNews:
-		case <-ctx.Done():
-			return
-		}
-		e.recordSuspectChanges()
-		d := e.division.Load()
-		e.pulser.Send(pulser.Message{
-			Pulse: &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Evidence: e.evidence()},
-			To:    slices.Concat(d.GroupPeers, d.OtherPeers),
-		})
-		if sleeper.Sleep(ctx, evidenceInterval) != nil {
-			return
-		}
-	}
-}
-
 // recordSuspectChanges logs and counts changes of the states of keys.
 func (e *Edge) recordSuspectChanges() {
 	changes := e.suspector.TakeChanges()
@@ -94,7 +56,7 @@
 		evidence.Suspicions = append(evidence.Suspicions, suspector.Suspicion{Key: s.GetPart(), Episodes: int(s.GetEpisodes()), Age: milliseconds(s.GetAgeMilliseconds())})
 	}
 	if e.suspector.Merge(time.Now(), evidence) {
-		e.announceEvidence()
+		e.announceNews()
 	}
 	e.recordSuspectChanges()
 }
--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -169,6 +169,10 @@
 	// link replaces replicas; nil if replicas takes the requests.
 	link    forwarder.Link
 	entries int
+	// engine is the model engine of the replicas; nil if they are plain services.
+	engine *filbertstile.EngineSpec
+	// slots is the number of slots of each replica.
+	slots int
 }
 
 // start starts the entry with the index, and returns a function that stops it.
@@ -191,9 +195,13 @@
 		Bounds:      edgerunner.Bounds{RevokeTimeout: 5 * time.Second, RolloutTimeout: 8 * time.Second, StopTimeout: 8 * time.Second, SettleTime: 3 * time.Second},
 	})
 	e.Connect(edgerunner.Sources{
-		Routing: newListedTracker(r.store, "config/", log, e.Refresh, func(string) filbertstile.Routing { return routing() }),
+		Routing: newListedTracker(r.store, "config/", log, e.Refresh, func(string) filbertstile.Routing {
+			out := routing()
+			out.Pools = filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: r.engine})
+			return out
+		}),
 		Replicas: newListedTracker(r.store, "servers/", log, e.Refresh, func(name string) filbertstile.Replica {
-			return filbertstile.Replica{ID: name, Service: "s", Address: name, Slots: 4}
+			return filbertstile.Replica{ID: name, Service: "s", Address: name, Slots: r.slots, Version: 1}
 		}),
 		Marks:   newListedTracker(r.store, "evacuations/", log, e.Refresh, func(string) filbertstile.Mark { return filbertstile.Mark{} }),
 		Weights: newListedTracker(r.store, "versions/", log, e.Refresh, func(string) filbertstile.WeightsVersion { return filbertstile.WeightsVersion{} }),
@@ -230,7 +238,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				r := &evidenceRig{
-					network: &datagrams{inboxes: make(map[string]chan []byte)}, replicas: &crashingReplicas{ended: make(map[string]bool)}, entries: entries,
+					network: &datagrams{inboxes: make(map[string]chan []byte)}, replicas: &crashingReplicas{ended: make(map[string]bool)}, entries: entries, slots: 4,
 					store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 40, "members/": entries}},
 				}
 				edges, stops := make([]*edgerunner.Edge, entries), make([]func(), entries)
@@ -273,7 +281,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				r := &evidenceRig{
-					network: &datagrams{inboxes: make(map[string]chan []byte)}, replicas: &crashingReplicas{ended: make(map[string]bool)}, entries: entries,
+					network: &datagrams{inboxes: make(map[string]chan []byte)}, replicas: &crashingReplicas{ended: make(map[string]bool)}, entries: entries, slots: 4,
 					store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 40, "members/": entries}},
 				}
 				edges, stops := make([]*edgerunner.Edge, entries), make([]func(), entries)
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -59,13 +59,15 @@
 // of its group's hosts.
 func (e *Edge) compose() []pulser.Message {
 	d := e.division.Load()
-	weights, evidence, direct := e.weightsToSend(), e.evidence(), e.directHosts()
+	weights, evidence, limits, direct := e.weightsToSend(), e.evidence(), e.limits(), e.directHosts()
 	newPulse := func(heard []string) *wire.Pulse {
-		return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Heard: heard, Weights: weights}
+		p := e.newPulse()
+		p.Heard, p.Weights = heard, weights
+		return p
 	}
 	newEntryPulse := func() *wire.Pulse {
 		p := newPulse(direct)
-		p.Evidence = evidence
+		p.Evidence, p.Limits = evidence, limits
 		return p
 	}
 	sameRegion, otherRegions := e.splitByRegion(d.Hosts)
@@ -83,6 +85,11 @@
 	return out
 }
 
+// newPulse returns a message with the state of this entry.
+func (e *Edge) newPulse() *wire.Pulse {
+	return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Serving: e.placer.Serving()}
+}
+
 // splitByRegion splits hosts into those in this entry's region and all others.
 func (e *Edge) splitByRegion(hosts []filbertstile.Member) (sameRegion, otherRegions []filbertstile.Member) {
 	for _, m := range hosts {
--- a/shells/edgerunner/leaving.go
+++ b/shells/edgerunner/leaving.go
@@ -20,6 +20,7 @@
 	e.leaving.Store(true)
 	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inFlight.Load()})
 	e.pulser.SendNow()
+	e.Refresh()
 	exitBy := time.Now().Add(e.config.Bounds.StopTimeout - stopMargin)
 	if sleeper.Sleep(ctx, min(addressTTL+addressTTLMargin, e.config.Bounds.StopTimeout/2)) != nil {
 		return exitBy
--- a/shells/edgerunner/limits_test.go
+++ b/shells/edgerunner/limits_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/outside/exchanger"
 	"filbertstile.example/filbertstile/shells/edgerunner"
@@ -128,19 +129,24 @@
 	replicas *limitedReplicas
 	edges    []*edgerunner.Edge
 	stops    []func()
-	sent     int
-	mu       sync.Mutex
+	// callers is the number of entries that get requests.
+	callers int
+	sent    int
+	mu      sync.Mutex
 	// failed counts the requests that ended with an error.
 	failed int
 }
 
-func newLimitRig(ctx context.Context, entries int, limit float64) *limitRig {
+func newLimitRig(ctx context.Context, entries int, limit float64, engine bool) *limitRig {
 	r := &limitRig{
 		evidenceRig: evidenceRig{
-			network: &datagrams{inboxes: make(map[string]chan []byte)}, entries: entries,
+			network: &datagrams{inboxes: make(map[string]chan []byte)}, entries: entries, slots: 16,
 			store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 3, "members/": entries}},
 		},
-		replicas: &limitedReplicas{limit: limit},
+		replicas: &limitedReplicas{limit: limit}, callers: entries,
+	}
+	if engine {
+		r.engine = &filbertstile.EngineSpec{StepTime: 2 * time.Millisecond, PrefillTokensPerSecond: 20000}
 	}
 	r.edges, r.stops = make([]*edgerunner.Edge, entries), make([]func(), entries)
 	for i := range entries {
@@ -170,11 +176,12 @@
 	advance(3 * time.Second)
 }
 
-// play sends 250 requests a second, to all entries that are ready in turn, for the time.
+// play sends 250 requests a second, to the entries that have callers and are ready in turn,
+// for the time.
 func (r *limitRig) play(ctx context.Context, is *is.I, d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); advance(4 * time.Millisecond) {
 		r.sent++
-		if e := r.edges[r.sent*7%len(r.edges)]; e != nil && e.Ready() {
+		if e := r.edges[r.sent%r.callers]; e != nil && e.Ready() {
 			go func() {
 				if code := r.send(ctx, is, e); code != "" {
 					r.mu.Lock()
@@ -206,16 +213,23 @@
 		// ended and restarted are the numbers of entries that end or start again, those that
 		// send to the replica first.
 		ended, restarted int
+		// callers is the number of entries that get requests; 0 means all.
+		callers int
+		// engine is true if the replicas run a model engine, so that each belongs to a group.
+		engine bool
 	}{
 		{entries: 1, limit: 0}, {entries: 1, limit: 1}, {entries: 1, limit: 30},
 		{entries: 7, limit: 0.25}, {entries: 7, limit: 1}, {entries: 7, limit: 4, ended: 3}, {entries: 7, limit: 4, restarted: 3}, {entries: 7, limit: 30},
-		{entries: 24, limit: 1}, {entries: 24, limit: 30, ended: 8}, {entries: 24, limit: 30, restarted: 8}, {entries: 100, limit: 1}, {entries: 100, limit: 30},
+		{entries: 7, limit: 4, callers: 1}, {entries: 24, limit: 30, callers: 3}, {entries: 24, limit: 1}, {entries: 24, limit: 10, engine: true}, {entries: 24, limit: 30, ended: 8}, {entries: 24, limit: 30, restarted: 8}, {entries: 100, limit: 1}, {entries: 100, limit: 30},
 	} {
-		t.Run(fmt.Sprintf("entries=%d/limit=%v/ended=%d/restarted=%d", c.entries, c.limit, c.ended, c.restarted), func(t *testing.T) {
+		t.Run(fmt.Sprintf("entries=%d/limit=%v/ended=%d/restarted=%d/callers=%d/engine=%v", c.entries, c.limit, c.ended, c.restarted, c.callers, c.engine), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				r := newLimitRig(t.Context(), c.entries, c.limit)
+				r := newLimitRig(t.Context(), c.entries, c.limit, c.engine)
 				defer r.stop()
+				if c.callers > 0 {
+					r.callers = c.callers
+				}
 				advance(3 * time.Second)
 				l := r.replicas
 				l.from = time.Now().Add(2 * time.Second)
--- a/shells/edgerunner/senders.go
+++ b/shells/edgerunner/senders.go
@@ -38,11 +38,16 @@
 	return paused
 }
 
-// counts returns the number of entries in the system and in the own group, this one included.
-func (s *senderCounter) counts(d *grouper.Division) (entries, group int) {
+// listening reports whether heartbeats of other entries may not have arrived yet.
+func (s *senderCounter) listening() bool {
 	now := s.clock()
 	paused := now-time.Duration(s.tickedAt.Load()) >= minLoggedPause
-	if paused || now < time.Duration(s.listenUntil.Load()) {
+	return paused || now < time.Duration(s.listenUntil.Load())
+}
+
+// counts returns the number of entries in the system and in the own group, this one included.
+func (s *senderCounter) counts(d *grouper.Division) (entries, group int) {
+	if s.listening() {
 		return 1 + len(d.GroupPeers) + len(d.OtherPeers), 1 + len(d.GroupPeers)
 	}
 	return 1 + d.LivePeerCount, 1 + len(d.LiveGroupPeers)
--- a/shells/forwarder/announcements.go
+++ b/shells/forwarder/announcements.go
@@ -32,6 +32,7 @@
 		x.forwarder.config.Log.Event(reporter.ReplicaPaused, fields("RetryAfter", news.RetryAfter.String()))
 	}
 	if news.Limit.Named {
+		x.forwarder.config.OnNews()
 		x.forwarder.config.Log.Event(reporter.ReplicaLimited, fields("PerSecond", news.Limit.PerSecond))
 	}
 	if news.Limit.Unreadable != "" {
@@ -46,6 +47,7 @@
 		return
 	}
 	if x.forwarder.config.Placer.LimitEnded(g.Replica.ID, g.Replica.Born, resp.WrittenAt) {
+		x.forwarder.config.OnNews()
 		x.forwarder.config.Log.Event(reporter.ReplicaLimited, reporter.Fields{
 			"Request": x.call.ID, "Peer": g.Replica.ID, "Address": g.Replica.Address, "Status": resp.Status, "Ended": true,
 		})
--- a/shells/forwarder/announcements_test.go
+++ b/shells/forwarder/announcements_test.go
@@ -265,3 +265,33 @@
 		}
 	})
 }
+
+// TestLimitOfOtherReplicaAtAddress guards against a limit that another replica at the address
+// has named, and that is kept for the one that was expected there.
+func TestLimitOfOtherReplicaAtAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		other := true
+		e := newEntry(replicas(2, 1), func(a forwarder.Attempt) forwarder.Response {
+			resp := forwarder.Response{Verdict: forwarder.Ran, Status: 200, Body: &body{Reader: bytes.NewReader(nil)}, WrittenAt: time.Now()}
+			if a.Replica.ID == "0" && other {
+				resp.Verdict, resp.Status, resp.Responder = forwarder.WrongReplica, 421, "1"
+			}
+			if a.Replica.ID == "1" || other {
+				resp.Announcement.Limit = placer.Limit{Named: true, PerSecond: 1}
+			}
+			return resp
+		})
+		for len(e.sent["0"]) == 0 {
+			e.serve(t.Context(), filbertstile.CallIdempotent)
+		}
+		other = false
+		time.Sleep(5 * time.Second) // the cooldown of replica 0 ends
+		started := time.Now()
+		for range 20 {
+			e.serve(t.Context(), filbertstile.CallIdempotent)
+		}
+		is.True(e.sentBetween("1", started, time.Now()) <= 2)
+		is.True(e.sentBetween("0", started, time.Now()) >= 18)
+	})
+}
--- a/shells/forwarder/crash.go
+++ b/shells/forwarder/crash.go
@@ -169,7 +169,7 @@
 // blame records the keys of the requests as suspects of the crash.
 func (k *crashChecks) blame(c *crashCheck, lost ...suspector.LostRequest) {
 	if k.config.Suspector.RecordCrash(c.startedAt, c.boot, lost...) {
-		k.config.OnEvidence()
+		k.config.OnNews()
 	}
 }
 
--- a/shells/forwarder/crash_test.go
+++ b/shells/forwarder/crash_test.go
@@ -91,7 +91,7 @@
 
 func (r *crashRig) config(link forwarder.Link, log *logrus.Logger) forwarder.Config {
 	return forwarder.Config{
-		Placer: r.placer, Link: link, Suspector: r.suspector, Prober: r.prober, OnEvidence: func() { r.evidence.Add(1) },
+		Placer: r.placer, Link: link, Suspector: r.suspector, Prober: r.prober, OnNews: func() { r.evidence.Add(1) },
 		RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, Log: reporter.New(reporter.Config{Logger: log}),
 		VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
 	}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -184,9 +184,9 @@
 	Suspector *suspector.Suspector
 	// Prober tells whether a replica's process has ended; nil means that it is never known.
 	Prober Prober
-	// OnEvidence is called when other entries should be told of new evidence about requests
-	// that crash replicas; nil if there are none.
-	OnEvidence func()
+	// OnNews is called when other entries should be told of new evidence about requests that
+	// crash replicas, or of a limit that a replica has named; nil if there are none.
+	OnNews func()
 	// BufferBytes is the memory for the bodies of all responses that are being read; 0
 	// means the default. Streams do not count.
 	BufferBytes int64
@@ -211,8 +211,8 @@
 	if c.Suspector == nil {
 		c.Suspector = suspector.New(suspector.Config{})
 	}
-	if c.OnEvidence == nil {
-		c.OnEvidence = func() {}
+	if c.OnNews == nil {
+		c.OnNews = func() {}
 	}
 	return &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes), crashes: newCrashChecks(c)}
 }
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -47,7 +47,7 @@
 	if late := time.Since(g.SendBy); !g.SendBy.IsZero() && late > 0 {
 		return ErrTooLate{Step: "send request", Peer: g.Replica.Address, Late: late}
 	}
-	if !x.forwarder.config.Placer.MaySend(g) {
+	if !x.forwarder.config.Placer.ConfirmSend(g) {
 		return ErrDeclined
 	}
 	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.keys); d.Verdict == suspector.Refuse {
--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -60,7 +60,7 @@
 func (x *requestState) clearKeys(now time.Time) {
 	x.answer.witnessed = true
 	if x.forwarder.config.Suspector.RecordWitness(now, x.keys) {
-		x.forwarder.config.OnEvidence()
+		x.forwarder.config.OnNews()
 	}
 }
 
@@ -137,7 +137,7 @@
 // before it.
 func (x *requestState) endTrial(keys []uint64, sendsBefore int) {
 	if x.forwarder.config.Suspector.EndTrial(time.Now(), keys, x.sends > sendsBefore) {
-		x.forwarder.config.OnEvidence()
+		x.forwarder.config.OnNews()
 	}
 }
 
--- a/shells/forwarder/wavemodel_test.go
+++ b/shells/forwarder/wavemodel_test.go
@@ -165,7 +165,7 @@
 	}
 	e.placer.SetFleet(time.Now(), m.fleet())
 	e.forwarder = forwarder.New(forwarder.Config{
-		Placer: e.placer, Link: m, Suspector: e.suspector, Prober: m, OnEvidence: e.sendNow, RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
+		Placer: e.placer, Link: m, Suspector: e.suspector, Prober: m, OnNews: e.sendNow, RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
 		Log:          reporter.New(reporter.Config{Logger: log}),
 		VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
 	})
--- a/transport/pulser/pulser.go
+++ b/transport/pulser/pulser.go
@@ -51,7 +51,7 @@
 	// it must not block.
 	OnHeartbeat func(p *wire.Pulse)
 	// OnChange is called after a process is added to or removed from the table, or after
-	// its Leaving or Current field changes.
+	// its Leaving, Current or Serving field changes.
 	OnChange func()
 }
 
@@ -183,7 +183,7 @@
 	p.peers[pulse.GetName()] = Peer{Pulse: pulse, ReceivedAt: time.Now()}
 	p.mu.Unlock()
 	p.config.OnHeartbeat(pulse)
-	if !ok || old.Pulse.GetLeaving() != pulse.GetLeaving() || old.Pulse.GetCurrent() != pulse.GetCurrent() {
+	if !ok || old.Pulse.GetLeaving() != pulse.GetLeaving() || old.Pulse.GetCurrent() != pulse.GetCurrent() || old.Pulse.GetServing() != pulse.GetServing() {
 		p.peersChanged()
 	}
 }
