--- a/shells/forwarder/announcements_test.go
+++ b/shells/forwarder/announcements_test.go
@@ -39,13 +39,24 @@
 }
 
 func newEntry(fleet placer.Fleet, answer func(forwarder.Attempt) forwarder.Response) *entry {
-	e := &entry{answer: answer, sent: make(map[string][]time.Time), announcedAt: make(map[string]time.Time)}
+	e := newEntryWithLink(fleet, nil)
+	e.answer = answer
+	return e
+}
+
+// newEntryWithLink returns an entry that sends its requests to the link; nil means the entry
+// itself.
+func newEntryWithLink(fleet placer.Fleet, link forwarder.Link) *entry {
+	e := &entry{sent: make(map[string][]time.Time), announcedAt: make(map[string]time.Time)}
+	if link == nil {
+		link = e
+	}
 	logger := logrus.New()
 	logger.SetOutput(&e.log)
 	p := placer.New(placer.Config{Region: "a"})
 	p.SetFleet(time.Now(), fleet)
 	e.forwarder = forwarder.New(forwarder.Config{
-		Placer: p, Link: e, RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000},
+		Placer: p, Link: link, RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000},
 		Log:          reporter.New(reporter.Config{Logger: logger}),
 		VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
 	})
