forwarder, placer: pauses are heard although callers have left

An attempt ended with its caller, so that a rejection that arrived later was not read, and the replica that had asked for a pause went on getting requests: 29 or 30 in 3 s in TestPausesAreHeardWhenCallersLeave, where two are allowed.

If the last two requests of an entry to a replica were abandoned without a response, or if the replica has asked for a pause that is not over, the response is awaited for 250 ms after its caller has left. Nothing is written for a caller that has left.

--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -168,6 +168,8 @@
 	hasLimitToken bool
 	// sent is true if the request may have been sent.
 	sent bool
+	// answered is true if a response has been read.
+	answered bool
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
 }
@@ -334,6 +336,30 @@
 	p.serveQueue(time.Now())
 }
 
+// Answered records that the head of a response to the request has been read.
+func (p *Placer) Answered(g *Grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.answered = true
+	if r := p.byID[g.Replica.ID]; r != nil {
+		r.unanswered = 0
+	}
+}
+
+// NeedsResponse reports whether a response of the replica is needed even if its caller has
+// left: the replica has asked for a pause, which the response may prolong, or may have asked
+// for one in responses that were not read.
+func (p *Placer) NeedsResponse(id string) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.announced[id]; x != nil && now.Before(x.pausedUntil) {
+		return true
+	}
+	r := p.byID[id]
+	return r != nil && r.unanswered >= maxUnanswered
+}
+
 func (p *Placer) promptRead(g *Grant) {
 	if r := p.byID[g.Replica.ID]; r != nil && g.promptTokens > 0 {
 		r.localTokens = max(0, r.localTokens-g.promptTokens)
@@ -374,6 +400,9 @@
 		return time.Time{}
 	}
 	p.promptRead(g)
+	if o == Abandoned && g.sent && !g.answered {
+		r.unanswered++
+	}
 	r.requestEnded(now, o)
 	p.serveQueue(now)
 	return r.cooldownUntil
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -23,6 +23,10 @@
 	failureRateWeight = 0.15
 	// failureRateCost is added to the score at a failure rate of 1, in requests.
 	failureRateCost = 24.0
+	// maxUnanswered is the number of requests in a row to a replica that may be abandoned with
+	// their callers without any response. A replica that wants no requests says so only in
+	// responses.
+	maxUnanswered = 2
 	// pendingTokenCost is added to the score for each prompt token that the replica has
 	// yet to read, in requests: a prompt of some 900 tokens delays the next response as
 	// much as a dozen requests that generate output.
@@ -123,6 +127,9 @@
 	// failureRate is a moving average, from 0 to 1.
 	failureRate   float64
 	cooldownUntil time.Time
+	// unanswered is the number of requests that were sent since the latest response and were
+	// abandoned.
+	unanswered int
 	// coldTokens is the token bucket for requests to a cold replica, refilled at
 	// coldRefilledAt.
 	coldTokens     float64
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -13,7 +13,7 @@
 
 // runAttempt sends the request to the replica of the grant.
 func (x *requestState) runAttempt(g *placer.Grant, a Attempt) bool {
-	ctx, cancel := context.WithCancelCause(x.ctx)
+	ctx, cancel := x.attemptContext(g)
 	defer cancel(nil)
 	x.sends++
 	x.answer = answer{}
@@ -28,7 +28,9 @@
 	}
 	defer resp.Body.Close()
 	x.writeDelay = resp.WrittenAt.Sub(started)
-	x.recordAnnouncement(g, resp)
+	if !x.answered(g, resp) {
+		return x.contextEnded(g, started)
+	}
 	switch resp.Verdict {
 	case NotRun, WrongReplica:
 		// The connection can be used again only after a short body has been read.
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -249,6 +249,8 @@
 	onTrial bool
 	// answer is the progress of the answer of the current attempt.
 	answer answer
+	// progress is how far the current attempt is.
+	progress *attemptProgress
 }
 
 // Serve forwards the request. It returns after the caller has received a response or
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -44,6 +44,9 @@
 
 // checkSend returns an error if the request of the grant may no longer be sent.
 func (x *requestState) checkSend(g *placer.Grant) error {
+	if err := x.ctx.Err(); err != nil {
+		return err
+	}
 	if late := time.Since(g.SendBy); !g.SendBy.IsZero() && late > 0 {
 		return ErrTooLate{Step: "send request", Peer: g.Replica.Address, Late: late}
 	}
@@ -53,6 +56,7 @@
 	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.keys); d.Verdict == suspector.Refuse {
 		return ErrBlocked{Step: "send request", Peer: g.Replica.Address, Key: FormatKey(d.Key)}
 	}
+	x.progress.written.Store(true)
 	return nil
 }
 
