placer: entries of other groups take the limit of cold replicas from what its group leaves

After the power loss two replicas have weights first, and no replica of the other groups; the requests there that failed as both replicas fell over come from over 40 of the 44 entries, most of them once. The entries of a replica's group divided its whole limit, and those of other groups, whose own replicas were not ready, took one more request each: a share below one request was rounded up. Ruled out: groups that differ on whose a replica is, which would not bring all entries.

With several groups, the group now takes 0.8 of the limit, and 0.13 are for other groups, divided among as few entries as may each send one request, in the order that limits of replicas use.

--- /dev/null
+++ b/decisions/placer/cold.go
@@ -0,0 +1,78 @@
+package placer
+
+import "time"
+
+// Shares of the limit on requests to cold replicas that are used; the rest is a safety
+// margin. If there are several groups of entries, coldLimitGroupShare is that of the replica's
+// group, and coldLimitOthersShare that of all other groups together.
+const (
+	coldLimitShare       = 0.85
+	coldLimitGroupShare  = 0.8
+	coldLimitOthersShare = 0.13
+)
+
+// refillColdTokens adds the tokens for the time since the last refill, at the rate per
+// second and up to the burst.
+func (r *replicaState) refillColdTokens(now time.Time, rate, burst float64) {
+	if r.coldRefilledAt.IsZero() {
+		r.coldTokens = burst
+	} else {
+		r.coldTokens = min(burst, r.coldTokens+now.Sub(r.coldRefilledAt).Seconds()*rate)
+	}
+	r.coldRefilledAt = now
+}
+
+// coldLimit returns the number of requests per second that this entry and others may send to
+// the replica together, even if it is cold, the number of these entries, and whether this
+// entry is one of them. There is no limit if it is 0. Of other groups only so many entries
+// are that each may send a whole request.
+func (p *Placer) coldLimit(r *replicaState) (limit float64, entries int, included bool) {
+	spec, ok := p.fleet.Pools.Get(r.replica.Service)
+	if !ok || spec.ColdRequestsPerSecond <= 0 {
+		return 0, 0, true
+	}
+	limit = spec.ColdRequestsPerSecond*p.config.ColdBurst + p.config.ColdSlack
+	switch {
+	case p.fleet.GroupReplicas == nil || spec.Engine == nil:
+		return limit * coldLimitShare, max(1, r.entries), true
+	case !r.otherGroup:
+		return limit * coldLimitGroupShare, max(1, r.entries), true
+	}
+	limit *= coldLimitOthersShare
+	entries = max(1, int(limit))
+	return limit, entries, p.senderRank(r) < entries
+}
+
+// mayExceedGroup reports whether this entry may send requests to the replica, if it belongs to
+// another group.
+func (p *Placer) mayExceedGroup(r *replicaState) bool {
+	if !r.otherGroup {
+		return true
+	}
+	_, _, included := p.coldLimit(r)
+	return included
+}
+
+// withinColdLimit reports whether this entry may send another request to the replica
+// without exceeding its share of the limit for cold replicas, which applies to the
+// requests of all entries together. The share is enforced at all times, as replicas
+// become cold without warning.
+func (p *Placer) withinColdLimit(now time.Time, r *replicaState) bool {
+	limit, n, included := p.coldLimit(r)
+	if limit == 0 || !included {
+		return included
+	}
+	spec, _ := p.fleet.Pools.Get(r.replica.Service)
+	entries := float64(n)
+	rate := min(spec.ColdRequestsPerSecond, limit/2) / entries
+	r.refillColdTokens(now, rate, max(1, limit/entries-rate))
+	return r.coldTokens >= 1
+}
+
+// senderRank returns the rank of this entry for the replica.
+func (p *Placer) senderRank(r *replicaState) int {
+	if r.senderRank < 0 {
+		r.senderRank = p.rank(r.replica.ID)
+	}
+	return r.senderRank
+}
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -240,16 +241,20 @@
 func (p *Placer) SetFleet(now time.Time, f Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	sendersChanged := !slices.Equal(p.fleet.Senders, f.Senders)
 	byID := make(map[string]*replicaState, f.Replicas.Len())
 	byAddress := make(map[string]*replicaState, f.Replicas.Len())
 	byHash := make(map[uint32]*replicaState, f.Replicas.Len())
 	for _, x := range f.Replicas.All() {
 		r := p.byID[x.ID]
 		if r == nil || !r.replica.Born.Equal(x.Born) {
-			r = &replicaState{}
+			r = &replicaState{senderRank: -1}
 		}
 		r.replica, r.region = x, f.Regions[x.Domain]
 		r.entries, r.otherGroup = f.senders(x)
+		if sendersChanged {
+			r.senderRank = -1
+		}
 		byID[x.ID] = r
 		byAddress[x.Address] = r
 		byHash[HashOf(x.ID)] = r
--- a/decisions/placer/placer_test.go
+++ b/decisions/placer/placer_test.go
@@ -384,6 +384,52 @@
 	})
 }
 
+// TestColdLimitOverAllGroups guards against a cold replica that gets the whole limit from the
+// entries of its group, and more from those of other groups, none of whose replicas is ready.
+func TestColdLimitOverAllGroups(t *testing.T) {
+	for _, c := range []struct {
+		entries, groupEntries int
+		rate                  float64
+	}{{16, 8, 17}, {44, 8, 17}, {44, 8, 5}, {100, 8, 14}, {100, 9, 40}} {
+		t.Run(fmt.Sprintf("entries=%d/rate=%v", c.entries, c.rate), func(t *testing.T) {
+			withPlacer(t, func(ctx context.Context, is *is.I, _ *placer.Placer) {
+				var placers []*placer.Placer
+				f := fleet(1, 4000, c.entries, c.rate)
+				for i := range c.entries {
+					f.Senders = append(f.Senders, fmt.Sprintf("front-%d", i))
+				}
+				for i, self := range f.Senders {
+					p := placer.New(placer.Config{Self: self, Region: "a", Seed: uint64(i), ColdBurst: 1.5, ColdSlack: 5})
+					f.GroupReplicas, f.GroupEntries = map[string]bool{"r00": i < c.groupEntries}, c.groupEntries
+					p.SetFleet(time.Now(), f)
+					placers = append(placers, p)
+				}
+				var sent []time.Time
+				for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					for _, p := range placers {
+						req := request(1)
+						req.Arrived = req.Arrived.Add(-time.Second) // its queue timeout has passed
+						if g, err := p.Acquire(ctx, req); err == nil {
+							p.Release(&g, placer.Completed)
+							sent = append(sent, time.Now())
+						}
+					}
+				}
+				most, from := 0, 0
+				for to, at := range sent {
+					for at.Sub(sent[from]) > time.Second {
+						from++
+					}
+					most = max(most, to-from+1)
+				}
+				t.Logf("%d requests in 5 s, at most %d in one", len(sent), most)
+				is.True(float64(most) <= c.rate*1.5+5)
+				is.True(float64(len(sent)) >= 5*0.5*c.rate)
+			})
+		})
+	}
+}
+
 // The running sum of the loads of other entries must match their latest reports.
 func TestPeerLoadSumMatchesLatestReports(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -59,9 +59,6 @@
 	// maxSlotWait is the time within which a full replica frees slots for all requests
 	// that are queued in it: most streams end within about a second.
 	maxSlotWait = 1500 * time.Millisecond
-	// coldLimitShare is the share of the limit on requests to cold replicas that is
-	// used; the rest is a safety margin.
-	coldLimitShare = 0.85
 )
 
 // ReplicaLoad is the load of a replica as reported by its host process.
@@ -134,6 +131,9 @@
 	// coldRefilledAt.
 	coldTokens     float64
 	coldRefilledAt time.Time
+	// senderRank is the rank of this entry for the replica among Fleet.Senders; negative if it
+	// has not been worked out.
+	senderRank int
 }
 
 func (r *replicaState) hasFreshLoad(now time.Time) bool { return now.Sub(r.loadAt) < maxLoadAge }
@@ -200,17 +200,6 @@
 	return ok && now.Add(r.startTime(e, req, inFlight)).After(end.Add(-WithdrawMargin))
 }
 
-// refillColdTokens adds the tokens for the time since the last refill, at the rate per
-// second and up to the burst.
-func (r *replicaState) refillColdTokens(now time.Time, rate, burst float64) {
-	if r.coldRefilledAt.IsZero() {
-		r.coldTokens = burst
-	} else {
-		r.coldTokens = min(burst, r.coldTokens+now.Sub(r.coldRefilledAt).Seconds()*rate)
-	}
-	r.coldRefilledAt = now
-}
-
 // requestEnded updates the load, the failure rate and the cooldown.
 func (r *replicaState) requestEnded(now time.Time, o Outcome) {
 	r.localRequests = max(0, r.localRequests-1)
@@ -346,19 +335,3 @@
 	}
 	return false
 }
-
-// withinColdLimit reports whether this entry may send another request to the replica
-// without exceeding its share of the limit for cold replicas, which applies to the
-// requests of all entries together. The share is enforced at all times, as replicas
-// become cold without warning.
-func (p *Placer) withinColdLimit(now time.Time, r *replicaState) bool {
-	spec, ok := p.fleet.Pools.Get(r.replica.Service)
-	if !ok || spec.ColdRequestsPerSecond <= 0 {
-		return true
-	}
-	entries := float64(max(1, r.entries))
-	limit := (spec.ColdRequestsPerSecond*p.config.ColdBurst + p.config.ColdSlack) * coldLimitShare
-	rate := min(spec.ColdRequestsPerSecond, limit/2) / entries
-	r.refillColdTokens(now, rate, max(1, limit/entries-rate))
-	return r.coldTokens >= 1
-}
