edgerunner: an entry that has just started leaves the replicas of other groups to them

While an entry may not have heard the others, registered entries now count as alive, as they do for the counts by which limits are divided.

--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -19,6 +19,7 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/outside/exchanger"
 	"filbertstile.example/filbertstile/outside/tracker"
 	"filbertstile.example/filbertstile/shells/edgerunner"
@@ -173,6 +174,8 @@
 	engine *filbertstile.EngineSpec
 	// slots is the number of slots of each replica.
 	slots int
+	// coldRate is the rate limit of cold replicas; 0 is none.
+	coldRate float64
 }
 
 // start starts the entry with the index, and returns a function that stops it.
@@ -192,12 +195,13 @@
 	e := edgerunner.New(edgerunner.Config{
 		Self: self, Log: log, Metrics: metrics.NewRegistry(), CloseExpiredConns: func() {}, Link: link, Prober: r.replicas,
 		RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000},
+		Placer:      placer.Config{ColdBurst: 1.5, ColdSlack: 5},
 		Bounds:      edgerunner.Bounds{RevokeTimeout: 5 * time.Second, RolloutTimeout: 8 * time.Second, StopTimeout: 8 * time.Second, SettleTime: 3 * time.Second},
 	})
 	e.Connect(edgerunner.Sources{
 		Routing: newListedTracker(r.store, "config/", log, e.Refresh, func(string) filbertstile.Routing {
 			out := routing()
-			out.Pools = filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: r.engine})
+			out.Pools = filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: r.engine, ColdRequestsPerSecond: r.coldRate})
 			return out
 		}),
 		Replicas: newListedTracker(r.store, "servers/", log, e.Refresh, func(name string) filbertstile.Replica {
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -14,7 +14,8 @@
 type divisionInputs struct {
 	members []filbertstile.Member
 	engines []filbertstile.Replica
-	// alive has an element for each member, true if its heartbeats arrive.
+	// alive has an element for each member, true if its heartbeats arrive or may not have
+	// arrived yet.
 	alive []bool
 }
 
@@ -29,13 +30,18 @@
 // updateDivision computes, stores and returns the division of the system into groups of
 // entries, which determines the replicas and hosts of this entry's group. It computes
 // nothing if the members, the engines and who is alive are as before: most changes of
-// replicas concern their state. Only refreshLoop calls it.
+// replicas concern their state. An entry that may not have heard the others yet takes all as
+// alive, or the replicas of all groups would seem to be its group's. Only refreshLoop calls
+// it.
 func (e *Edge) updateDivision(replicas filbertstile.Table[filbertstile.Replica], pools filbertstile.Table[filbertstile.PoolSpec]) *grouper.Division {
-	peers := e.pulser.Peers()
+	peers, listening := e.pulser.Peers(), e.senders.listening()
+	alive := func(name string) bool {
+		_, heard := peers[name]
+		return heard || listening
+	}
 	inputs := divisionInputs{members: e.sources.Members.View().Rows.All()}
 	for _, m := range inputs.members {
-		_, alive := peers[m.Name]
-		inputs.alive = append(inputs.alive, alive && m.Role == filbertstile.RoleEntry)
+		inputs.alive = append(inputs.alive, alive(m.Name) && m.Role == filbertstile.RoleEntry)
 	}
 	for _, x := range replicas.All() {
 		if spec, ok := pools.Get(x.Service); ok && spec.Engine != nil {
@@ -45,10 +51,7 @@
 	if e.dividedFrom != nil && inputs.equal(*e.dividedFrom) {
 		return e.division.Load()
 	}
-	d := grouper.Divide(grouper.SystemView{Self: e.config.Self, Members: inputs.members, Engines: inputs.engines, Alive: func(name string) bool {
-		_, ok := peers[name]
-		return ok
-	}})
+	d := grouper.Divide(grouper.SystemView{Self: e.config.Self, Members: inputs.members, Engines: inputs.engines, Alive: alive})
 	e.division.Store(&d)
 	e.dividedFrom = &inputs
 	return &d
--- a/shells/edgerunner/limits_test.go
+++ b/shells/edgerunner/limits_test.go
@@ -137,10 +137,10 @@
 	failed int
 }
 
-func newLimitRig(ctx context.Context, entries int, limit float64, engine bool) *limitRig {
+func newLimitRig(ctx context.Context, entries int, limit, coldRate float64, engine bool) *limitRig {
 	r := &limitRig{
 		evidenceRig: evidenceRig{
-			network: &datagrams{inboxes: make(map[string]chan []byte)}, entries: entries, slots: 16,
+			network: &datagrams{inboxes: make(map[string]chan []byte)}, entries: entries, slots: 16, coldRate: coldRate,
 			store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 3, "members/": entries}},
 		},
 		replicas: &limitedReplicas{limit: limit}, callers: entries,
@@ -225,7 +225,7 @@
 		t.Run(fmt.Sprintf("entries=%d/limit=%v/ended=%d/restarted=%d/callers=%d/engine=%v", c.entries, c.limit, c.ended, c.restarted, c.callers, c.engine), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				r := newLimitRig(t.Context(), c.entries, c.limit, c.engine)
+				r := newLimitRig(t.Context(), c.entries, c.limit, 0, c.engine)
 				defer r.stop()
 				if c.callers > 0 {
 					r.callers = c.callers
@@ -267,3 +267,24 @@
 		}
 	}
 }
+
+// TestColdLimitAsAllEntriesStart guards against a cold replica that gets more requests than its
+// limit from entries that have just started, and do not hear each other yet.
+func TestColdLimitAsAllEntriesStart(t *testing.T) {
+	const coldRate = 17
+	for _, entries := range []int{7, 24, 44, 100} {
+		t.Run(fmt.Sprintf("entries=%d", entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newLimitRig(t.Context(), entries, 0, coldRate, true)
+				defer r.stop()
+				started := time.Now()
+				r.play(t.Context(), is, 4*time.Second)
+				most := r.replicas.most(started, time.Now(), time.Second)
+				t.Logf("at most %d requests in one second", most)
+				is.True(most <= coldRate*3/2+5)
+				is.True(r.replicas.between(started, time.Now()) >= 2*coldRate)
+			})
+		})
+	}
+}
--- a/shells/forwarder/abandoned_test.go
+++ b/shells/forwarder/abandoned_test.go
@@ -114,7 +114,7 @@
 		}
 		t.Logf("%d requests during a pause", late)
 		for _, l := range links {
-			is.True(l.late() <= 2) // two are allowed
+			is.True(l.late() <= 2)                          // two are allowed
 			is.True(l.abandonedFor <= 400*time.Millisecond) // work for callers that have left ends soon
 		}
 	})
