suspector, edgerunner: news that waited while the entry stood still is not taken for new

An entry knows that it stood still: its clock goes on. Messages that are read within 500 ms of a pause may have waited for all of it, and answers in them, and what they say of limits, count as so much older. Older is the safe side: the next heartbeat says it again.

TestMessagesMayHaveWaitedDuringPause shows that the entry works it out, also before it notices the pause.

--- a/decisions/suspector/exchange.go
+++ b/decisions/suspector/exchange.go
@@ -31,6 +31,8 @@
 	Witnesses []Witness
 	// Suspicions are the keys that the sender suspects or blocks.
 	Suspicions []Suspicion
+	// Delay is the longest time for which the message may have waited at the receiver.
+	Delay time.Duration
 }
 
 // Crash is the crash of a boot of a replica.
@@ -134,7 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range e.Witnesses {
-		at := now.Add(-max(0, w.Age))
+		at := now.Add(-max(0, w.Age) - max(0, e.Delay))
 		s.addWitness(w.Key, at, false)
 		s.clear(w.Key, at)
 	}
--- a/decisions/suspector/exchange_test.go
+++ b/decisions/suspector/exchange_test.go
@@ -153,6 +153,8 @@
 	fromWitness := witness.Evidence(start.Add(600 * time.Millisecond))
 	fromReporter := reporter.Evidence(start.Add(8100 * time.Millisecond))
 	resumed := start.Add(8200 * time.Millisecond)
+	stoodStill := resumed.Sub(start)
+	fromWitness.Delay, fromReporter.Delay = stoodStill, stoodStill
 	paused.Merge(resumed, fromWitness)
 	paused.Merge(resumed, fromReporter)
 	is.Equal(stateOf(reporter, resumed, bad), stateOf(paused, resumed, bad))
--- a/shells/edgerunner/evidence.go
+++ b/shells/edgerunner/evidence.go
@@ -45,7 +45,7 @@
 	if p == nil {
 		return
 	}
-	var evidence suspector.Evidence
+	evidence := suspector.Evidence{Delay: e.senders.messageDelay()}
 	for _, c := range p.GetCrashes() {
 		evidence.Crashes = append(evidence.Crashes, suspector.Crash{Replica: c.GetReplica(), Age: milliseconds(c.GetAgeMilliseconds()), Keys: c.GetParts()})
 	}
--- a/shells/edgerunner/limits.go
+++ b/shells/edgerunner/limits.go
@@ -34,7 +34,7 @@
 		if limit.Named {
 			limit.PerSecond = l.GetPerSecond()
 		}
-		age := milliseconds(l.GetAgeMilliseconds())
+		age := milliseconds(l.GetAgeMilliseconds()) + e.senders.messageDelay()
 		id, news := e.placer.LearnLimit(placer.LimitReport{Replica: l.GetReplica(), Born: time.UnixMilli(l.GetBorn()), Limit: limit, Age: age})
 		if news {
 			e.config.Log.Event(reporter.ReplicaLimited, reporter.Fields{
--- a/shells/edgerunner/senders.go
+++ b/shells/edgerunner/senders.go
@@ -18,8 +18,15 @@
 	// registered entries count.
 	tickedAt    atomic.Int64
 	listenUntil atomic.Int64
+	// pausedFor is how long the process stood still last, and readUntil the end of the time in
+	// which messages that arrived meanwhile are read.
+	pausedFor atomic.Int64
+	readUntil atomic.Int64
 }
 
+// readTime is the time after a pause in which messages that arrived during it are read.
+const readTime = 500 * time.Millisecond
+
 func newSenderCounter(clock func() time.Duration) *senderCounter {
 	s := &senderCounter{clock: clock}
 	s.tickedAt.Store(int64(clock()))
@@ -31,13 +38,29 @@
 // whether the process has stood still since the last tick.
 func (s *senderCounter) tick() bool {
 	now := s.clock()
-	paused := now-time.Duration(s.tickedAt.Swap(int64(now))) >= minLoggedPause
+	elapsed := now - time.Duration(s.tickedAt.Swap(int64(now)))
+	paused := elapsed >= minLoggedPause
 	if paused {
+		s.pausedFor.Store(int64(elapsed))
+		s.readUntil.Store(int64(now + readTime))
 		s.listenUntil.Store(int64(now + pulser.HeartbeatTimeout))
 	}
 	return paused
 }
 
+// messageDelay returns the longest time for which a message that is read now may have waited
+// because the process stood still; 0 if it did not.
+func (s *senderCounter) messageDelay() time.Duration {
+	now := s.clock()
+	if elapsed := now - time.Duration(s.tickedAt.Load()); elapsed >= minLoggedPause {
+		return elapsed
+	}
+	if now < time.Duration(s.readUntil.Load()) {
+		return time.Duration(s.pausedFor.Load()) + readTime
+	}
+	return 0
+}
+
 // listening reports whether heartbeats of other entries may not have arrived yet.
 func (s *senderCounter) listening() bool {
 	now := s.clock()
--- a/shells/edgerunner/senders_test.go
+++ b/shells/edgerunner/senders_test.go
@@ -53,3 +53,23 @@
 		})
 	}
 }
+
+// TestMessagesMayHaveWaitedDuringPause guards against news that an entry takes for newer than it
+// is, as it stood still while the message waited.
+func TestMessagesMayHaveWaitedDuringPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started, suspended := time.Now(), time.Duration(0)
+		s := newSenderCounter(func() time.Duration { return time.Since(started) + suspended })
+		is.Equal(s.messageDelay(), time.Duration(0))
+		suspended = 4 * time.Second
+		is.True(s.messageDelay() >= 4*time.Second) // before the pause is noticed
+		s.tick()
+		is.True(s.messageDelay() >= 4*time.Second)
+		for range 20 {
+			time.Sleep(multiGroupLoadInterval)
+			s.tick()
+		}
+		is.Equal(s.messageDelay(), time.Duration(0))
+	})
+}
