placer: very large limits and reports that are no rate

By reading: a limit of 1e300 overflowed the number of entries that share it, so that one entry held all of it and the others sent nothing; and a report of another entry with NaN or an infinite or negative rate would have taken the replica out, as no token is ever saved up. TestSharesOfLimit now checks that all entries hold a share of a limit that is at least their number (failed for 1e300), TestUnreadableReportIsIgnored failed for NaN.

--- a/decisions/placer/limits.go
+++ b/decisions/placer/limits.go
@@ -144,7 +144,7 @@
 		return
 	}
 	senders := max(1, len(p.fleet.Senders))
-	holders := min(senders, max(1, int(s.rate()/minLimitShare)))
+	holders := int(min(float64(senders), max(1, s.rate()/minLimitShare)))
 	// If those that hold the limit do not use it, nobody learns of its end.
 	further := min(maxFurtherShares, int(now.Sub(s.statedAt)/limitConfirmTimeout))
 	share := 0.0
@@ -229,8 +229,11 @@
 }
 
 // LearnLimit records the report of another entry. It returns the ID of the replica, and
-// whether the report is news.
+// whether the report is news. Reports whose limit is no rate are ignored.
 func (p *Placer) LearnLimit(report LimitReport) (id string, news bool) {
+	if rate := report.Limit.PerSecond; math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return "", false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.byHash[report.Replica]
@@ -296,7 +299,7 @@
 	total := 0
 	p.limitedReplicas(now, req, func(s *limitState) {
 		if _, held := s.tokenWait(now); held {
-			total += int(s.tokens + s.share*left)
+			total += int(min(float64(n), max(0, s.tokens+s.share*left)))
 		}
 	})
 	return total >= n
--- a/decisions/placer/limits_test.go
+++ b/decisions/placer/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -155,20 +156,21 @@
 // leave most of it unused, for any number of entries.
 func TestSharesOfLimit(t *testing.T) {
 	for _, entries := range []int{1, 2, 7, 24, 100} {
-		for _, perSecond := range []float64{0, 0.25, 1, 1.9, 2, 30, 1000} {
+		for _, perSecond := range []float64{0, 0.25, 1, 1.9, 2, 30, 1000, 1e300} {
 			withPlacer(t, func(ctx context.Context, is *is.I, _ *placer.Placer) {
 				f := fleet(1, 10000, entries, 0)
 				for i := range entries {
 					f.Senders = append(f.Senders, string(rune('A'+i)))
 				}
-				sent := 0
+				sent, holders := 0, 0
 				for _, self := range f.Senders {
+					before := sent
 					p := placer.New(placer.Config{Self: self, Region: "a", Seed: 1})
 					p.SetFleet(time.Now(), f)
 					p.Announced("r00", time.Time{}, named(perSecond))
 					for range 400 { // 10 ms each
 						time.Sleep(10 * time.Millisecond)
-						for {
+						for range 30 {
 							req := request(1)
 							req.Arrived = req.Arrived.Add(-time.Second) // is not queued
 							g, err := p.Acquire(ctx, req)
@@ -181,10 +183,27 @@
 						}
 						p.Announced("r00", time.Time{}, named(perSecond))
 					}
+					if sent > before {
+						holders++
+					}
 				}
+				is.True(holders == entries || perSecond < float64(entries))
 				is.True(float64(sent) <= 1.5*perSecond*4+5)
-				is.True(float64(sent) >= 0.8*perSecond*4-1)
+				is.True(float64(sent) >= 0.8*min(perSecond, 1000)*4-1)
 			})
 		}
 	}
 }
+
+// TestUnreadableReportIsIgnored guards against a limit of another entry that is no rate, and
+// would take the replica out for good.
+func TestUnreadableReportIsIgnored(t *testing.T) {
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		p.SetFleet(time.Now(), fleet(2, 16, 1, 0))
+		for _, perSecond := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+			_, news := p.LearnLimit(placer.LimitReport{Replica: placer.HashOf("r00"), Limit: placer.Limit{Named: true, PerSecond: perSecond}})
+			is.True(!news)
+			is.True(gets(ctx, p, "r00") > 0)
+		}
+	})
+}
