placer: entries of other groups are kept to few only while a replica is new

A replica is cold for some seconds after its start, and after an evacuation: for 10 s after an entry learns of either, the division by groups holds; later, the shares that it had before. The cold limit of a replica that names a limit is divided among the entries that hold that.

--- a/decisions/placer/announcements.go
+++ b/decisions/placer/announcements.go
@@ -165,7 +165,7 @@
 
 // eligible reports whether the replica may run the request now, regardless of its load.
 func (p *Placer) eligible(now time.Time, req Request, r *replicaState) bool {
-	if !p.suitable(now, req, r) || p.declines(now, r.replica.ID) || !p.mayExceedGroup(r) {
+	if !p.suitable(now, req, r) || p.declines(now, r.replica.ID) || !p.isOpen(now, r) {
 		return false
 	}
 	wait, held := p.limitWait(now, r.replica.ID)
--- a/decisions/placer/cold.go
+++ b/decisions/placer/cold.go
@@ -3,14 +3,19 @@
 import "time"
 
 // Shares of the limit on requests to cold replicas that are used; the rest is a safety
-// margin. If there are several groups of entries, coldLimitGroupShare is that of the replica's
-// group, and coldLimitOthersShare that of all other groups together.
+// margin. While a replica is new, coldLimitGroupShare is the share of its group if there are
+// several groups of entries, and coldLimitOthersShare that of all other groups together.
 const (
 	coldLimitShare       = 0.85
 	coldLimitGroupShare  = 0.8
 	coldLimitOthersShare = 0.13
 )
 
+// newReplicaTime is the time for which a replica counts as new after this entry has learned
+// of its start, or of the return of its failure domain. Replicas are cold for some seconds,
+// and news of a start may be seconds late.
+const newReplicaTime = 10 * time.Second
+
 // refillColdTokens adds the tokens for the time since the last refill, at the rate per
 // second and up to the burst.
 func (r *replicaState) refillColdTokens(now time.Time, rate, burst float64) {
@@ -24,32 +29,35 @@
 
 // coldLimit returns the number of requests per second that this entry and others may send to
 // the replica together, even if it is cold, the number of these entries, and whether this
-// entry is one of them. There is no limit if it is 0. Of other groups only so many entries
-// are that each may send a whole request.
-func (p *Placer) coldLimit(r *replicaState) (limit float64, entries int, included bool) {
+// entry is one of them. A limit of 0 means that there is none.
+func (p *Placer) coldLimit(now time.Time, r *replicaState) (limit float64, entries int, included bool) {
 	spec, ok := p.fleet.Pools.Get(r.replica.Service)
 	if !ok || spec.ColdRequestsPerSecond <= 0 {
 		return 0, 0, true
 	}
 	limit = spec.ColdRequestsPerSecond*p.config.ColdBurst + p.config.ColdSlack
-	switch {
-	case p.fleet.GroupReplicas == nil || spec.Engine == nil:
+	if x := p.announced[r.replica.ID]; x != nil && x.limit.limit.Named {
+		return limit * coldLimitShare, x.limit.holders, x.limit.share > 0
+	}
+	if p.fleet.GroupReplicas == nil || spec.Engine == nil || !now.Before(r.newUntil) {
 		return limit * coldLimitShare, max(1, r.entries), true
-	case !r.otherGroup:
+	}
+	if !r.otherGroup {
 		return limit * coldLimitGroupShare, max(1, r.entries), true
 	}
+	// Each entry may send one request at least, so that no more of them share the limit.
 	limit *= coldLimitOthersShare
 	entries = max(1, int(limit))
 	return limit, entries, p.senderRank(r) < entries
 }
 
-// mayExceedGroup reports whether this entry may send requests to the replica, if it belongs to
-// another group.
-func (p *Placer) mayExceedGroup(r *replicaState) bool {
-	if !r.otherGroup {
+// isOpen reports whether this entry may send requests to the replica, which may be one that
+// only few entries of other groups use.
+func (p *Placer) isOpen(now time.Time, r *replicaState) bool {
+	if !r.otherGroup || !now.Before(r.newUntil) {
 		return true
 	}
-	_, _, included := p.coldLimit(r)
+	_, _, included := p.coldLimit(now, r)
 	return included
 }
 
@@ -58,7 +66,7 @@
 // requests of all entries together. The share is enforced at all times, as replicas
 // become cold without warning.
 func (p *Placer) withinColdLimit(now time.Time, r *replicaState) bool {
-	limit, n, included := p.coldLimit(r)
+	limit, n, included := p.coldLimit(now, r)
 	if limit == 0 || !included {
 		return included
 	}
--- a/decisions/placer/limits.go
+++ b/decisions/placer/limits.go
@@ -76,12 +76,14 @@
 	// share is the rate of requests per second that this entry may send; 0 if only other
 	// entries may.
 	share float64
+	// holders is the number of entries that share the limit.
+	holders int
 	// tokens is the number of requests that may be sent now, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
 }
 
-// record records what a response said at the time at, and returns it if it is news.
+// record records what a response said at the time at, and reports whether it is news.
 func (s *limitState) record(at time.Time, l Limit, own bool) (news bool) {
 	if !at.After(s.statedAt) {
 		return false
@@ -151,6 +153,7 @@
 	if p.rank(id) < holders+further {
 		share = s.rate() / float64(holders)
 	}
+	s.holders = holders
 	s.setShare(now, share)
 }
 
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -248,7 +248,10 @@
 	for _, x := range f.Replicas.All() {
 		r := p.byID[x.ID]
 		if r == nil || !r.replica.Born.Equal(x.Born) {
-			r = &replicaState{senderRank: -1}
+			r = &replicaState{senderRank: -1, newUntil: now.Add(newReplicaTime)}
+		}
+		if p.fleet.OutOfService[x.Domain] && !f.OutOfService[x.Domain] {
+			r.newUntil = now.Add(newReplicaTime)
 		}
 		r.replica, r.region = x, f.Regions[x.Domain]
 		r.entries, r.otherGroup = f.senders(x)
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -131,6 +131,8 @@
 	// coldRefilledAt.
 	coldTokens     float64
 	coldRefilledAt time.Time
+	// newUntil is the time until which the replica counts as new.
+	newUntil time.Time
 	// senderRank is the rank of this entry for the replica among Fleet.Senders; negative if it
 	// has not been worked out.
 	senderRank int
--- a/shells/edgerunner/limits_test.go
+++ b/shells/edgerunner/limits_test.go
@@ -215,22 +215,24 @@
 		ended, restarted int
 		// callers is the number of entries that get requests; 0 means all.
 		callers int
-		// engine is true if the replicas run a model engine, so that each belongs to a group.
-		engine bool
+		// engine is true if the replicas run a model engine, so that each belongs to a group,
+		// and coldRate is the rate limit while they are cold.
+		engine   bool
+		coldRate float64
 	}{
 		{entries: 1, limit: 0}, {entries: 1, limit: 1}, {entries: 1, limit: 30},
 		{entries: 7, limit: 0.25}, {entries: 7, limit: 1}, {entries: 7, limit: 4, ended: 3}, {entries: 7, limit: 4, restarted: 3}, {entries: 7, limit: 30},
-		{entries: 7, limit: 4, callers: 1}, {entries: 24, limit: 30, callers: 3}, {entries: 24, limit: 1}, {entries: 24, limit: 10, engine: true}, {entries: 24, limit: 30, ended: 8}, {entries: 24, limit: 30, restarted: 8}, {entries: 100, limit: 1}, {entries: 100, limit: 30},
+		{entries: 7, limit: 4, callers: 1}, {entries: 24, limit: 30, callers: 3}, {entries: 24, limit: 1}, {entries: 24, limit: 10, engine: true}, {entries: 24, limit: 30, engine: true, coldRate: 400}, {entries: 100, limit: 20, engine: true, coldRate: 400}, {entries: 24, limit: 30, ended: 8}, {entries: 24, limit: 30, restarted: 8}, {entries: 100, limit: 1}, {entries: 100, limit: 30},
 	} {
-		t.Run(fmt.Sprintf("entries=%d/limit=%v/ended=%d/restarted=%d/callers=%d/engine=%v", c.entries, c.limit, c.ended, c.restarted, c.callers, c.engine), func(t *testing.T) {
+		t.Run(fmt.Sprintf("entries=%d/limit=%v/ended=%d/restarted=%d/callers=%d/engine=%v/cold=%v", c.entries, c.limit, c.ended, c.restarted, c.callers, c.engine, c.coldRate), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				r := newLimitRig(t.Context(), c.entries, c.limit, 0, c.engine)
+				r := newLimitRig(t.Context(), c.entries, c.limit, c.coldRate, c.engine)
 				defer r.stop()
 				if c.callers > 0 {
 					r.callers = c.callers
 				}
-				advance(3 * time.Second)
+				advance(12 * time.Second) // the replicas are no longer new
 				l := r.replicas
 				l.from = time.Now().Add(2 * time.Second)
 				l.until = l.from.Add(10 * time.Second)
