--- /dev/null
+++ b/decisions/placer/request.go
@@ -0,0 +1,82 @@
+package placer
+
+import (
+	"time"
+
+	"filbertstile.example/filbertstile"
+)
+
+// Request describes a request that needs a replica.
+type Request struct {
+	Service string
+	// Regions lists the regions that may serve the request; empty means all.
+	Regions []string
+	// Priority orders requests; 0 is the highest priority.
+	Priority int
+	// VersionFloor is the minimum version of the weights.
+	VersionFloor VersionFloor
+	// Tried lists the IDs of replicas that must not be chosen again.
+	Tried []string
+	// Arrived is the time at which the request arrived at the entry.
+	Arrived time.Time
+	// TargetLatency is the time within which the caller expects the response to begin.
+	TargetLatency time.Duration
+	// Deadline is the time at which the caller stops waiting.
+	Deadline time.Time
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// Repeatable is true if the request may be sent again after it has been withdrawn.
+	Repeatable bool
+	// PreferIdle asks for the replica with the fewest requests in flight, as the request may
+	// crash it.
+	PreferIdle bool
+}
+
+// Grant is the permission to send a request to a replica. The holder must call
+// Placer.Release once.
+type Grant struct {
+	Replica filbertstile.Replica
+	// InFlight is the estimated number of requests that were already in flight at the
+	// replica.
+	InFlight int
+	// PendingTokens is the number of prompt tokens that the replica had yet to read.
+	PendingTokens int
+	// ExpectedVersion is the version of the weights that the replica must be asked to
+	// verify; 0 if the request has no floor, or if the replica's host has just reported
+	// the version.
+	ExpectedVersion int64
+	// Version is the version of the weights that the replica runs; 0 if it has no engine.
+	Version int64
+	// StartBy is the time at which the holder must withdraw the request if its response has
+	// not begun, as a newer version becomes the minimum soon after. SendBy is the time until
+	// which the request may be sent to begin in time. Both are zero if there is no such time.
+	StartBy time.Time
+	SendBy  time.Time
+	// promptTokens is the length of the request's prompt; 0 after the replica has read
+	// it.
+	promptTokens int
+	// hasLimitToken is true if the request counts toward the limit of its replica.
+	hasLimitToken bool
+	// sent is true if the request may have been sent.
+	sent bool
+	// answered is true if a response has been read.
+	answered bool
+	// Waited is the time that the request spent in the queue.
+	Waited time.Duration
+}
+
+// ErrRejected reports that a request gets no replica.
+type ErrRejected struct {
+	Step   string
+	Reason string
+	// RetryAfter is the delay before the caller should retry.
+	RetryAfter time.Duration
+	// QueueLength is the number of queued requests.
+	QueueLength int
+	// AnyEligible is true if at least one replica may run the request, if only after a pause
+	// that it has asked for.
+	AnyEligible bool
+}
+
+// Error returns the step and the reason.
+func (e ErrRejected) Error() string { return e.Step + ": " + e.Reason }
