--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -32,6 +32,8 @@
 	inboxes map[string]chan []byte
 	// largest is the size of the largest datagram.
 	largest int
+	// cut holds the addresses whose datagrams are lost, in both directions.
+	cut map[string]bool
 }
 
 // datagramConn is the connection of one entry.
@@ -50,6 +52,16 @@
 	return c
 }
 
+// setCut sets whether the datagrams from and to the address are lost.
+func (n *datagrams) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = make(map[string]bool)
+	}
+	n.cut[address] = cut
+}
+
 func (n *datagrams) largestSent() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -70,6 +82,9 @@
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	c.network.largest = max(c.network.largest, len(b))
+	if c.network.cut[c.address] || c.network.cut[to.String()] {
+		return len(b), nil
+	}
 	select {
 	case c.network.inboxes[to.String()] <- append([]byte(nil), b...):
 	default: // lost
