forwarder: attempts that the entry ends because their replica is silent are logged as such

AttemptEnded told a replica that is silent from one that broke off by the text of the error only, and not for how long it had been silent. Now the outcome is Silent, and all attempts have the time since their replica was last heard.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -123,7 +123,7 @@
 	{RequestFailed, "RequestFailed", "requests", logrus.InfoLevel, "A request ended without a complete response.", "The log line has the code, the step and the peer."},
 	{StreamResumed, "StreamResumed", "requests", logrus.InfoLevel, "A broken stream was resumed at another replica of the same release.", noAction},
 	{BackendCold, "BackendCold", "requests", logrus.InfoLevel, "A backend server is cold; its concurrency limit is reset to 1.", noAction},
-	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "An attempt to run a request on a replica ended without a complete response; the log line says what happens next. Repeats of a request have the same Key.", noAction},
+	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "An attempt to run a request on a replica ended without a complete response; the log line says for how long the replica had been silent (Silent), and that the entry itself gave up for that (Outcome Silent). Repeats of a request have the same Key.", noAction},
 	{RequestRefused, "RequestRefused", "requests", logrus.InfoLevel, "A request was rejected and has not run; the log line has the reason.", noAction},
 	{RequestDone, "RequestDone", "requests", logrus.InfoLevel, "A request ended with a complete response.", noAction},
 	{CallerLeft, "CallerLeft", "requests", logrus.InfoLevel, "The caller closed its connection before the response was complete.", noAction},
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"filbertstile.example/filbertstile"
@@ -21,6 +23,7 @@
 	timer := time.AfterFunc(timeout, func() { cancel(cause) })
 	defer timer.Stop()
 	started := time.Now()
+	x.heardAt = started
 	x.writeDelay = 0
 	resp, err := x.forwarder.config.Link.Send(ctx, a)
 	if err != nil {
@@ -28,6 +31,7 @@
 	}
 	defer resp.Body.Close()
 	x.writeDelay = resp.WrittenAt.Sub(started)
+	x.heardAt = time.Now()
 	if !x.answered(g, resp) {
 		return x.contextEnded(g, started)
 	}
@@ -38,7 +42,7 @@
 		return x.notRun(g, resp, started)
 	case Invalid:
 		x.runs++
-		return x.attemptFailed(ctx, g, "invalid response", started)
+		return x.attemptFailed(ctx, g, errInvalidResponse, started)
 	case Ran, Failed:
 	}
 	x.runs++
@@ -48,6 +52,8 @@
 	return x.forwardResponse(ctx, g, resp, started)
 }
 
+var errInvalidResponse = errors.New("invalid response")
+
 // Causes with which the forwarder itself ends an attempt.
 var (
 	errResponseTimeout = errors.New("response timeout exceeded")
@@ -105,7 +111,7 @@
 		return x.contextEnded(g, started)
 	}
 	x.connectionEnded(ctx, g, err, started)
-	return x.attemptFailed(ctx, g, err.Error(), started)
+	return x.attemptFailed(ctx, g, err, started)
 }
 
 // notSent handles an attempt of which nothing was sent. It is retried even if the
@@ -153,11 +159,14 @@
 }
 
 // attemptFailed handles an attempt that failed after the request may have run.
-func (x *requestState) attemptFailed(ctx context.Context, g *placer.Grant, detail string, started time.Time) bool {
-	outcome, logged := placer.NoResponse, "Broken"
+func (x *requestState) attemptFailed(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
+	outcome, logged, detail := placer.NoResponse, "Broken", err.Error()
 	if endedByForwarder(ctx) {
 		detail = context.Cause(ctx).Error()
 	}
+	if errors.Is(context.Cause(ctx), errResponseTimeout) || errors.Is(err, os.ErrDeadlineExceeded) {
+		logged = "Silent"
+	}
 	if errors.Is(context.Cause(ctx), errVersionDue) {
 		// The replica has not failed.
 		outcome, logged = placer.Abandoned, "Withdrawn"
@@ -183,7 +192,7 @@
 			return x.contextEnded(g, started)
 		}
 		x.connectionEnded(ctx, g, err, started)
-		return x.attemptFailed(ctx, g, "read response: "+err.Error(), started)
+		return x.attemptFailed(ctx, g, fmt.Errorf("read response: %w", err), started)
 	}
 	if resp.Verdict == Failed && x.mayRetry() {
 		x.release(g, placer.Failed)
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -251,6 +251,9 @@
 	answer answer
 	// progress is how far the current attempt is.
 	progress *attemptProgress
+	// heardAt is the time at which the replica of the current attempt was last heard, or at
+	// which the attempt began.
+	heardAt time.Time
 }
 
 // Serve forwards the request. It returns after the caller has received a response or
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -86,7 +86,7 @@
 // logAttempt logs an attempt that ended without a complete response.
 func (x *requestState) logAttempt(g *placer.Grant, outcome, detail string, started time.Time) {
 	x.forwarder.config.Log.Event(reporter.AttemptEnded, x.addAttemptFields(g, reporter.Fields{
-		"Address": g.Replica.Address, "Outcome": outcome, "Detail": detail, "AttemptTook": time.Since(started).String(), "Key": FormatKey(x.call.Key),
+		"Address": g.Replica.Address, "Outcome": outcome, "Detail": detail, "AttemptTook": time.Since(started).String(), "Silent": time.Since(x.heardAt).String(), "Key": FormatKey(x.call.Key),
 	}))
 }
 
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -33,6 +34,7 @@
 			resp.Body.Discard()
 			return x.streamFailed(ctx, g, err, started)
 		}
+		x.heardAt = time.Now()
 		x.eventArrived()
 		if id, ok := eventID(e); ok {
 			if id <= x.lastEventID {
@@ -94,5 +96,5 @@
 		return x.contextEnded(g, started)
 	}
 	x.connectionEnded(ctx, g, err, started)
-	return x.attemptFailed(ctx, g, "read event: "+err.Error(), started)
+	return x.attemptFailed(ctx, g, fmt.Errorf("read event: %w", err), started)
 }
