forwarder: a silent replica's attempt ends only once another one has answered

Callers got neither an answer nor a refusal. Cause: an attempt was ended for silence alone (no event for 1.2 s, no first event for 1.5 s, no response to an idempotent call in three target latencies) before it was known whether another replica could take the request. With the retry budget spent, all others full, rejecting, failing or silent, what would have gone on by itself was lost. Class: silence taken for an end. Change: after the same times another attempt begins beside the silent one (silenceWatch, backup). The first that answers goes on, and only then the other ends; a stream goes on after the last event that the caller has. If no other replica is to be had, the first waits on, and another is sought after the same time again. Both count in the budget, in MaxAttempts and in the replicas' slots. Requests that may not be repeated have no second attempt. Weighed: never giving up for silence (callers of a replica that is gone for good would wait until they leave); acquiring another replica before the first is ended (that one may reject or fail as well, and the first is lost then). New event BackupRefused; AttemptEnded has the outcomes Superseded and NotNeeded.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -60,6 +60,7 @@
 	RequestSuspected    Event = 318
 	ReplicaLimited      Event = 319
 	HeaderUnreadable    Event = 320
+	BackupRefused       Event = 321
 	TransferStarted     Event = 401
 	TransferDone        Event = 402
 	ChunkRefused        Event = 403
@@ -123,7 +124,7 @@
 	{RequestFailed, "RequestFailed", "requests", logrus.InfoLevel, "A request ended without a complete response.", "The log line has the code, the step and the peer."},
 	{StreamResumed, "StreamResumed", "requests", logrus.InfoLevel, "A broken stream was resumed at another replica of the same release.", noAction},
 	{BackendCold, "BackendCold", "requests", logrus.InfoLevel, "A backend server is cold; its concurrency limit is reset to 1.", noAction},
-	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "An attempt to run a request on a replica ended without a complete response; the log line says for how long the replica had been silent (Silent), and that the entry itself gave up for that (Outcome Silent). Repeats of a request have the same Key.", noAction},
+	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "An attempt to run a request on a replica ended without a complete response; the log line says for how long the replica had been silent (Silent), and whether another attempt took its place meanwhile (Outcome Superseded). Repeats of a request have the same Key.", noAction},
 	{RequestRefused, "RequestRefused", "requests", logrus.InfoLevel, "A request was rejected and has not run; the log line has the reason.", noAction},
 	{RequestDone, "RequestDone", "requests", logrus.InfoLevel, "A request ended with a complete response.", noAction},
 	{CallerLeft, "CallerLeft", "requests", logrus.InfoLevel, "The caller closed its connection before the response was complete.", noAction},
@@ -134,6 +135,7 @@
 	{PeersChanged, "PeersChanged", "process", logrus.InfoLevel, "The set of processes whose heartbeats arrive has changed.", noAction},
 	{ReplicaCrashed, "ReplicaCrashed", "requests", logrus.WarnLevel, "A replica's process ended while requests of this entry were in flight there; the keys of those without a begun answer, and the parts of their prompts, are suspects.", "Look for a part or a key that the lines have in common."},
 	{PromptPartChanged, "PromptPartChanged", "requests", logrus.WarnLevel, "A part of prompts is now suspected of crashing replicas, blocked, or free again.", "Check which requests hold a blocked part; they are refused for minutes after the last crash."},
+	{BackupRefused, "BackupRefused", "requests", logrus.InfoLevel, "The replica of a request is silent, and no other one takes the request; it waits on.", "Check the replica if this repeats."},
 	{RequestSuspected, "RequestSuspected", "requests", logrus.WarnLevel, "A request is now suspected of crashing replicas, blocked, or free again; AttemptEnded names the route and the account of its Key.", "Find out why replicas crash under the request; while it is blocked, it and its repeats are refused."},
 	{ReplicaLimited, "ReplicaLimited", "requests", logrus.InfoLevel, "A replica has named the number of requests per second that it takes from all entries together, or no longer names one.", "Check the replica's load if this lasts."},
 	{HeaderUnreadable, "HeaderUnreadable", "requests", logrus.WarnLevel, "A response of a replica has a header field with a value that cannot be read; it is ignored.", "Check the replica's release."},
--- a/shells/forwarder/abandoned.go
+++ b/shells/forwarder/abandoned.go
@@ -5,8 +5,6 @@
 	"errors"
 	"sync/atomic"
 	"time"
-
-	"filbertstile.example/filbertstile/decisions/placer"
 )
 
 // abandonedResponseTimeout is how long a response that the placer needs is awaited after its
@@ -20,17 +18,15 @@
 	written, answered atomic.Bool
 }
 
-// attemptContext returns the context of an attempt at the replica of the grant. It ends with
-// that of the request, or a little later if the request has been written, its caller has left,
-// and the placer needs the response.
-func (x *requestState) attemptContext(g *placer.Grant) (context.Context, context.CancelCauseFunc) {
+// attemptContext returns the context of an attempt. It ends with that of the request, or a little
+// later if the request has been written, its caller has left, and the placer needs the response.
+func (x *requestState) attemptContext(a *attemptState) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(x.ctx))
-	progress := &attemptProgress{}
-	x.progress = progress
+	progress, replica := a.progress, a.grant.Replica.ID
 	stop := context.AfterFunc(x.ctx, func() {
 		cause := context.Cause(x.ctx)
 		awaited := errors.Is(x.ctx.Err(), context.Canceled) && progress.written.Load() && !progress.answered.Load()
-		if !awaited || !x.forwarder.config.Placer.NeedsResponse(g.Replica.ID) {
+		if !awaited || !x.forwarder.config.Placer.NeedsResponse(replica) {
 			cancel(cause)
 			return
 		}
@@ -44,10 +40,11 @@
 
 // answered records that the head of the response has been read. It reports whether the
 // request goes on, which is not so if its caller has left.
-func (x *requestState) answered(g *placer.Grant, resp Response) bool {
-	x.progress.answered.Store(true)
-	x.forwarder.config.Placer.Answered(g)
-	x.recordAnnouncement(g, resp)
+func (a *attemptState) answered() bool {
+	x, resp := a.x, a.response
+	a.progress.answered.Store(true)
+	x.forwarder.config.Placer.Answered(a.grant)
+	x.recordAnnouncement(a.grant, resp)
 	if x.ctx.Err() == nil {
 		return true
 	}
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -5,210 +5,307 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
-	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/outside/exchanger"
 )
 
-// runAttempt sends the request to the replica of the grant.
-func (x *requestState) runAttempt(g *placer.Grant, a Attempt) bool {
-	ctx, cancel := x.attemptContext(g)
-	defer cancel(nil)
-	x.sends++
-	x.answer = answer{}
-	timeout, cause := x.startTimeout(g)
-	timer := time.AfterFunc(timeout, func() { cancel(cause) })
-	defer timer.Stop()
-	started := time.Now()
-	x.heardAt = started
-	x.writeDelay = 0
-	resp, err := x.forwarder.config.Link.Send(ctx, a)
-	if err != nil {
-		return x.sendFailed(ctx, g, err, started)
-	}
-	defer resp.Body.Close()
-	x.writeDelay = resp.WrittenAt.Sub(started)
-	x.heardAt = time.Now()
-	if !x.answered(g, resp) {
-		return x.contextEnded(g, started)
-	}
-	switch resp.Verdict {
-	case NotRun, WrongReplica:
-		// The connection can be used again only after a short body has been read.
-		_, _ = io.CopyN(io.Discard, resp.Body, maxNotRunBodyBytes)
-		return x.notRun(g, resp, started)
-	case Invalid:
-		x.runs++
-		return x.attemptFailed(ctx, g, errInvalidResponse, started)
-	case Ran, Failed:
-	}
-	x.runs++
-	if resp.Streamed {
-		return x.forwardStream(ctx, g, resp, timer, started)
-	}
-	return x.forwardResponse(ctx, g, resp, started)
-}
-
-var errInvalidResponse = errors.New("invalid response")
+// Reasons for which an attempt ends without a response, beside those of the Link.
+var (
+	errNotRun          = errors.New("the replica did not run the request")
+	errInvalidResponse = errors.New("invalid response")
+)
 
 // Causes with which the forwarder itself ends an attempt.
 var (
-	errResponseTimeout = errors.New("response timeout exceeded")
-	errVersionDue      = errors.New("the version of the replica's weights is due to end")
+	errVersionDue = errors.New("the version of the replica's weights is due to end")
+	errSuperseded = errors.New("another replica has answered while this one was silent")
+	errNotNeeded  = errors.New("the replica that was silent has answered")
 )
 
-// startTimeout returns the time within which the response must begin, and the cause with
-// which the attempt is ended otherwise. The end of the replica's version does not depend on
-// an estimate: most replicas drop a request whose connection closes before it has begun.
-func (x *requestState) startTimeout(g *placer.Grant) (time.Duration, error) {
-	timeout := x.responseTimeout()
-	if g.StartBy.IsZero() {
-		return timeout, errResponseTimeout
-	}
-	if left := time.Until(g.StartBy); left < timeout {
-		return left, errVersionDue
-	}
-	return timeout, errResponseTimeout
+// piece is a part of a response that can be written to the caller at once.
+type piece struct {
+	// event is an event of a stream.
+	event []byte
+	// end is true at the end of a complete stream.
+	end bool
+	// body is the complete body of a response that is no stream.
+	body []byte
 }
 
-// endedByForwarder reports whether the forwarder itself has ended the attempt.
-func endedByForwarder(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	return errors.Is(cause, errResponseTimeout) || errors.Is(cause, errVersionDue)
+// attemptState is an attempt in progress.
+type attemptState struct {
+	x     *requestState
+	grant *placer.Grant
+	ctx   context.Context
+	// cancel ends the attempt, which closes its connection.
+	cancel   context.CancelCauseFunc
+	progress *attemptProgress
+	// startTimer ends the attempt if its response begins too late for the version of the
+	// replica's weights; nil if there is no such time.
+	startTimer *time.Timer
+	startedAt  time.Time
+	// heardAt is the time at which the replica was last heard, or at which the attempt began.
+	heardAt time.Time
+	// watch is told when the attempt waits for its replica; nil if nothing watches it.
+	watch *silenceWatch
+	// response is valid if responded is true.
+	response  Response
+	responded bool
+	// events reads the response if it is a stream.
+	events *eventReader
+	// freeBody frees the memory of the response's body; nil if it has none.
+	freeBody func()
 }
 
-// responseTimeout returns the time within which the first event of a stream or a complete
-// other response must arrive before the request is retried. If no other attempt may follow,
-// the timeout is later than the call's deadline, which then ends the attempt.
-func (x *requestState) responseTimeout() time.Duration {
-	timeLeft := time.Until(x.call.Deadline)
-	if !x.call.Route.Retryable() || x.runs+1 >= x.call.Route.MaxAttempts {
-		return timeLeft + time.Second
+// newAttempt returns an attempt at the replica of the grant, of which nothing has been sent.
+func (x *requestState) newAttempt(g *placer.Grant) *attemptState {
+	now := time.Now()
+	a := &attemptState{x: x, grant: g, progress: &attemptProgress{}, startedAt: now, heardAt: now}
+	a.ctx, a.cancel = x.attemptContext(a)
+	if !g.StartBy.IsZero() {
+		// The end of the replica's version does not depend on an estimate: most replicas drop a
+		// request whose connection closes before it has begun.
+		a.startTimer = time.AfterFunc(time.Until(g.StartBy), func() { a.cancel(errVersionDue) })
 	}
-	if x.call.Route.Kind == filbertstile.CallStream {
-		return min(timeLeft, firstEventTimeout)
-	}
-	return min(timeLeft/2, responseTimeoutFactor*x.call.Route.TargetLatency)
+	x.tried = append(x.tried, g.Replica.ID)
+	x.sends++
+	x.answer, x.writeDelay = answer{}, 0
+	return a
 }
 
-// sendFailed handles an attempt that ended without a response. Like the other methods
-// that handle the end of an attempt, it reports whether another attempt must follow.
-func (x *requestState) sendFailed(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
-	var errNotSent exchanger.ErrNotSent
-	if errors.As(err, &errNotSent) {
-		x.sends--
-		return x.notSent(ctx, g, err, started)
+// close ends the attempt. Its connection is kept if the response was read completely.
+func (a *attemptState) close() {
+	if a.responded {
+		a.response.Body.Close()
 	}
-	var errNoResponse exchanger.ErrNoResponse
-	if errors.As(err, &errNoResponse) {
-		x.writeDelay = errNoResponse.WrittenAt.Sub(started)
+	a.cancel(nil)
+	if a.startTimer != nil {
+		a.startTimer.Stop()
 	}
-	x.runs++
-	if ctx.Err() != nil && !endedByForwarder(ctx) {
-		return x.contextEnded(g, started)
+	if a.freeBody != nil {
+		a.freeBody()
 	}
-	x.connectionEnded(ctx, g, err, started)
-	return x.attemptFailed(ctx, g, err, started)
 }
 
-// notSent handles an attempt of which nothing was sent. It is retried even if the
-// request is not idempotent.
-func (x *requestState) notSent(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
-	if x.ctx.Err() != nil {
-		return x.contextEnded(g, started)
+// await calls f, which blocks until the replica is heard. It returns errSuperseded if another
+// attempt has taken over.
+func (a *attemptState) await(f func() error) error {
+	if a.watch == nil {
+		return f()
 	}
-	x.release(g, notSentOutcome(ctx, err))
-	x.logAttempt(g, "NotSent", err.Error(), started)
-	if len(x.tried) < 2*maxSends {
-		return true
+	if err := a.watch.beginWait(); err != nil {
+		return err
 	}
-	x.fail(CodeNoReplica, "no reachable replica", replicaRetryAfter)
-	return false
+	defer a.watch.endWait()
+	return f()
 }
 
-// contextEnded handles an attempt that ended because the caller disconnected or the
-// deadline passed.
-func (x *requestState) contextEnded(g *placer.Grant, started time.Time) bool {
-	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
-		x.release(g, placer.NoResponse)
-		x.logAttempt(g, CodeDeadline, "no complete response before the deadline", started)
-		x.fail(CodeDeadline, "no complete response before the deadline", 0)
-		return false
-	}
-	x.release(g, placer.Abandoned)
-	x.callerDisconnected(g.Replica.ID)
-	return false
+// endedByForwarder reports whether the forwarder itself has ended the attempt.
+func (a *attemptState) endedByForwarder() bool {
+	cause := context.Cause(a.ctx)
+	return errors.Is(cause, errVersionDue) || errors.Is(cause, errSuperseded) || errors.Is(cause, errNotNeeded)
 }
 
-// notRun handles an attempt that the replica reported as not run.
-func (x *requestState) notRun(g *placer.Grant, resp Response, started time.Time) bool {
-	outcome := placer.NotRun
-	if resp.Verdict == WrongReplica {
-		outcome = placer.WrongReplica
+// next returns the next piece of the response. The first call sends the request.
+func (a *attemptState) next() (piece, error) {
+	if !a.responded {
+		if err := a.send(); err != nil {
+			return piece{}, err
+		}
 	}
-	x.release(g, outcome)
-	x.logAttempt(g, "NotRun", "the replica did not run the request", started)
-	if x.sends >= maxSends {
-		x.fail(CodeOverloaded, "no replica ran the request", replicaRetryAfter)
-		return false
+	if a.response.Streamed {
+		return a.nextEvent()
 	}
-	return true
+	return a.readBody()
 }
 
-// attemptFailed handles an attempt that failed after the request may have run.
-func (x *requestState) attemptFailed(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
-	outcome, logged, detail := placer.NoResponse, "Broken", err.Error()
-	if endedByForwarder(ctx) {
-		detail = context.Cause(ctx).Error()
+// send sends the request and reads the head of the response.
+func (a *attemptState) send() error {
+	x := a.x
+	toSend := Attempt{
+		Call: x.call, Replica: a.grant.Replica, Deadline: x.call.Deadline, LastEventID: x.lastEventID, ExpectedVersion: a.grant.ExpectedVersion, CheckSend: a.checkSend,
 	}
-	if errors.Is(context.Cause(ctx), errResponseTimeout) || errors.Is(err, os.ErrDeadlineExceeded) {
-		logged = "Silent"
+	var resp Response
+	err := a.await(func() (err error) {
+		resp, err = x.forwarder.config.Link.Send(a.ctx, toSend)
+		return err
+	})
+	var notSent exchanger.ErrNotSent
+	var noResponse exchanger.ErrNoResponse
+	switch {
+	case errors.As(err, &notSent):
+		x.sends--
+		return err
+	case errors.As(err, &noResponse):
+		x.writeDelay = noResponse.WrittenAt.Sub(a.startedAt)
 	}
-	if errors.Is(context.Cause(ctx), errVersionDue) {
-		// The replica has not failed.
-		outcome, logged = placer.Abandoned, "Withdrawn"
+	if err != nil {
+		x.runs++
+		return err
 	}
-	x.release(g, outcome)
-	x.logAttempt(g, logged, detail, started)
-	if x.mayRetry() {
-		return true
+	a.response, a.responded, a.heardAt = resp, true, time.Now()
+	x.writeDelay = resp.WrittenAt.Sub(a.startedAt)
+	if !a.answered() {
+		return x.ctx.Err()
 	}
-	x.fail(CodeBackendFailed, detail, 0)
-	return false
+	switch resp.Verdict {
+	case NotRun, WrongReplica:
+		// The connection can be used again only after a short body has been read.
+		_ = a.await(func() error {
+			_, err := io.CopyN(io.Discard, resp.Body, maxNotRunBodyBytes)
+			return err
+		})
+		return errNotRun
+	case Invalid:
+		x.runs++
+		return errInvalidResponse
+	case Ran, Failed:
+	}
+	x.runs++
+	a.events = newEventReader(resp.Body)
+	return nil
 }
 
-// forwardResponse writes a response to the caller after it has been read completely.
-func (x *requestState) forwardResponse(ctx context.Context, g *placer.Grant, resp Response, started time.Time) bool {
-	body, done, err := x.forwarder.buffers.read(resp.Body)
-	defer done()
-	if err == nil && resp.EndsWithConnection && x.brokeOff(g, len(body) > 0, started) {
+// readBody reads the complete body of a response that is no stream.
+func (a *attemptState) readBody() (piece, error) {
+	var body []byte
+	err := a.await(func() (err error) {
+		body, a.freeBody, err = a.x.forwarder.buffers.read(a.response.Body)
+		return err
+	})
+	if err == nil && a.response.EndsWithConnection && a.x.brokeOff(a, len(body) > 0) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
-		if x.ctx.Err() != nil {
-			return x.contextEnded(g, started)
+		return piece{}, fmt.Errorf("read response: %w", err)
+	}
+	return piece{body: body}, nil
+}
+
+// runAttempt sends the request to the replica of the grant, and to another one if that one is
+// silent. It reports whether another attempt must follow.
+func (x *requestState) runAttempt(g *placer.Grant) bool {
+	a := x.newAttempt(g)
+	defer func() { a.close() }()
+	w := newSilenceWatch(x, a)
+	for {
+		p, err := a.next()
+		if b := w.settle(err); b != nil {
+			if err != nil {
+				x.connectionEnded(a, err)
+			}
+			x.conclude(a, err)
+			a.close()
+			a, p, err = x.adopt(b, w), b.first, nil
+		}
+		if err != nil {
+			return x.attemptEnded(a, err)
 		}
-		x.connectionEnded(ctx, g, err, started)
-		return x.attemptFailed(ctx, g, fmt.Errorf("read response: %w", err), started)
+		if again, done := x.deliver(a, p); done {
+			return again
+		}
+		w.watchGap()
 	}
-	if resp.Verdict == Failed && x.mayRetry() {
-		x.release(g, placer.Failed)
-		x.logAttempt(g, "Failed", "the response reports a failure of the replica", started)
-		return true
+}
+
+// deliver writes a piece of the response to the caller. It reports whether that ends the
+// attempt, and whether another one must follow.
+func (x *requestState) deliver(a *attemptState, p piece) (again, done bool) {
+	if a.response.Streamed {
+		return false, x.deliverEvent(a, p)
+	}
+	if a.response.Verdict == Failed && x.mayRetry() {
+		x.release(a.grant, placer.Failed)
+		x.logAttempt(a, "Failed", "the response reports a failure of the replica")
+		return true, true
 	}
 	outcome := placer.Completed
-	if resp.Verdict == Failed {
+	if a.response.Verdict == Failed {
 		outcome = placer.Failed
 	}
-	x.release(g, outcome)
-	x.answerCompleted(resp)
-	if err := x.writer.WriteResponse(resp, body); err != nil {
-		x.callerDisconnected(g.Replica.ID)
+	x.release(a.grant, outcome)
+	x.answerCompleted(a.response)
+	if err := x.writer.WriteResponse(a.response, p.body); err != nil {
+		x.callerDisconnected(a.grant.Replica.ID)
+		return false, true
+	}
+	x.done(a)
+	return false, true
+}
+
+// attemptEnded handles an attempt that ended with an error, and reports whether another one
+// must follow.
+func (x *requestState) attemptEnded(a *attemptState, err error) bool {
+	var notSent exchanger.ErrNotSent
+	switch {
+	case x.ctx.Err() != nil:
+		return x.contextEnded(a)
+	case errors.As(err, &notSent):
+		// A request of which nothing was sent is sent again even if it is not idempotent.
+		x.conclude(a, err)
+		if len(x.tried) < 2*maxSends {
+			return true
+		}
+		x.fail(CodeNoReplica, "no reachable replica", replicaRetryAfter)
+		return false
+	case errors.Is(err, errNotRun):
+		x.conclude(a, err)
+		if x.sends < maxSends {
+			return true
+		}
+		x.fail(CodeOverloaded, "no replica ran the request", replicaRetryAfter)
 		return false
 	}
-	x.done(g, resp.Status)
+	// The request may have run.
+	x.connectionEnded(a, err)
+	detail := x.conclude(a, err)
+	if x.mayRetry() {
+		return true
+	}
+	x.fail(CodeBackendFailed, detail, 0)
 	return false
 }
+
+// contextEnded handles an attempt that ended because the caller disconnected or the
+// deadline passed.
+func (x *requestState) contextEnded(a *attemptState) bool {
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		x.release(a.grant, placer.NoResponse)
+		x.logAttempt(a, CodeDeadline, "no complete response before the deadline")
+		x.fail(CodeDeadline, "no complete response before the deadline", 0)
+		return false
+	}
+	x.release(a.grant, placer.Abandoned)
+	x.callerDisconnected(a.grant.Replica.ID)
+	return false
+}
+
+// conclude releases the grant of an attempt that ended with an error, or whose response is not
+// used, and logs the attempt. It returns the reason that was logged.
+func (x *requestState) conclude(a *attemptState, err error) (detail string) {
+	outcome, logged := placer.NoResponse, "Broken"
+	cause := context.Cause(a.ctx)
+	var notSent exchanger.ErrNotSent
+	switch {
+	case errors.As(err, &notSent):
+		outcome, logged = notSentOutcome(a.ctx, err), "NotSent"
+	case errors.Is(err, errNotRun) && a.response.Verdict == WrongReplica:
+		outcome, logged = placer.WrongReplica, "NotRun"
+	case errors.Is(err, errNotRun):
+		outcome, logged = placer.NotRun, "NotRun"
+	case errors.Is(cause, errVersionDue):
+		// The replica has not failed.
+		outcome, logged, err = placer.Abandoned, "Withdrawn", cause
+	case errors.Is(cause, errNotNeeded):
+		outcome, logged, err = placer.Abandoned, "NotNeeded", cause
+	case errors.Is(a.x.ctx.Err(), context.Canceled):
+		outcome, logged = placer.Abandoned, "CallerLeft"
+	case errors.Is(cause, errSuperseded):
+		logged, err = "Superseded", cause
+	}
+	x.release(a.grant, outcome)
+	x.logAttempt(a, logged, err.Error())
+	return err.Error()
+}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -16,16 +16,6 @@
 )
 
 const (
-	// firstEventTimeout is the maximum time until the first event of a stream that may
-	// be retried at another replica: three target latencies.
-	firstEventTimeout = 1500 * time.Millisecond
-	// eventGapTimeout is the maximum time between two events of a stream before it is
-	// resumed at another replica. Callers disconnect after 2 s without an event, and one
-	// pass of a model engine takes at most about 200 ms.
-	eventGapTimeout = 1200 * time.Millisecond
-	// responseTimeoutFactor is the number of target latencies that an idempotent request
-	// waits for a complete response before it is retried at another replica.
-	responseTimeoutFactor = 3
 	// minTimeLeft is the minimum time until the deadline at which a request is still
 	// sent: the fastest responses take that long.
 	minTimeLeft = 25 * time.Millisecond
@@ -125,8 +115,6 @@
 // response.
 type Body interface {
 	io.Reader
-	// SetReadDeadline sets the deadline of later reads; the zero time means none.
-	SetReadDeadline(t time.Time)
 	// Discard prevents the connection from being used again after Close.
 	Discard()
 	Close()
@@ -249,11 +237,6 @@
 	onTrial bool
 	// answer is the progress of the answer of the current attempt.
 	answer answer
-	// progress is how far the current attempt is.
-	progress *attemptProgress
-	// heardAt is the time at which the replica of the current attempt was last heard, or at
-	// which the attempt began.
-	heardAt time.Time
 }
 
 // Serve forwards the request. It returns after the caller has received a response or
@@ -293,10 +276,7 @@
 		x.fail(CodeDeadline, "too little time is left before the deadline", 0)
 		return false
 	}
-	x.tried = append(x.tried, g.Replica.ID)
-	a := Attempt{Call: x.call, Replica: g.Replica, Deadline: x.call.Deadline, LastEventID: x.lastEventID, ExpectedVersion: g.ExpectedVersion}
-	a.CheckSend = func() error { return x.checkSend(&g) }
-	return x.runAttempt(&g, a)
+	return x.runAttempt(&g)
 }
 
 // placerRequest returns the request for a replica for the next attempt.
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -78,15 +78,15 @@
 }
 
 // done records the end of a request with a complete response.
-func (x *requestState) done(g *placer.Grant, status int) {
-	x.forwarder.config.Log.Event(reporter.RequestDone, x.addAttemptFields(g, reporter.Fields{"Status": status}))
+func (x *requestState) done(a *attemptState) {
+	x.forwarder.config.Log.Event(reporter.RequestDone, x.addAttemptFields(a.grant, reporter.Fields{"Status": a.response.Status}))
 	x.forwarder.config.OnRequestEnd(x.call, "Done", time.Since(x.call.Arrived))
 }
 
 // logAttempt logs an attempt that ended without a complete response.
-func (x *requestState) logAttempt(g *placer.Grant, outcome, detail string, started time.Time) {
-	x.forwarder.config.Log.Event(reporter.AttemptEnded, x.addAttemptFields(g, reporter.Fields{
-		"Address": g.Replica.Address, "Outcome": outcome, "Detail": detail, "AttemptTook": time.Since(started).String(), "Silent": time.Since(x.heardAt).String(), "Key": FormatKey(x.call.Key),
+func (x *requestState) logAttempt(a *attemptState, outcome, detail string) {
+	x.forwarder.config.Log.Event(reporter.AttemptEnded, x.addAttemptFields(a.grant, reporter.Fields{
+		"Address": a.grant.Replica.Address, "Outcome": outcome, "Detail": detail, "AttemptTook": time.Since(a.startedAt).String(), "Silent": time.Since(a.heardAt).String(), "Key": FormatKey(x.call.Key),
 	}))
 }
 
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -42,8 +42,9 @@
 	return fmt.Sprintf("%s: peer %s: %s is suspected of crashing replicas", e.Step, e.Peer, e.Key)
 }
 
-// checkSend returns an error if the request of the grant may no longer be sent.
-func (x *requestState) checkSend(g *placer.Grant) error {
+// checkSend returns an error if the request may no longer be sent.
+func (a *attemptState) checkSend() error {
+	x, g := a.x, a.grant
 	if err := x.ctx.Err(); err != nil {
 		return err
 	}
@@ -56,7 +57,7 @@
 	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.keys); d.Verdict == suspector.Refuse {
 		return ErrBlocked{Step: "send request", Peer: g.Replica.Address, Key: FormatKey(d.Key)}
 	}
-	x.progress.written.Store(true)
+	a.progress.written.Store(true)
 	return nil
 }
 
@@ -65,7 +66,7 @@
 func notSentOutcome(ctx context.Context, err error) placer.Outcome {
 	var tooLate ErrTooLate
 	var blocked ErrBlocked
-	if errors.Is(err, ErrDeclined) || errors.As(err, &tooLate) || errors.As(err, &blocked) || errors.Is(context.Cause(ctx), errVersionDue) {
+	if errors.Is(err, ErrDeclined) || errors.As(err, &tooLate) || errors.As(err, &blocked) || errors.Is(context.Cause(ctx), errVersionDue) || errors.Is(context.Cause(ctx), errNotNeeded) {
 		return placer.Abandoned
 	}
 	return placer.Unreachable
--- a/shells/forwarder/silence_test.go
+++ b/shells/forwarder/silence_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -118,7 +117,6 @@
 	link     *pacedLink
 	id       string
 	parts    []part
-	deadline time.Time
 	complete bool
 }
 
@@ -128,14 +126,8 @@
 		return 0, io.EOF
 	}
 	next := b.parts[0]
-	var expired <-chan time.Time
-	if !b.deadline.IsZero() {
-		expired = time.After(time.Until(b.deadline))
-	}
 	select {
 	case <-time.After(next.after):
-	case <-expired:
-		return 0, os.ErrDeadlineExceeded
 	case <-b.ctx.Done():
 		return 0, net.ErrClosed
 	}
@@ -143,8 +135,7 @@
 	return copy(p, next.data), next.err
 }
 
-func (b *pacedBody) SetReadDeadline(t time.Time) { b.deadline = t }
-func (b *pacedBody) Discard()                    {}
+func (b *pacedBody) Discard() {}
 func (b *pacedBody) Close() {
 	if !b.complete {
 		b.link.record(&b.link.ended, b.id)
@@ -275,3 +266,36 @@
 		is.Equal(l.sent, []string{"first"})
 	}
 }
+
+// TestGoneReplicaIsReplacedInTime guards against callers that wait for a replica that never goes
+// on. They disconnect 2 s after the last event, or four target latencies after their request.
+func TestGoneReplicaIsReplacedInTime(t *testing.T) {
+	for name, first := range map[string]pacedReplica{
+		"BeforeHead": {headAfter: forever}, "BeforeFirstEvent": {silence: forever, silentBefore: 1}, "WithinResponse": {silence: forever, silentBefore: 3},
+	} {
+		for _, kind := range []filbertstile.CallKind{filbertstile.CallStream, filbertstile.CallIdempotent} {
+			t.Run(fmt.Sprintf("%s/%s", kind, name), func(t *testing.T) {
+				is := is.New(t)
+				c, l, took := paced{kind: kind, replicas: withFirst(first, otherReplicas["Sound"])}.serve(t)
+				is.True(c.whole(kind))
+				is.True(took < 2*time.Second)
+				is.Equal(l.sent, []string{"first", "b"})
+				is.Equal(l.ended, []string{"first"}) // no later than the end of the request
+			})
+		}
+	}
+}
+
+// TestCallerLeavesWhileReplicaIsSilent guards against replicas that go on working for a caller who
+// has left.
+func TestCallerLeavesWhileReplicaIsSilent(t *testing.T) {
+	is := is.New(t)
+	first := pacedReplica{silence: forever, silentBefore: 3}
+	c, l, took := paced{
+		kind: filbertstile.CallStream, replicas: withFirst(first, map[string]pacedReplica{"b": {headAfter: forever}}), leaveAfter: 2 * time.Second,
+	}.serve(t)
+	is.True(c.aborted)
+	is.Equal(took, 2*time.Second)
+	is.Equal(len(l.sent), 2)
+	is.Equal(len(l.ended), 2)
+}
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -10,55 +10,64 @@
 	"filbertstile.example/filbertstile/decisions/placer"
 )
 
-// forwardStream writes the events of a stream to the caller as they arrive. It skips
-// events that the caller already has, and treats a missing event as a failure.
-func (x *requestState) forwardStream(ctx context.Context, g *placer.Grant, resp Response, responseTimer *time.Timer, started time.Time) bool {
-	events := newEventReader(resp.Body)
-	for first := true; ; first = false {
-		e, err := events.next()
-		if responseTimer.Stop() {
-			x.forwarder.config.Placer.ResponseStarted(g)
-		} else if first {
+var errEventGap = errors.New("a stream event is missing")
+
+// nextEvent returns the next event that the caller does not have, or the end of the stream.
+// A missing event is an error.
+func (a *attemptState) nextEvent() (piece, error) {
+	for {
+		var e []byte
+		err := a.await(func() (err error) {
+			e, err = a.events.next()
+			return err
+		})
+		if a.startTimer != nil && !a.startTimer.Stop() {
 			// The first event has come too late: nothing of a stream that is being ended is
 			// passed on.
-			<-ctx.Done()
-			return x.streamFailed(ctx, g, context.Cause(ctx), started)
+			<-a.ctx.Done()
+			return piece{}, fmt.Errorf("read event: %w", context.Cause(a.ctx))
 		}
-		if errors.Is(err, io.EOF) && resp.EndsWithConnection && x.brokeOff(g, x.answer.begun(), started) {
+		a.startTimer = nil
+		a.x.forwarder.config.Placer.ResponseStarted(a.grant)
+		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && a.x.brokeOff(a, a.x.answer.begun()) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
-			return x.streamEnded(g, resp)
+			return piece{end: true}, nil
 		}
 		if err != nil {
-			resp.Body.Discard()
-			return x.streamFailed(ctx, g, err, started)
-		}
-		x.heardAt = time.Now()
-		x.eventArrived()
-		if id, ok := eventID(e); ok {
-			if id <= x.lastEventID {
-				continue
-			}
-			if id != x.lastEventID+1 {
-				return x.streamFailed(ctx, g, errEventGap, started)
-			}
-			x.lastEventID = id
+			a.response.Body.Discard()
+			return piece{}, fmt.Errorf("read event: %w", err)
 		}
-		if err := x.writeEvent(resp, e, events.hasBufferedEvent()); err != nil {
-			x.release(g, placer.Abandoned)
-			x.callerDisconnected(g.Replica.ID)
-			return false
+		a.heardAt = time.Now()
+		a.x.eventArrived()
+		id, numbered := eventID(e)
+		if !numbered || id == a.x.lastEventID+1 {
+			return piece{event: e}, nil
 		}
-		var readDeadline time.Time // none: only the request's deadline ends the stream
-		if x.mayRetry() {
-			readDeadline = time.Now().Add(eventGapTimeout)
+		if id > a.x.lastEventID {
+			return piece{}, fmt.Errorf("read event: %w", errEventGap)
 		}
-		resp.Body.SetReadDeadline(readDeadline)
 	}
 }
 
-var errEventGap = errors.New("a stream event is missing")
+// deliverEvent writes an event to the caller, or ends the response after the last one. It
+// reports whether the request has ended.
+func (x *requestState) deliverEvent(a *attemptState, p piece) (done bool) {
+	if p.end {
+		x.endStream(a)
+		return true
+	}
+	if id, numbered := eventID(p.event); numbered {
+		x.lastEventID = id
+	}
+	if err := x.writeEvent(a.response, p.event, a.events.hasBufferedEvent()); err != nil {
+		x.release(a.grant, placer.Abandoned)
+		x.callerDisconnected(a.grant.Replica.ID)
+		return true
+	}
+	return false
+}
 
 // writeEvent writes an event to the caller, after the header if it is the first. It
 // flushes the event unless more events are buffered and follow at once.
@@ -75,26 +84,16 @@
 	return x.writer.Flush()
 }
 
-// streamEnded handles the end of a complete stream.
-func (x *requestState) streamEnded(g *placer.Grant, resp Response) bool {
-	x.release(g, placer.Completed)
-	x.answerCompleted(resp)
+// endStream ends the response after a complete stream.
+func (x *requestState) endStream(a *attemptState) {
+	x.release(a.grant, placer.Completed)
+	x.answerCompleted(a.response)
 	if !x.responseStarted {
 		x.responseStarted = true
-		if err := x.writer.WriteHeader(resp); err != nil {
-			x.callerDisconnected(g.Replica.ID)
-			return false
+		if err := x.writer.WriteHeader(a.response); err != nil {
+			x.callerDisconnected(a.grant.Replica.ID)
+			return
 		}
 	}
-	x.done(g, resp.Status)
-	return false
-}
-
-// streamFailed handles a stream that ended before it was complete.
-func (x *requestState) streamFailed(ctx context.Context, g *placer.Grant, err error, started time.Time) bool {
-	if x.ctx.Err() != nil {
-		return x.contextEnded(g, started)
-	}
-	x.connectionEnded(ctx, g, err, started)
-	return x.attemptFailed(ctx, g, fmt.Errorf("read event: %w", err), started)
+	x.done(a)
 }
--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -66,11 +65,11 @@
 
 // connectionEnded checks, after an attempt that failed with err, whether the replica has
 // crashed.
-func (x *requestState) connectionEnded(ctx context.Context, g *placer.Grant, err error, started time.Time) {
-	if endedByForwarder(ctx) || x.answer.witnessed || len(x.keys) == 0 || !peerClosed(err) || x.ctx.Err() != nil || x.forwarder.config.Placer.EndExpected(time.Now(), g.Replica.ID) {
+func (x *requestState) connectionEnded(a *attemptState, err error) {
+	if a.endedByForwarder() || x.answer.witnessed || len(x.keys) == 0 || !peerClosed(err) || x.ctx.Err() != nil || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
 		return
 	}
-	if x.forwarder.crashes.connectionEnded(x.ctx, g.Replica, suspector.LostRequest{Keys: x.keys, SentAt: started}, crashWait) == Ended {
+	if x.forwarder.crashes.connectionEnded(x.ctx, a.grant.Replica, suspector.LostRequest{Keys: x.keys, SentAt: a.startedAt}, crashWait) == Ended {
 		x.crashes++
 	}
 }
@@ -78,15 +77,15 @@
 // brokeOff reports whether an answer that ended with its connection is incomplete, as it is
 // empty or its replica has crashed. Without parts of prompts, only a trial is worth the
 // connection that tells whether the replica runs.
-func (x *requestState) brokeOff(g *placer.Grant, begun bool, started time.Time) bool {
+func (x *requestState) brokeOff(a *attemptState, begun bool) bool {
 	if x.answer.witnessed || len(x.call.PromptParts) == 0 && !x.onTrial {
 		return false
 	}
-	if !begun || x.forwarder.config.Placer.EndExpected(time.Now(), g.Replica.ID) {
+	if !begun || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
 		return !begun
 	}
 	// The answer can't be passed on before this is known.
-	result := x.forwarder.crashes.connectionEnded(x.ctx, g.Replica, suspector.LostRequest{Keys: x.keys, SentAt: started}, probeTimeout)
+	result := x.forwarder.crashes.connectionEnded(x.ctx, a.grant.Replica, suspector.LostRequest{Keys: x.keys, SentAt: a.startedAt}, probeTimeout)
 	x.answer.outlived = result == Alive
 	return result == Ended
 }
