forwarder: what does not continue a stream that has begun ends the attempt

Seen by a test: after a stream has broken off, the next replica's response reached the caller whatever it was. Cause: an attempt did not know that it goes on with something; each path wrote what it had read. Change: an attempt that begins after the response has begun must continue it: a stream of success whose first numbered event is the next one. Everything else ends that attempt, and the next replica is tried or the caller's connection is closed. Streams with events that have no ID are not resumed. A clean end with nothing new is no continuation either: whether the first replica had sent the last event cannot be known, so that the caller sees a torn stream.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -55,6 +55,8 @@
 	responded bool
 	// events reads the response if it is a stream.
 	events *eventReader
+	// mustContinue is true until the attempt has gone on with a stream that had begun before it.
+	mustContinue bool
 	// freeBody frees the memory of the response's body; nil if it has none.
 	freeBody func()
 }
@@ -62,7 +64,7 @@
 // newAttempt returns an attempt at the replica of the grant, of which nothing has been sent.
 func (x *requestState) newAttempt(g *placer.Grant) *attemptState {
 	now := time.Now()
-	a := &attemptState{x: x, grant: g, progress: &attemptProgress{}, startedAt: now, heardAt: now}
+	a := &attemptState{x: x, grant: g, progress: &attemptProgress{}, startedAt: now, heardAt: now, mustContinue: x.responseStarted}
 	a.ctx, a.cancel = x.attemptContext(a)
 	if !g.StartBy.IsZero() {
 		// The end of the replica's version does not depend on an estimate: most replicas drop a
@@ -164,6 +166,9 @@
 	case Ran, Failed:
 	}
 	x.runs++
+	if a.mustContinue && (!resp.Streamed || resp.Verdict == Failed) {
+		return errNotContinued
+	}
 	a.events = newEventReader(resp.Body)
 	return nil
 }
@@ -295,6 +300,8 @@
 		outcome, logged = placer.WrongReplica, "NotRun"
 	case errors.Is(err, errNotRun):
 		outcome, logged = placer.NotRun, "NotRun"
+	case errors.Is(err, errNotContinued) && a.response.Verdict == Failed:
+		outcome, logged = placer.Failed, "Failed"
 	case errors.Is(cause, errVersionDue):
 		// The replica has not failed.
 		outcome, logged, err = placer.Abandoned, "Withdrawn", cause
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -68,6 +68,16 @@
 	return 0
 }
 
+// isComment reports whether the event consists of comments only, which keep a connection alive.
+func isComment(e []byte) bool {
+	for _, line := range bytes.Split(e, []byte("\n")) {
+		if line = bytes.TrimRight(line, "\r"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the event's ID, and whether it has a numeric one.
 func eventID(e []byte) (int64, bool) {
 	for _, line := range bytes.Split(e, []byte("\n")) {
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -224,8 +224,10 @@
 	runs int
 	// responseStarted is true if the caller may have received a part of the response.
 	responseStarted bool
-	// lastEventID is the ID of the last stream event that the caller has.
+	// lastEventID is the ID of the last stream event that the caller has, and unnumbered is true
+	// if it has events without IDs, after which the stream cannot be resumed.
 	lastEventID int64
+	unnumbered  bool
 	// queueTime is the total time in the placer's queue.
 	queueTime time.Duration
 	// writeDelay is the time between the placement of the last attempt and the write of
@@ -295,7 +297,11 @@
 	return req
 }
 
+// repeatable reports whether the request may be sent again although it may have run, or its
+// response has begun.
+func (x *requestState) repeatable() bool { return x.call.Route.Retryable() && !x.unnumbered }
+
 // mayRetry reports whether the request may be sent again although it may have run.
 func (x *requestState) mayRetry() bool {
-	return x.call.Route.Retryable() && x.crashes < maxCrashes && x.runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
+	return x.repeatable() && x.crashes < maxCrashes && x.runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
 }
--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -70,7 +70,7 @@
 	if !a.responded {
 		runs++
 	}
-	return x.call.Route.Retryable() && !x.onTrial && x.crashes == 0 && runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
+	return x.repeatable() && !x.onTrial && x.crashes == 0 && runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
 }
 
 // watchGap starts to watch for the next event of a stream.
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -10,7 +10,11 @@
 	"filbertstile.example/filbertstile/decisions/placer"
 )
 
-var errEventGap = errors.New("a stream event is missing")
+// Reasons for which a response does not go on with a stream that has begun.
+var (
+	errEventGap     = errors.New("a stream event is missing")
+	errNotContinued = errors.New("the response does not continue the stream")
+)
 
 // nextEvent returns the next event that the caller does not have, or the end of the stream.
 // A missing event is an error.
@@ -32,6 +36,9 @@
 		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && a.x.brokeOff(a, a.x.answer.begun()) {
 			err = io.ErrUnexpectedEOF
 		}
+		if errors.Is(err, io.EOF) && a.mustContinue {
+			err = errNotContinued
+		}
 		if errors.Is(err, io.EOF) {
 			return piece{end: true}, nil
 		}
@@ -42,11 +49,17 @@
 		a.heardAt = time.Now()
 		a.x.eventArrived()
 		id, numbered := eventID(e)
-		if !numbered || id == a.x.lastEventID+1 {
+		switch {
+		case numbered && id == a.x.lastEventID+1:
+			a.mustContinue = false
 			return piece{event: e}, nil
-		}
-		if id > a.x.lastEventID {
+		case numbered && id > a.x.lastEventID:
 			return piece{}, fmt.Errorf("read event: %w", errEventGap)
+		case numbered || a.mustContinue && isComment(e):
+		case a.mustContinue:
+			return piece{}, fmt.Errorf("read event: %w", errNotContinued)
+		default:
+			return piece{event: e}, nil
 		}
 	}
 }
@@ -60,6 +73,8 @@
 	}
 	if id, numbered := eventID(p.event); numbered {
 		x.lastEventID = id
+	} else if !isComment(p.event) {
+		x.unnumbered = true
 	}
 	if err := x.writeEvent(a.response, p.event, a.events.hasBufferedEvent()); err != nil {
 		x.release(a.grant, placer.Abandoned)
