--- /dev/null
+++ b/outside/exchanger/conn.go
@@ -0,0 +1,115 @@
+package exchanger
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+)
+
+const (
+	// maxInlineBodyBytes is the maximum size of a body that is written before the
+	// response is read. A larger body is written concurrently, as the peer may respond
+	// before it has read all of it.
+	maxInlineBodyBytes = 16 << 10
+	// maxHeadBytes is the maximum size of the status line and the header of a response,
+	// together with all informational responses before it.
+	maxHeadBytes = 32 << 10
+	// readBufferBytes is the size of a connection's read buffer, which holds several
+	// events of a stream.
+	readBufferBytes = 4 << 10
+)
+
+// limiter is the source of a connection's reader. While limited is true, it returns no more
+// than remaining bytes.
+type limiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int64
+}
+
+// Read reads from the source, or returns ErrTooLong if no bytes remain.
+func (l *limiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrTooLong{Part: "response head", LimitBytes: maxHeadBytes}
+	}
+	n, err := l.source.Read(b[:min(int64(len(b)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
+}
+
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// limiter is the source of the reader.
+	limiter *limiter
+	// reused is true if the connection has carried an earlier request.
+	reused    bool
+	idleSince time.Time
+	// idleTimeout is how long the connection may be idle before it must be closed.
+	idleTimeout time.Duration
+}
+
+// reusable reports whether the connection is open and has no unread data.
+func (c *conn) reusable() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	noData := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		noData = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && noData
+}
+
+// readHead reads the head of the response, and skips informational (1xx) responses. A peer
+// that sends a head without end gets no more than maxHeadBytes read.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
+	defer func() { c.limiter.limited = false }()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// send writes the request. A large body may still be being written when send returns;
+// the channel receives the outcome.
+func send(cn *conn, head, body []byte) (<-chan error, error) {
+	done := make(chan error, 1)
+	if len(body) > maxInlineBodyBytes {
+		go func() {
+			bufs := net.Buffers{head, body}
+			_, err := bufs.WriteTo(cn.Conn)
+			done <- err
+		}()
+		return done, nil
+	}
+	_, err := cn.Write(slices.Concat(head, body))
+	done <- nil
+	return done, err
+}
--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -5,49 +5,17 @@
 package exchanger
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"filbertstile.example/filbertstile"
 )
 
-const (
-	// dialTimeout is the maximum time to connect. Hosts are a few milliseconds apart,
-	// and a SYN that a full accept queue drops is resent only after one second.
-	dialTimeout = 700 * time.Millisecond
-	// defaultIdleTimeout is the idle timeout of a connection whose peer announces
-	// none. A peer whose timeout is less than one second announces none.
-	defaultIdleTimeout = 400 * time.Millisecond
-	// idleMargin is subtracted from the idle timeout that the peer announces.
-	idleMargin = 400 * time.Millisecond
-	// maxIdleTimeout is the maximum idle timeout of a connection, whatever its peer
-	// announces.
-	maxIdleTimeout = 8 * time.Second
-	// maxIdleConnsPerAddress is the maximum number of idle connections to one address.
-	maxIdleConnsPerAddress = 8
-	// maxInlineBodyBytes is the maximum size of a body that is written before the
-	// response is read. A larger body is written concurrently, as the peer may respond
-	// before it has read all of it.
-	maxInlineBodyBytes = 16 << 10
-	// maxHeadBytes is the maximum size of the status line and the header of a response,
-	// together with all informational responses before it.
-	maxHeadBytes = 32 << 10
-	// readBufferBytes is the size of a connection's read buffer, which holds several
-	// events of a stream.
-	readBufferBytes = 4 << 10
-)
-
 // Request is a request to a backend server.
 type Request struct {
 	// ID is the value that the response must have in the header IDHeader. The header
@@ -109,27 +77,6 @@
 	return fmt.Sprintf("the %s is longer than %d bytes", e.Part, e.LimitBytes)
 }
 
-// limiter is the source of a connection's reader. While limited is true, it returns no more
-// than remaining bytes.
-type limiter struct {
-	source    io.Reader
-	limited   bool
-	remaining int64
-}
-
-// Read reads from the source, or returns ErrTooLong if no bytes remain.
-func (l *limiter) Read(b []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(b)
-	}
-	if l.remaining <= 0 {
-		return 0, ErrTooLong{Part: "response head", LimitBytes: maxHeadBytes}
-	}
-	n, err := l.source.Read(b[:min(int64(len(b)), l.remaining)])
-	l.remaining -= int64(n)
-	return n, err
-}
-
 // Client sends requests and pools idle connections. It is safe for concurrent use.
 type Client struct {
 	network filbertstile.Network
@@ -144,42 +91,6 @@
 	return &Client{network: n, idle: make(map[string][]*conn)}
 }
 
-type conn struct {
-	net.Conn
-	address string
-	reader  *bufio.Reader
-	// limiter is the source of the reader.
-	limiter *limiter
-	// reused is true if the connection has carried an earlier request.
-	reused    bool
-	idleSince time.Time
-	// idleTimeout is how long the connection may be idle before it must be closed.
-	idleTimeout time.Duration
-}
-
-// reusable reports whether the connection is open and has no unread data.
-func (c *conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		noData = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noData
-}
-
 // Exchange is a response whose body has not been read yet.
 type Exchange struct {
 	Response *http.Response
@@ -247,39 +158,6 @@
 	return err
 }
 
-// readHead reads the head of the response, and skips informational (1xx) responses. A peer
-// that sends a head without end gets no more than maxHeadBytes read.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
-	defer func() { c.limiter.limited = false }()
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
-
-// send writes the request. A large body may still be being written when send returns;
-// the channel receives the outcome.
-func send(cn *conn, head, body []byte) (<-chan error, error) {
-	done := make(chan error, 1)
-	if len(body) > maxInlineBodyBytes {
-		go func() {
-			bufs := net.Buffers{head, body}
-			_, err := bufs.WriteTo(cn.Conn)
-			done <- err
-		}()
-		return done, nil
-	}
-	_, err := cn.Write(slices.Concat(head, body))
-	done <- nil
-	return done, err
-}
-
 // SetReadDeadline sets the deadline for reading more of the body.
 func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetReadDeadline(t) }
 
@@ -316,85 +194,3 @@
 	}
 	_ = e.conn.Close()
 }
-
-// acquire returns an idle connection, or dials if there is none.
-func (c *Client) acquire(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	if cn := c.acquireIdle(address, maxIdle); cn != nil {
-		return cn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	raw, err := c.network.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	l := &limiter{source: raw}
-	return &conn{Conn: raw, address: address, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
-}
-
-func (c *Client) acquireIdle(address string, maxIdle time.Duration) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for list := c.idle[address]; len(list) > 0; list = c.idle[address] {
-		cn := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
-		idle := now.Sub(cn.idleSince)
-		if idle < cn.idleTimeout && (maxIdle == 0 || idle < maxIdle) && cn.reusable() {
-			return cn
-		}
-		_ = cn.Close()
-	}
-	return nil
-}
-
-func (c *Client) putIdle(cn *conn, h http.Header) {
-	cn.reused = true
-	cn.idleSince = time.Now()
-	cn.idleTimeout = min(maxIdleTimeout, peerIdleTimeout(h))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[cn.address]
-	if len(list) >= maxIdleConnsPerAddress {
-		_ = list[0].Close()
-		list = append(list[:0], list[1:]...)
-	}
-	c.idle[cn.address] = append(list, cn)
-}
-
-// peerIdleTimeout returns how long a connection may be idle according to the
-// response's Keep-Alive header.
-func peerIdleTimeout(h http.Header) time.Duration {
-	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if s, err := strconv.Atoi(value); err == nil {
-			return time.Duration(s)*time.Second - idleMargin
-		}
-	}
-	return defaultIdleTimeout
-}
-
-// CloseExpired closes the connections whose idle timeout has expired.
-func (c *Client) CloseExpired() {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, list := range c.idle {
-		kept := list[:0]
-		for _, cn := range list {
-			if now.Sub(cn.idleSince) < cn.idleTimeout {
-				kept = append(kept, cn)
-			} else {
-				_ = cn.Close()
-			}
-		}
-		if len(kept) == 0 {
-			delete(c.idle, address)
-		} else {
-			c.idle[address] = kept
-		}
-	}
-}
--- /dev/null
+++ b/outside/exchanger/pool.go
@@ -0,0 +1,108 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// dialTimeout is the maximum time to connect. Hosts are a few milliseconds apart,
+	// and a SYN that a full accept queue drops is resent only after one second.
+	dialTimeout = 700 * time.Millisecond
+	// defaultIdleTimeout is the idle timeout of a connection whose peer announces
+	// none. A peer whose timeout is less than one second announces none.
+	defaultIdleTimeout = 400 * time.Millisecond
+	// idleMargin is subtracted from the idle timeout that the peer announces.
+	idleMargin = 400 * time.Millisecond
+	// maxIdleTimeout is the maximum idle timeout of a connection, whatever its peer
+	// announces.
+	maxIdleTimeout = 8 * time.Second
+	// maxIdleConnsPerAddress is the maximum number of idle connections to one address.
+	maxIdleConnsPerAddress = 8
+)
+
+// acquire returns an idle connection, or dials if there is none.
+func (c *Client) acquire(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+	if cn := c.acquireIdle(address, maxIdle); cn != nil {
+		return cn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := c.network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	l := &limiter{source: raw}
+	return &conn{Conn: raw, address: address, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
+}
+
+func (c *Client) acquireIdle(address string, maxIdle time.Duration) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for list := c.idle[address]; len(list) > 0; list = c.idle[address] {
+		cn := list[len(list)-1]
+		c.idle[address] = list[:len(list)-1]
+		idle := now.Sub(cn.idleSince)
+		if idle < cn.idleTimeout && (maxIdle == 0 || idle < maxIdle) && cn.reusable() {
+			return cn
+		}
+		_ = cn.Close()
+	}
+	return nil
+}
+
+func (c *Client) putIdle(cn *conn, h http.Header) {
+	cn.reused = true
+	cn.idleSince = time.Now()
+	cn.idleTimeout = min(maxIdleTimeout, peerIdleTimeout(h))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[cn.address]
+	if len(list) >= maxIdleConnsPerAddress {
+		_ = list[0].Close()
+		list = append(list[:0], list[1:]...)
+	}
+	c.idle[cn.address] = append(list, cn)
+}
+
+// peerIdleTimeout returns how long a connection may be idle according to the
+// response's Keep-Alive header.
+func peerIdleTimeout(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil {
+			return time.Duration(s)*time.Second - idleMargin
+		}
+	}
+	return defaultIdleTimeout
+}
+
+// CloseExpired closes the connections whose idle timeout has expired.
+func (c *Client) CloseExpired() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, cn := range list {
+			if now.Sub(cn.idleSince) < cn.idleTimeout {
+				kept = append(kept, cn)
+			} else {
+				_ = cn.Close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		} else {
+			c.idle[address] = kept
+		}
+	}
+}
