exchanger: a connection carries a request's ID once

Seen: a replica that writes an earlier refusal once more when the next request arrives on a kept connection had callers told "not run" for a request that ran (REFUSED), and one ran at a second replica (TWICE). Cause: the ID in the response tells whose it is, unless the same request goes over the same connection again. It does where a replica that has restarted has two IDs at its address for a while (421 of the new one, then a send to it; the placer excludes replicas by ID only), and where a caller uses an ID, or none, again. The copy of the first refusal was then taken for the response to the second send. Change: a connection remembers hashes of the IDs that it has carried, and carries none of them again; the request goes over another connection, and the connection is kept for others. After 512 requests it is closed, which bounds the memory to 4 KB and costs a new connection in 512 requests. Weighed: closing the connection after each refusal (new connections are priced and refusals are frequent under load; and copies of successes, or of refusals before the last, stay); a new connection for each repeated send only (leaves IDs that callers use again); excluding replicas by address (leaves them too, and takes the one replica away that may run the request). Before: TestLateCopyOfRefusalToSameRequest fails in all four cases (runs <= 1: TWICE with a third replica; NotRun although run: REFUSED), TestLateCopyOfRefusalToReusedID in both. After: they pass, five times with -race; the requests are answered.

--- a/outside/exchanger/conn.go
+++ b/outside/exchanger/conn.go
@@ -9,6 +9,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -19,6 +21,9 @@
 	// maxHeadBytes is the maximum size of the status line and the header of a response,
 	// together with all informational responses before it.
 	maxHeadBytes = 32 << 10
+	// maxRequestsPerConn is the number of requests after which a connection is closed. It
+	// bounds the memory for their IDs, and one in so many costs a new connection.
+	maxRequestsPerConn = 512
 	// readBufferBytes is the size of a connection's read buffer, which holds several
 	// events of a stream.
 	readBufferBytes = 4 << 10
@@ -51,6 +56,8 @@
 	reader  *bufio.Reader
 	// limiter is the source of the reader.
 	limiter *limiter
+	// ids holds hashes of the IDs of all requests that the connection has carried.
+	ids []uint64
 	// reused is true if the connection has carried an earlier request.
 	reused    bool
 	idleSince time.Time
@@ -58,6 +65,13 @@
 	idleTimeout time.Duration
 }
 
+// mayCarry reports whether the connection has not carried a request with the ID. A peer may
+// send a response again at any later time, and only its ID tells whose it is.
+func (c *conn) mayCarry(id string) bool { return !slices.Contains(c.ids, xxhash.Sum64String(id)) }
+
+// carries records that the connection carries a request with the ID.
+func (c *conn) carries(id string) { c.ids = append(c.ids, xxhash.Sum64String(id)) }
+
 // reusable reports whether the connection is open and has no unread data.
 func (c *conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -19,7 +19,7 @@
 // Request is a request to a backend server.
 type Request struct {
 	// ID is the value that the response must have in the header IDHeader. The header
-	// may be missing from the first response on a connection.
+	// may be missing from the first response on a connection. A connection carries an ID once.
 	ID       string
 	IDHeader string
 	Method   string
@@ -110,7 +110,7 @@
 // Do sends the request once and reads the status line and the header of the
 // response. The connection is closed if the context ends before Close is called.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Exchange, error) {
-	cn, err := c.acquire(ctx, address, r.MaxIdle)
+	cn, err := c.acquire(ctx, address, r)
 	if err != nil {
 		return nil, ErrNotSent{Peer: address, Cause: cause(ctx, err)}
 	}
@@ -122,6 +122,7 @@
 		_ = cn.Close()
 		return nil, ErrNotSent{Peer: address, Cause: err}
 	}
+	cn.carries(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	writtenAt := time.Now()
 	fail := func(step string, err error) (*Exchange, error) {
--- a/outside/exchanger/pool.go
+++ b/outside/exchanger/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,9 +26,9 @@
 	maxIdleConnsPerAddress = 8
 )
 
-// acquire returns an idle connection, or dials if there is none.
-func (c *Client) acquire(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	if cn := c.acquireIdle(address, maxIdle); cn != nil {
+// acquire returns an idle connection that may carry the request, or dials if there is none.
+func (c *Client) acquire(ctx context.Context, address string, r Request) (*conn, error) {
+	if cn := c.acquireIdle(address, r); cn != nil {
 		return cn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -40,15 +41,19 @@
 	return &conn{Conn: raw, address: address, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
 }
 
-func (c *Client) acquireIdle(address string, maxIdle time.Duration) *conn {
+// acquireIdle returns the most recently used idle connection that may carry the request, or nil.
+// It closes those that can't be used any more.
+func (c *Client) acquireIdle(address string, r Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for list := c.idle[address]; len(list) > 0; list = c.idle[address] {
-		cn := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
+	for i, cn := range slices.Backward(c.idle[address]) {
+		if !cn.mayCarry(r.ID) {
+			continue
+		}
+		c.idle[address] = slices.Delete(c.idle[address], i, i+1)
 		idle := now.Sub(cn.idleSince)
-		if idle < cn.idleTimeout && (maxIdle == 0 || idle < maxIdle) && cn.reusable() {
+		if idle < cn.idleTimeout && (r.MaxIdle == 0 || idle < r.MaxIdle) && cn.reusable() {
 			return cn
 		}
 		_ = cn.Close()
@@ -57,6 +62,10 @@
 }
 
 func (c *Client) putIdle(cn *conn, h http.Header) {
+	if len(cn.ids) >= maxRequestsPerConn {
+		_ = cn.Close()
+		return
+	}
 	cn.reused = true
 	cn.idleSince = time.Now()
 	cn.idleTimeout = min(maxIdleTimeout, peerIdleTimeout(h))
