exchanger: a request without an ID gets a new connection

Cause: a caller may send no X-Request-Id, and the request is forwarded without one. Its response has none either, so that a late copy of any earlier response without an ID on a kept connection was taken for it: the caller was told "not run" for an order that ran. Change: such a request is sent over a new connection, which is kept for requests with IDs; these need a response with theirs.

--- a/outside/exchanger/latecopy_test.go
+++ b/outside/exchanger/latecopy_test.go
@@ -48,3 +48,15 @@
 		is.Equal(s.conns, 3) // 512 on each of the first two
 	})
 }
+
+// TestRequestWithoutIDGetsNewConnection guards against a late response without an ID that is
+// taken for that to a request without one. Later requests with IDs use its connection.
+func TestRequestWithoutIDGetsNewConnection(t *testing.T) {
+	withServer(t, slices.Repeat([]string{okResponse}, 4), func(is *is.I, client *exchanger.Client, address string, s *server) {
+		for i, id := range []string{"1", "", "2", ""} {
+			_, err := do(client, address, id)
+			is.NoErr(err)
+			is.Equal(s.conns, []int{1, 2, 2, 3}[i])
+		}
+	})
+}
--- a/outside/exchanger/pool.go
+++ b/outside/exchanger/pool.go
@@ -44,6 +44,9 @@
 // acquireIdle returns the most recently used idle connection that may carry the request, or nil.
 // It closes those that can't be used any more.
 func (c *Client) acquireIdle(address string, r Request) *conn {
+	if r.ID == "" {
+		return nil // nothing would tell its response from a late one
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
