platform: a refusal without an ID is no promise

Cause: the first response on a connection may lack the request's ID. A refusal without one was believed, with what it announces: an order was sent to the next replica, or its caller told "not run", and the replica left out for as long as the refusal said. Replicas echo the ID of a request that has one; nothing else tells that the refusal is not that of another request, which the replica may have written late or on the wrong connection. Responses on used connections without the ID were invalid already. Weighed: requiring the ID of signed responses too, which makes failures of responses that were delivered so far; left open. Not known: whether any sound replica refuses without the ID.

--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -96,8 +96,11 @@
 	Response *http.Response
 	// WrittenAt is the time at which the client began to write the request.
 	WrittenAt time.Time
-	client    *Client
-	conn      *conn
+	// Unidentified is true if the response lacks the ID of the request. It is the first on its
+	// connection.
+	Unidentified bool
+	client       *Client
+	conn         *conn
 	// written receives the outcome of writing the request.
 	written <-chan error
 	// stop detaches the connection from the request's context. It returns false if the
@@ -141,10 +144,11 @@
 	if err != nil {
 		return fail("read response", err)
 	}
-	if id := resp.Header.Get(r.IDHeader); id != r.ID && (id != "" || cn.reused) {
+	id := resp.Header.Get(r.IDHeader)
+	if id != r.ID && (id != "" || cn.reused) {
 		return fail("read response", errRequestMismatch)
 	}
-	return &Exchange{Response: resp, WrittenAt: writtenAt, client: c, conn: cn, written: written, stop: stop}, nil
+	return &Exchange{Response: resp, WrittenAt: writtenAt, Unidentified: id != r.ID, client: c, conn: cn, written: written, stop: stop}, nil
 }
 
 // cause returns the context's error if the context ended, and err otherwise. A dial
