exchanger: a read deadline ends with its response

Cause: the deadline for the next event of a stream (1.2 s), and that for the rest of a refusal, stayed on the connection. Once it had passed, the check for unread bytes failed, and a sound connection was closed before its next request; new connections to replicas are priced. Change: a connection that is kept has no deadline. Before: TestReadDeadlineEndsWithResponse opens two connections where one is wanted. After: it passes.

--- a/outside/exchanger/exchanger_test.go
+++ b/outside/exchanger/exchanger_test.go
@@ -241,3 +241,20 @@
 		}
 	})
 }
+
+// TestReadDeadlineEndsWithResponse guards against a connection that is given up because a
+// deadline for reading an earlier response has passed since.
+func TestReadDeadlineEndsWithResponse(t *testing.T) {
+	withServer(t, []string{okResponse, okResponse}, func(is *is.I, c *exchanger.Client, address string, s *server) {
+		e, err := c.Do(t.Context(), address, request("1"))
+		is.NoErr(err)
+		e.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err = io.ReadAll(e)
+		is.NoErr(err)
+		e.Close()
+		time.Sleep(100 * time.Millisecond)
+		_, err = do(c, address, "2")
+		is.NoErr(err)
+		is.Equal(s.conns, 1)
+	})
+}
--- a/outside/exchanger/pool.go
+++ b/outside/exchanger/pool.go
@@ -69,6 +69,7 @@
 		_ = cn.Close()
 		return
 	}
+	_ = cn.SetDeadline(time.Time{}) // a later one would make the connection look unusable
 	cn.reused = true
 	cn.idleSince = time.Now()
 	cn.idleTimeout = min(maxIdleTimeout, peerIdleTimeout(h))
