exchanger: the tests count connections without a race

TestRequestWithoutIDGetsNewConnection, which reads the count between requests, failed once with -race: the stand-in server counted its connections in a plain int. The count is atomic now, in the old tests too; what they require is unchanged.

--- a/outside/exchanger/endless_test.go
+++ b/outside/exchanger/endless_test.go
@@ -125,7 +125,7 @@
 			is.NoErr(err)
 			is.Equal(body, "ok")
 		}
-		is.Equal(s.conns, 1)
+		is.Equal(int(s.conns.Load()), 1)
 	})
 }
 
--- a/outside/exchanger/exchanger_test.go
+++ b/outside/exchanger/exchanger_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 type server struct {
 	net.Listener
 	// conns is the number of accepted connections.
-	conns int
+	conns atomic.Int32
 }
 
 // withServer runs f with a client and the address of a server on loopback that
@@ -50,7 +51,7 @@
 			if err != nil {
 				return
 			}
-			s.conns++
+			s.conns.Add(1)
 			go respond(conn, next)
 		}
 	}()
@@ -102,7 +103,7 @@
 			is.NoErr(err)
 			is.Equal(got, "ok")
 		}
-		is.Equal(s.conns, 1)
+		is.Equal(int(s.conns.Load()), 1)
 	})
 }
 
@@ -127,7 +128,7 @@
 				got, err = do(c, address, "2")
 				is.NoErr(err)
 				is.Equal(got, "ok")
-				is.Equal(s.conns, 2)
+				is.Equal(int(s.conns.Load()), 2)
 			})
 		})
 	}
@@ -219,7 +220,7 @@
 		e, err := c.Do(context.Background(), address, r)
 		is.NoErr(err)
 		e.Close()
-		is.Equal(s.conns, 2)
+		is.Equal(int(s.conns.Load()), 2)
 	})
 }
 
@@ -255,6 +256,6 @@
 		time.Sleep(100 * time.Millisecond)
 		_, err = do(c, address, "2")
 		is.NoErr(err)
-		is.Equal(s.conns, 1)
+		is.Equal(int(s.conns.Load()), 1)
 	})
 }
--- a/outside/exchanger/latecopy_test.go
+++ b/outside/exchanger/latecopy_test.go
@@ -39,7 +39,7 @@
 					is.NoErr(err)
 					is.Equal(got, "ok")
 				}
-				is.Equal(s.conns, c.conns)
+				is.Equal(int(s.conns.Load()), c.conns)
 			})
 		})
 	}
@@ -54,7 +54,7 @@
 			_, err := do(client, address, fmt.Sprint(i))
 			is.NoErr(err)
 		}
-		is.Equal(s.conns, 3) // 512 on each of the first two
+		is.Equal(int(s.conns.Load()), 3) // 512 on each of the first two
 	})
 }
 
@@ -65,7 +65,7 @@
 		for i, id := range []string{"1", "", "2", ""} {
 			_, err := do(client, address, id)
 			is.NoErr(err)
-			is.Equal(s.conns, []int{1, 2, 2, 3}[i])
+			is.Equal(int(s.conns.Load()), []int{1, 2, 2, 3}[i])
 		}
 	})
 }
