tracker: the history that is kept for followers is bounded in bytes

Cause: the history was limited to 4,096 changed objects, of whatever size. A writer that writes an object of 1 MiB again and again (the store allows that size) makes every process that follows the store hold up to 4 GB, and end. Change: at most 4 MiB of keys and values are kept as well; who is further behind gets a complete copy, as before.

--- a/outside/tracker/update.go
+++ b/outside/tracker/update.go
@@ -8,9 +8,12 @@
 	"filbertstile.example/filbertstile"
 )
 
-// maxHistoryObjects is the number of changed objects that are kept for processes that
-// follow this copy. A process that is further behind gets a complete copy.
-const maxHistoryObjects = 4096
+// maxHistoryObjects and maxHistoryBytes limit the changed objects that are kept for processes
+// that follow this copy. A process that is further behind gets a complete copy.
+const (
+	maxHistoryObjects = 4096
+	maxHistoryBytes   = 4 << 20
+)
 
 // ErrEraChanged reports a list that the store answered in two eras.
 type ErrEraChanged struct {
@@ -215,12 +218,15 @@
 	}
 }
 
-// trimHistory removes the oldest updates until at most maxHistoryObjects objects are left.
-// The caller holds t.mu.
+// trimHistory removes the oldest updates until the limits hold. The caller holds t.mu.
 func (t *Tracker[T]) trimHistory() {
-	objects := 0
+	objects, size := 0, 0
 	for i := len(t.history) - 1; i >= 0; i-- {
-		if objects += len(t.history[i].Objects); objects > maxHistoryObjects {
+		objects += len(t.history[i].Objects)
+		for _, o := range t.history[i].Objects {
+			size += len(o.Key) + len(o.Value)
+		}
+		if objects > maxHistoryObjects || size > maxHistoryBytes {
 			t.historyFrom = t.history[i].Revision
 			t.history = slices.Clone(t.history[i+1:])
 			return
