tracker: an unreadable object is logged once, and its value is not kept

Cause: an object that cannot be decoded was logged at each write and at each list, so that another writer's object that is written every second fills the log; its value, up to 1 MiB, stayed in the copy and in the history, and was sent to every follower, although nothing can be done with it. Twenty such objects are more than a follower decompresses (20 MiB), and it then follows nobody. On the code before: TestUnreadableObjectIsLoggedOnce 20 lines where 1 is right; TestUnreadableValuesAreNotKept: the values are kept. Change: a key is logged when its object becomes unreadable, and again only after it was readable or removed in between. Only key and revision are kept; followers find an object without a value unreadable too. The rule stays: an unreadable object has no row, whatever was known of it before.

--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -34,8 +34,8 @@
 	Store filbertstile.Store
 	// Prefix is the prefix of the objects' keys, including the slash at its end.
 	Prefix string
-	// Decode decodes an object. An object that cannot be decoded is omitted from the
-	// copy.
+	// Decode decodes an object. An object that cannot be decoded has no row, whatever was
+	// known of it before, until it is written again.
 	Decode func(o filbertstile.Object) (T, error)
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock func() time.Duration
@@ -89,8 +89,10 @@
 	view View[T]
 	// rowKeys maps the keys of objects to the keys of their rows.
 	rowKeys map[string]string
-	// objects are the objects of the copy, by key.
+	// objects are the objects of the copy, by key. Those that cannot be decoded have no value.
 	objects map[string]filbertstile.Object
+	// unreadable are the keys of the objects that cannot be decoded.
+	unreadable map[string]bool
 	// history holds all changes after the revision historyFrom.
 	history     []Update
 	historyFrom uint64
@@ -114,8 +116,8 @@
 		c.OnChange = func() {}
 	}
 	return &Tracker[T]{
-		config: c, rowKeys: make(map[string]string), objects: make(map[string]filbertstile.Object), changed: make(chan struct{}),
-		reading: true, readingChanged: make(chan struct{}), maxRetryDelay: maxRetryDelay,
+		config: c, rowKeys: make(map[string]string), objects: make(map[string]filbertstile.Object), unreadable: make(map[string]bool),
+		changed: make(chan struct{}), reading: true, readingChanged: make(chan struct{}), maxRetryDelay: maxRetryDelay,
 	}
 }
 
@@ -273,13 +275,13 @@
 	return t.replace(Update{Era: first.Era, Revision: first.Revision, Complete: true, Objects: objects}, sentAt, sentAt)
 }
 
-func (t *Tracker[T]) decode(o filbertstile.Object) (T, bool) {
-	row, err := t.config.Decode(o)
-	if err != nil {
+// recordUnreadable logs that the object cannot be decoded, unless the one before could not
+// either. The caller holds t.mu.
+func (t *Tracker[T]) recordUnreadable(o filbertstile.Object, err error) {
+	if !t.unreadable[o.Key] {
+		t.unreadable[o.Key] = true
 		t.config.Log.Event(reporter.ObjectUnreadable, reporter.Fields{"Key": o.Key, "Revision": o.Version, "Error": err})
-		return row, false
 	}
-	return row, true
 }
 
 // watch waits for changes and applies them, and reports whether there were any.
--- a/outside/tracker/unreadable_test.go
+++ b/outside/tracker/unreadable_test.go
@@ -1,9 +1,11 @@
 package tracker_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -33,6 +35,75 @@
 	}), &out
 }
 
+// TestUnreadableObjectIsLoggedOnce guards against a log line for each write and each list of an
+// object that stays unreadable.
+func TestUnreadableObjectIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newStore()
+		s.set("a", "unreadable")
+		x, log := newTestTracker(s)
+		done := make(chan struct{})
+		go func() { x.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
+		for i := range 20 {
+			s.set("a", fmt.Sprintf("unreadable %d", i))
+			settle()
+		}
+		s.dropHistory()
+		s.set("b", "unreadable")
+		settle()
+		time.Sleep(2 * watchTimeout)
+		lines := func(key string) int { return strings.Count(log.String(), key) }
+		synctest.Wait()
+		is.Equal(lines("Key=kind/a"), 1)
+		is.Equal(lines("Key=kind/b"), 1)
+		s.set("a", "1")
+		settle()
+		s.set("a", "unreadable")
+		settle()
+		s.set("b", "")
+		settle()
+		s.set("b", "unreadable")
+		settle()
+		is.Equal(lines("Key=kind/a"), 2) // it was readable in between
+		is.Equal(lines("Key=kind/b"), 2) // it is another object of that name
+	})
+}
+
+// TestUnreadableValuesAreNotKept guards against memory for the values of objects that cannot be
+// decoded, in the copy, in its history and in the updates for other processes.
+func TestUnreadableValuesAreNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newStore()
+		s.set("a", "unreadable")
+		x, _ := newTestTracker(s)
+		done := make(chan struct{})
+		go func() { x.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
+		settle()
+		listed := x.View().Revision
+		s.set("b", "unreadable")
+		s.set("c", "1")
+		settle()
+		for _, u := range []tracker.Update{x.Since(0, 0), x.Since(0, listed)} {
+			is.True(len(u.Objects) >= 2)
+			for _, o := range u.Objects {
+				is.Equal(len(o.Value) > 0, o.Key == "kind/c")
+			}
+			follower, _ := newTestTracker(nil)
+			is.True(follower.Follow(tracker.Update{Complete: true, Revision: 1}, 0))
+			u.From = 0
+			is.True(follower.Follow(u, 0))
+			is.Equal(follower.View().Revision, x.View().Revision)
+			is.Equal(follower.View().Rows.Len(), 1)
+		}
+	})
+}
+
 // TestHistoryIsBoundedInBytes guards against memory without limit while large objects are
 // written again and again.
 func TestHistoryIsBoundedInBytes(t *testing.T) {
--- a/outside/tracker/update.go
+++ b/outside/tracker/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -127,12 +128,17 @@
 	var rows []T
 	rowKeys := make(map[string]string)
 	objects := make(map[string]filbertstile.Object, len(u.Objects))
+	failures := make(map[string]error)
 	for _, o := range u.Objects {
-		objects[o.Key] = o
-		if row, ok := t.decode(o); ok {
+		row, err := t.config.Decode(o)
+		if err != nil {
+			failures[o.Key] = err
+			o.Value = nil
+		} else {
 			rows = append(rows, row)
 			rowKeys[o.Key] = row.Key()
 		}
+		objects[o.Key] = o
 	}
 	t.mu.Lock()
 	old := t.view
@@ -150,6 +156,10 @@
 		time.AfterFunc(t.config.KeepMissing, t.dropMissing)
 	}
 	t.view, t.rowKeys, t.objects = next, rowKeys, objects
+	maps.DeleteFunc(t.unreadable, func(key string, _ bool) bool { return failures[key] == nil })
+	for key, err := range failures {
+		t.recordUnreadable(objects[key], err)
+	}
 	t.history, t.historyFrom = nil, u.Revision
 	t.recordConfirmation()
 	t.notifyChanged()
@@ -199,10 +209,12 @@
 	}
 	changed := u.Revision > v.Revision && len(u.Objects) > 0
 	if changed {
+		kept := make([]filbertstile.Object, 0, len(u.Objects))
 		for _, o := range u.Objects {
-			v.Rows = t.applyObject(v.Rows, o)
+			v.Rows, o = t.applyObject(v.Rows, o)
+			kept = append(kept, o)
 		}
-		u.From = v.Revision
+		u.From, u.Objects = v.Revision, kept
 		t.history = append(t.history, u)
 		t.trimHistory()
 	}
@@ -234,26 +246,33 @@
 	}
 }
 
-// applyObject applies one change. An object that can no longer be decoded is removed, as it
-// describes nothing that can be used. The caller holds t.mu.
-func (t *Tracker[T]) applyObject(rows filbertstile.Table[T], o filbertstile.Object) filbertstile.Table[T] {
-	if o.Removed {
-		delete(t.objects, o.Key)
-	} else {
-		t.objects[o.Key] = o
-		if row, ok := t.decode(o); ok {
-			if oldKey, known := t.rowKeys[o.Key]; known && oldKey != row.Key() {
+// applyObject applies one change, and returns what is kept of it. An object that can no longer
+// be decoded is removed, as it describes nothing that can be used; nor does anything need its
+// value, which may be large. The caller holds t.mu.
+func (t *Tracker[T]) applyObject(rows filbertstile.Table[T], o filbertstile.Object) (filbertstile.Table[T], filbertstile.Object) {
+	oldKey, known := t.rowKeys[o.Key]
+	if !o.Removed {
+		row, err := t.config.Decode(o)
+		if err == nil {
+			if known && oldKey != row.Key() {
 				rows = rows.Without(oldKey)
 			}
-			t.rowKeys[o.Key] = row.Key()
-			return rows.With(row)
+			t.objects[o.Key], t.rowKeys[o.Key] = o, row.Key()
+			delete(t.unreadable, o.Key)
+			return rows.With(row), o
 		}
+		t.recordUnreadable(o, err)
+		o.Value = nil
+		t.objects[o.Key] = o
+	} else {
+		delete(t.objects, o.Key)
+		delete(t.unreadable, o.Key)
 	}
-	if oldKey, known := t.rowKeys[o.Key]; known {
+	if known {
 		delete(t.rowKeys, o.Key)
-		return rows.Without(oldKey)
+		rows = rows.Without(oldKey)
 	}
-	return rows
+	return rows, o
 }
 
 // notifyChanged wakes the processes that follow this copy. The caller holds t.mu.
