filbertstile: numbers from outside become durations within a range

Cause: a float64 beyond the range of time.Duration converts to the largest value on arm64 and to the smallest (negative) on x86-64; NaN, as X-Deadline-Ms may say, to 0 on one and negative on the other. A cold time of 1e308, an engine's read rate of nearly 0 or a stride of 1e18 gave estimates of either sign. Change: DurationOf clamps to a year either way, so that sums and small multiples stay in range, and takes NaN as 0. The number of entries that share a cold limit is clamped in the same way. Ruled out: limits that replicas name (a lowest rate of 0.25 bounds the waits).

--- a/decisions/distributor/decide.go
+++ b/decisions/distributor/decide.go
@@ -221,7 +221,7 @@
 	}
 	// A late tick may make up for one chunk, so that the tick interval does not lower
 	// the rate.
-	interval := time.Duration(float64(t.manifest.Chunks[index].Size) / rate * float64(time.Second))
+	interval := filbertstile.DurationOf(float64(t.manifest.Chunks[index].Size)/rate, time.Second)
 	if t.nextImport.Before(now.Add(-interval)) {
 		t.nextImport = now.Add(-interval)
 	}
--- a/decisions/placer/cold.go
+++ b/decisions/placer/cold.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Shares of the limit on requests to cold replicas that are used; the rest is a safety
 // margin. While a replica is new, coldLimitGroupShare is the share of its group if there are
@@ -47,7 +50,7 @@
 	}
 	// Each entry may send one request at least, so that no more of them share the limit.
 	limit *= coldLimitOthersShare
-	entries = max(1, int(limit))
+	entries = max(1, int(min(limit, math.MaxInt32)))
 	return limit, entries, p.senderRank(r) < entries
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -89,7 +89,8 @@
 // EventInterval returns the time between two events of a stream while the engine
 // generates output for the given number of requests.
 func (e EngineSpec) EventInterval(requests int) time.Duration {
-	return time.Duration(max(1, e.StepsPerEvent)) * (e.StepTime + time.Duration(requests)*e.StepTimePerRequest)
+	step := float64(e.StepTime) + float64(requests)*float64(e.StepTimePerRequest)
+	return DurationOf(float64(max(1, e.StepsPerEvent))*step, 1)
 }
 
 // PrefillTime returns the time that the engine takes to read the prompt tokens;
@@ -98,7 +99,7 @@
 	if e.PrefillTokensPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / e.PrefillTokensPerSecond * float64(time.Second))
+	return DurationOf(float64(tokens)/e.PrefillTokensPerSecond, time.Second)
 }
 
 // PoolSpec describes the replicas of a service.
