matcher: the sum of a route's weights does not overflow

Cause: the weights of a route's targets come from the store and are added up. A sum beyond the range becomes negative or 0. On the code before: TestHugeWeightsKeepTheirShares, weights 2^63-1, 2^63-1, 2: 1,000 of 1,000 requests get no target. Change: a weight counts up to the largest int divided by the number of targets.

--- a/decisions/matcher/matcher.go
+++ b/decisions/matcher/matcher.go
@@ -2,6 +2,7 @@
 package matcher
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -72,16 +73,19 @@
 // target has weight. The hash of the request ID determines the target, in proportion
 // to the weights.
 func ChooseService(r filbertstile.Route, requestID string) string {
+	// The sum of all weights must not overflow.
+	limit := math.MaxInt / max(1, len(r.Targets))
+	weight := func(t filbertstile.Target) int { return min(max(0, t.Weight), limit) }
 	total := 0
 	for _, t := range r.Targets {
-		total += max(0, t.Weight)
+		total += weight(t)
 	}
 	if total == 0 {
 		return ""
 	}
 	position := int(xxhash.Sum64String(requestID) % uint64(total))
 	for _, t := range r.Targets {
-		position -= max(0, t.Weight)
+		position -= weight(t)
 		if position < 0 {
 			return t.Service
 		}
--- a/decisions/matcher/matcher_test.go
+++ b/decisions/matcher/matcher_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -86,3 +88,29 @@
 	is.True(two > 850 && two < 1150)
 	is.Equal(matcher.ChooseService(filbertstile.Route{}, "1"), "")
 }
+
+// TestHugeWeightsKeepTheirShares guards against a sum of weights that overflows, so that requests
+// go to one target, or to none.
+func TestHugeWeightsKeepTheirShares(t *testing.T) {
+	for _, weights := range [][]int{
+		{math.MaxInt, math.MaxInt}, {math.MaxInt, math.MaxInt, 2}, {math.MinInt, 1, 1}, {math.MaxInt/2 + 1, math.MaxInt/2 + 1},
+	} {
+		t.Run(fmt.Sprint(weights), func(t *testing.T) {
+			is := is.New(t)
+			r := filbertstile.Route{}
+			for i, w := range weights {
+				r.Targets = append(r.Targets, filbertstile.Target{Service: fmt.Sprint(i), Weight: w})
+			}
+			chosen := make(map[string]int)
+			for i := range 1000 {
+				chosen[matcher.ChooseService(r, fmt.Sprint(i))]++
+			}
+			is.Equal(chosen[""], 0)
+			for i, w := range weights {
+				if w == slices.Max(weights) {
+					is.True(chosen[fmt.Sprint(i)] > 400)
+				}
+			}
+		})
+	}
+}
