peerrunner: the largest version ends no loop

Cause: a host passes over the versions up to the chosen one with an index that overflows after 2^63-1; the loop then never ends, and the host fetches nothing more. Any writer of versions/MODEL, or a process that hands such a version on, can name it. On the code before: TestLargestVersionIsHeld: versionsToHold does not return within 5 s. Change: the loop counts back from the chosen version.

--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -14,10 +14,10 @@
 // order.
 func (p *Peer) versionsToHold(w filbertstile.WeightsVersion) []distributor.Want {
 	var out []distributor.Want
-	for v := max(1, w.Version-keptVersions+1); v <= w.Version; v++ {
-		version := filbertstile.WeightsVersion{Model: w.Model, Version: v}
+	for age := min(keptVersions, w.Version) - 1; age >= 0; age-- {
+		version := filbertstile.WeightsVersion{Model: w.Model, Version: w.Version - age}
 		digest, ok := p.weightSource.digest(version)
-		if ok && (v == w.Version || p.holdsAllChunks(digest) || p.worthFetching(version, digest)) {
+		if ok && (age == 0 || p.holdsAllChunks(digest) || p.worthFetching(version, digest)) {
 			out = append(out, distributor.Want{Release: version.Model, Manifest: digest})
 		}
 	}
--- a/shells/peerrunner/versions_test.go
+++ b/shells/peerrunner/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/distributor"
 	"filbertstile.example/filbertstile/outside/tracker"
 )
 
@@ -34,3 +36,25 @@
 		is.Equal(time.Since(wanted[0].LearnedAt), 5*time.Second)
 	})
 }
+
+// TestLargestVersionIsHeld guards against a loop without end over the versions up to the largest
+// number, which any process of the system may report as chosen.
+func TestLargestVersionIsHeld(t *testing.T) {
+	is := is.New(t)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := reporter.New(reporter.Config{Logger: logger})
+	for _, newest := range []int64{math.MaxInt64, 1, 2} {
+		p := New(Config{Clock: func() time.Duration { return 0 }, Log: log})
+		w := filbertstile.WeightsVersion{Model: "m", Version: newest}
+		p.weightSource.digests[w] = "digest"
+		done := make(chan []distributor.Want, 1)
+		go func() { done <- p.versionsToHold(w) }()
+		select {
+		case wants := <-done:
+			is.Equal(wants[len(wants)-1], distributor.Want{Release: "m", Manifest: "digest"})
+		case <-time.After(5 * time.Second):
+			t.Fatal("versionsToHold does not return")
+		}
+	}
+}
