edgerunner: heartbeats name only versions of models that engines run

Cause: an entry's heartbeats carry every version that objects in the store name. One object versions/NAME with a model's name of 50 KB, or a thousand small ones, make each heartbeat larger than the 32 KiB that receivers read: entries and hosts no longer hear this entry, and since all entries read the same objects, none hears any other. On the code before: TestOddVersionsLeaveRoomInHeartbeats: the versions take more than 1 MiB where 1 KiB is allowed. Change: once the routing is known, only models of its engines are sent. Nothing uses the others.

--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -121,17 +121,25 @@
 
 // weightsToSend returns the versions of the weights to announce in heartbeats: the latest
 // chosen version of each model, and the versions with a known manifest that are at most one
-// older.
+// older. Once the routing is known, only those of models that its engines run: anyone may have
+// named others, and a heartbeat has little room.
 func (e *Edge) weightsToSend() []*wire.WeightsVersion {
+	runs := e.engineModels()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var out []*wire.WeightsVersion
 	for w, manifest := range e.manifestDigests {
+		if !runs(w.Model) {
+			continue
+		}
 		if list := e.chosenVersions[w.Model]; len(list) == 0 || w.Version+1 >= list[len(list)-1].version {
 			out = append(out, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: manifest})
 		}
 	}
 	for model, list := range e.chosenVersions {
+		if !runs(model) {
+			continue
+		}
 		w := filbertstile.WeightsVersion{Model: model, Version: list[len(list)-1].version}
 		if e.manifestDigests[w] == "" {
 			out = append(out, &wire.WeightsVersion{Model: w.Model, Version: w.Version})
@@ -140,6 +148,22 @@
 	return out
 }
 
+// engineModels returns a function that reports whether an engine of the routing runs the model.
+// While no routing is known, any may.
+func (e *Edge) engineModels() func(model string) bool {
+	m := e.matcher.Load()
+	if m == nil {
+		return func(string) bool { return true }
+	}
+	models := make(map[string]bool)
+	for _, s := range m.Routing().Pools.All() {
+		if s.Engine != nil {
+			models[s.Engine.Model] = true
+		}
+	}
+	return func(model string) bool { return models[model] }
+}
+
 // directHosts returns the names of the hosts whose heartbeats this entry receives.
 func (e *Edge) directHosts() []string {
 	members := e.sources.Members.View().Rows
--- a/shells/edgerunner/versions_test.go
+++ b/shells/edgerunner/versions_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"filbertstile.example/filbertstile/base/wire"
 	"filbertstile.example/filbertstile/decisions/placer"
@@ -53,3 +56,26 @@
 		}
 	})
 }
+
+// TestOddVersionsLeaveRoomInHeartbeats guards against heartbeats that are too large to be sent, as
+// versions are named of models that no engine runs.
+func TestOddVersionsLeaveRoomInHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newNewsEntry(newNewsStore())
+		versions := []*wire.WeightsVersion{{Model: "m", Version: 2, Manifest: "digest"}, {Model: strings.Repeat("x", 1<<20), Version: 1}}
+		for i := range 1000 {
+			versions = append(versions, &wire.WeightsVersion{Model: fmt.Sprintf("odd-model-%d", i), Version: 1, Manifest: strings.Repeat("d", 64)})
+		}
+		e.recordReportedVersions("entry-2", versions)
+		e.learnManifests(versions)
+		size := 0
+		sent := make(map[string]bool)
+		for _, w := range e.weightsToSend() {
+			size += proto.Size(w)
+			sent[fmt.Sprint(w.GetModel(), " ", w.GetVersion(), " ", w.GetManifest())] = true
+		}
+		is.True(size < 1<<10)
+		is.True(sent["m 2 digest"])
+	})
+}
