tracker: a list whose pages do not advance ends

Cause: the next page of a list is asked for after the name of the last object. If that has no readable name, the list begins anew within itself, and its objects are collected until the memory is full. The store writes the metadata itself, so that this takes a fault of the store or on the way. On the code before: TestListWithoutProgressEnds: panic: test timed out after 5s (the list never returns). Change: such a page is an ErrUnreadable (moved to the root package, as the tracker reports it too); the list is tried again with the usual delays.

--- a/errors.go
+++ b/errors.go
@@ -122,3 +122,19 @@
 func (e ErrHistoryGone) Error() string {
 	return fmt.Sprintf("%s: peer %q: the history from the requested revision is no longer available", e.Step, e.Peer)
 }
+
+// ErrUnreadable reports a response of a peer that cannot be read as a whole, so that none
+// of its parts can be told from the others.
+type ErrUnreadable struct {
+	Step  string
+	Peer  string
+	Cause error
+}
+
+// Error returns a message with the step, the peer and the cause.
+func (e ErrUnreadable) Error() string {
+	return fmt.Sprintf("%s: peer %s: unreadable response: %v", e.Step, e.Peer, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrUnreadable) Unwrap() error { return e.Cause }
--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -248,6 +248,9 @@
 	}
 }
 
+// errNoProgress reports a page of a list after which the next one cannot be asked for.
+var errNoProgress = errors.New("the page ends with an object without a name, or where it began")
+
 // list replaces the copy. If the list has several pages, the copy gets the revision of
 // the first, so that the next watch returns all changes made meanwhile.
 func (t *Tracker[T]) list(ctx context.Context) error {
@@ -270,7 +273,11 @@
 		if !b.More {
 			break
 		}
-		after = strings.TrimPrefix(b.Objects[len(b.Objects)-1].Key, t.config.Prefix)
+		next := strings.TrimPrefix(b.Objects[len(b.Objects)-1].Key, t.config.Prefix)
+		if next == "" || next == after {
+			return filbertstile.ErrUnreadable{Step: "list objects", Peer: t.config.Prefix, Cause: errNoProgress}
+		}
+		after = next
 	}
 	return t.replace(Update{Era: first.Era, Revision: first.Revision, Complete: true, Objects: objects}, sentAt, sentAt)
 }
--- a/outside/tracker/unreadable_test.go
+++ b/outside/tracker/unreadable_test.go
@@ -124,3 +124,45 @@
 	is.True(!x.Since(0, 98).Complete)
 	is.True(x.Since(0, 2).Complete)
 }
+
+// oddStore is a store whose watches cannot be read, and whose pages do not advance if stuck.
+type oddStore struct {
+	*store
+	unreadableWatches, stuck bool
+}
+
+func (s *oddStore) Watch(ctx context.Context, prefix string, after uint64) (filbertstile.Batch, error) {
+	b, err := s.store.Watch(ctx, prefix, after)
+	if s.unreadableWatches && len(b.Objects) > 0 {
+		return filbertstile.Batch{}, filbertstile.ErrUnreadable{Step: "watch objects"}
+	}
+	return b, err
+}
+
+func (s *oddStore) List(ctx context.Context, prefix, after string) (filbertstile.Batch, error) {
+	b, err := s.store.List(ctx, prefix, after)
+	if s.stuck {
+		b.More = true
+	}
+	return b, err
+}
+
+// TestListWithoutProgressEnds guards against a list whose pages do not advance, which would fill
+// the memory.
+func TestListWithoutProgressEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &oddStore{store: newStore(), stuck: true}
+		s.set("a", "1")
+		x, log := newTestTracker(s)
+		done := make(chan struct{})
+		go func() { x.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		is.True(!x.View().Listed)
+		is.True(s.lists < 100)
+		is.Equal(strings.Count(log.String(), "StoreOutOfReach"), 1)
+	})
+}
