tracker: after a watch that cannot be read, the objects are listed

Cause: a watch whose answer is no JSON, or whose events cannot be told apart, was tried again from the same revision, with the same answer for as long as the store keeps that history; the copy grew old meanwhile. On the code before: TestUnreadableWatchIsFollowedByList: the object written is not known after two watch timeouts, and the age of the copy grows. Change: after ErrUnreadable, and the usual delay, the objects are listed; the next watch begins at the list's revision. A list that cannot be read is tried again with the usual delays (50 to 400 ms, or what the sharer sets), and the old copy ages.

--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -172,6 +172,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		var unreadable filbertstile.ErrUnreadable
+		if errors.As(err, &unreadable) {
+			// The same watch would return the same. A list has other content and smaller pages.
+			listed = false
+		}
 		t.recordFailure(err)
 		limit := t.retryLimit()
 		delay = max(delay, limit/initialRetryDivisor)
--- a/outside/tracker/unreadable_test.go
+++ b/outside/tracker/unreadable_test.go
@@ -147,6 +147,29 @@
 	return b, err
 }
 
+// TestUnreadableWatchIsFollowedByList guards against a copy that ages as long as the store has the
+// history with an event that cannot be told from its neighbours.
+func TestUnreadableWatchIsFollowedByList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &oddStore{store: newStore(), unreadableWatches: true}
+		x, log := newTestTracker(s)
+		done := make(chan struct{})
+		go func() { x.Run(ctx); close(done) }()
+		defer func() { cancel(); <-done }()
+		settle()
+		s.set("a", "1")
+		time.Sleep(2 * watchTimeout)
+		synctest.Wait()
+		is.Equal(x.View().Rows.Len(), 1)
+		age, _ := x.Age()
+		is.True(age <= watchTimeout+100*time.Millisecond)
+		is.True(s.lists <= 3) // not again and again
+		is.Equal(strings.Count(log.String(), "StoreOutOfReach"), 1)
+	})
+}
+
 // TestListWithoutProgressEnds guards against a list whose pages do not advance, which would fill
 // the memory.
 func TestListWithoutProgressEnds(t *testing.T) {
