requester: a response that is too large is unreadable

Cause: a watch returns all changes since a revision; nine writes of 1 MiB exceed the 8 MiB that a process reads. The error looked like one of the connection, so that the same watch was tried again for as long as the store keeps the history, and the copy aged. On the code before: TestTooManyEventsAreListed fails: the error is not ErrUnreadable.

--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -199,7 +199,8 @@
 }
 
 // Do makes the call and reads the complete response. It returns as soon as the context
-// ends, although fasthttp keeps waiting for a response until the call's deadline.
+// ends, although fasthttp keeps waiting for a response until the call's deadline. A response
+// that is too large is an ErrUnreadable.
 func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
 	if err := ctx.Err(); err != nil {
 		return Response{}, fmt.Errorf("%s: peer %s: %w", call.Step, c.address, err)
@@ -215,6 +216,9 @@
 	}()
 	select {
 	case o := <-done:
+		if errors.Is(o.err, fasthttp.ErrBodyTooLarge) {
+			return Response{}, filbertstile.ErrUnreadable{Step: call.Step, Peer: c.address, Cause: o.err}
+		}
 		if o.err != nil {
 			return Response{}, fmt.Errorf("%s: peer %s: %w", call.Step, c.address, o.err)
 		}
