--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -115,7 +115,7 @@
 	{PushIncomplete, "PushIncomplete", "config", logrus.WarnLevel, "An accepted change was pushed directly to at most half of the relays.", "Use watch to see where it is not in force."},
 	{SnapshotFailed, "SnapshotFailed", "config", logrus.WarnLevel, "The configuration snapshot could not be written; the change log grows until the next snapshot succeeds.", "Check the object API."},
 	{HistoryGone, "HistoryGone", "config", logrus.InfoLevel, "The store no longer keeps the history from which a watch started; the objects are listed again.", noAction},
-	{ObjectUnreadable, "ObjectUnreadable", "config", logrus.WarnLevel, "An object of the store cannot be decoded and is ignored.", "Check the object and its writer."},
+	{ObjectUnreadable, "ObjectUnreadable", "config", logrus.WarnLevel, "An object of the store cannot be decoded and counts as absent; logged once until it can be decoded or is removed.", "Check the object and its writer."},
 	{StoreEraChanged, "StoreEraChanged", "config", logrus.WarnLevel, "The store has come back from an older copy of its data; the objects are listed again.", "Check what was written in the seconds before."},
 	{SourceChanged, "SourceChanged", "config", logrus.InfoLevel, "The process now reads the store itself, or follows the copy of the process in the log line.", noAction},
 	{SettingsReloaded, "SettingsReloaded", "process", logrus.InfoLevel, "The settings file was reloaded after SIGHUP.", noAction},
