edgerunner: a test that an unreadable configuration replaces nothing

The routing in use stays while config/main cannot be decoded, goes back, or is gone, from lists and changes alike.

--- a/shells/edgerunner/routing_test.go
+++ b/shells/edgerunner/routing_test.go
@@ -56,3 +56,35 @@
 		is.Equal(admit("k2"), "")
 	})
 }
+
+// TestUnreadableRoutingReplacesNothing guards against an entry that loses its routing, or goes back to
+// an older one, while the configuration cannot be decoded or is gone.
+func TestUnreadableRoutingReplacesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newNewsStore()
+		e := newNewsEntry(s)
+		e.matcher.Store(nil)
+		e.sources.Routing = tracker.New(tracker.Config[filbertstile.Routing]{
+			Clock: s.clock, Prefix: "config/", OnChange: e.Refresh, Log: e.config.Log,
+			Decode: func(o filbertstile.Object) (filbertstile.Routing, error) {
+				n, err := strconv.ParseInt(string(o.Value), 10, 64)
+				return filbertstile.Routing{Version: n}, err
+			},
+		})
+		for i, c := range []struct {
+			value string
+			want  int64
+		}{{"3", 3}, {"[[[", 3}, {"[[", 3}, {"2", 3}, {"", 3}, {"4", 4}} {
+			is.True(e.sources.Routing.Follow(tracker.Update{
+				From: uint64(i), Revision: uint64(i + 1), Complete: i%2 == 0,
+				Objects: []filbertstile.Object{{Key: "config/main", Version: uint64(i + 1), Value: []byte(c.value), Removed: c.value == "" && i%2 != 0}},
+			}, s.clock()))
+			m, _ := e.currentMatcher()
+			is.Equal(m.Routing().Version, c.want)
+			r, ok := e.routing()
+			is.True(ok)
+			is.Equal(r.Version, c.want)
+		}
+	})
+}
