exchanger: a delivered request outlives a silent peer

Cause: the user timeout of 1.5 s, which keeps an undelivered request from reaching a leaving replica late, also ended requests that the replica already had. The kernel applies it to a full receive window (a replica that stops reading a long body), and to the keep-alive probes: one that is not answered within a second ended the connection, so that a host that stood still for 1 to 2 s lost each request that had waited for 2 s or more. A request that must not be repeated got 502.

Ruled out: a longer user timeout for all, as an undelivered request could then reach a replica more than 2 s after it has announced that it leaves; the count of the probes, which the kernel ignores where there is a user timeout.

Change: from 500 ms after the write on, the kernel is asked whether the peer has acknowledged the head; then the timeout is 4.5 s, and the former one again before the connection is reused.

Before: TestPeerPausesInsideRequestBody "read response: unexpected EOF" 1.5 s into the pause, TestPeerPausesAtWork "connection timed out". After: both pass. TestUndeliveredRequestEnds guards the limit for what is not delivered; without the restored timeout it fails.

--- a/outside/exchanger/conn.go
+++ b/outside/exchanger/conn.go
@@ -63,6 +63,11 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle before it must be closed.
 	idleTimeout time.Duration
+	// sentBytes is the size of the earlier requests on the connection.
+	sentBytes int64
+	// userTimeout is the user timeout that the connection had before it was extended; 0 if it
+	// was not.
+	userTimeout time.Duration
 }
 
 // mayCarry reports whether the connection has not carried a request with the ID. A peer may
--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -106,6 +106,8 @@
 	// stop detaches the connection from the request's context. It returns false if the
 	// context has already closed the connection.
 	stop func() bool
+	// delivery is the watch over the delivery of the request.
+	delivery *delivery
 	// complete is true after the entire body has been read.
 	complete bool
 }
@@ -128,8 +130,10 @@
 	cn.carries(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	writtenAt := time.Now()
+	d := watchDelivery(cn, len(head))
 	fail := func(step string, err error) (*Exchange, error) {
 		stop()
+		d.end()
 		_ = cn.Close()
 		return nil, ErrNoResponse{Step: step, Peer: address, Cause: cause(ctx, err), WrittenAt: writtenAt}
 	}
@@ -137,6 +141,7 @@
 	// earlier, which would look as if the peer had failed.
 	_ = cn.SetDeadline(time.Time{})
 	written, err := send(cn, head, r.Body)
+	cn.sentBytes += int64(len(head) + len(r.Body))
 	if err != nil {
 		return fail("send request", err)
 	}
@@ -148,7 +153,7 @@
 	if id != r.ID && (id != "" || cn.reused) {
 		return fail("read response", errRequestMismatch)
 	}
-	return &Exchange{Response: resp, WrittenAt: writtenAt, Unidentified: id != r.ID, client: c, conn: cn, written: written, stop: stop}, nil
+	return &Exchange{Response: resp, WrittenAt: writtenAt, Unidentified: id != r.ID, client: c, conn: cn, written: written, stop: stop, delivery: d}, nil
 }
 
 // cause returns the context's error if the context ended, and err otherwise. A dial
@@ -182,6 +187,7 @@
 // Close ends the exchange. The connection is kept for reuse if the request was
 // written, the response was read completely and the peer keeps the connection open.
 func (e *Exchange) Close() {
+	e.delivery.end()
 	if !e.stop() {
 		return
 	}
@@ -192,6 +198,7 @@
 	select {
 	case err := <-e.written:
 		if err == nil {
+			e.conn.restoreUserTimeout()
 			e.client.putIdle(e.conn, e.Response.Header)
 			return
 		}
