connector: a caller's host may stand still for two seconds

Cause: two keep-alive probes, at 2 and 3 s, ended a caller's connection at 4 s. A pause of a little over a second that covers both was enough to lose the answer of a request of more than 4 s.

Change: three probes. A caller that is gone is noticed after 5 s instead of 4 s while nothing is sent to it; a closed connection is noticed at once, as before.

Before: TestCallerHostPauses "write: connection timed out" after a pause of 2 s. After: passes.

--- a/transport/connector/options.go
+++ b/transport/connector/options.go
@@ -15,10 +15,11 @@
 	// 2 s.
 	userTimeout = 1500 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a peer that is gone in
-	// about 4 s while no data is being sent.
+	// about 5 s while no data is being sent. A peer that is silent for 2 s answers one of the
+	// probes. On outgoing connections the user timeout applies instead of the count.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
 )
 
 // keepAliveConfig configures the keep-alive probes of all connections.
