installer: an order without a response keeps other chunks from being staged

Cause: an engine that is silent for longer than the host waits for its response may still accept the order to load weights, and loads what is staged then. If a newer version was held meanwhile, its chunks replaced those of the order one by one, and the engine loaded a mix of both. Orders of one version were sound: the number of orders that each names lets only one of them in.

Change: for a second after an order without a response, unless the engine reports that it has accepted it, no chunks of another version are staged.

--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -46,6 +46,9 @@
 	maxSkipOutage    = 1500 * time.Millisecond
 	// retryDelay is the delay before a failed step is retried.
 	retryDelay = 300 * time.Millisecond
+	// openOrderTime is how long after an order without a response no chunks of another version
+	// are staged: the engine may still accept it, and loads what is staged then.
+	openOrderTime = time.Second
 )
 
 // EntryMargin is how long before a version must run everywhere entries stop sending
@@ -98,6 +101,11 @@
 	draining          filbertstile.WeightsVersion
 	drainStartedAt    time.Time
 	engineUnreachable bool
+	// openOrder is the version of the last order that got no response, which was given after
+	// openOrders orders; zero if there is none. It may be accepted until openOrderUntil.
+	openOrder      filbertstile.WeightsVersion
+	openOrders     int64
+	openOrderUntil time.Time
 }
 
 // New returns an installer. It does nothing before Run is called.
@@ -244,6 +252,9 @@
 // install stages the chunks that are missing or corrupt at the engine, and orders it to
 // load the version.
 func (i *Installer) install(ctx context.Context, r filbertstile.EngineReport, w Wanted, m filbertstile.Manifest, chunks [][]byte) error {
+	if i.openOrder != w.Weights && i.openOrders == r.Orders && time.Now().Before(i.openOrderUntil) {
+		return nil
+	}
 	for n, ref := range m.Chunks {
 		if err := i.ensureStaged(ctx, w.Weights, n, ref, chunks[n]); err != nil {
 			return err
@@ -254,7 +265,11 @@
 		"Model": w.Weights.Model, "Version": w.Weights.Version, "From": r.Version, "Named": time.Since(w.LearnedAt).String(),
 		"Running": r.Running, "Waiting": r.Waiting, "Orders": r.Orders,
 	})
-	return i.config.Engine.Load(ctx, w.Weights, r.Orders, r.Version > 0 && i.config.MayCancelRunning())
+	err := i.config.Engine.Load(ctx, w.Weights, r.Orders, r.Version > 0 && i.config.MayCancelRunning())
+	if err != nil {
+		i.openOrder, i.openOrders, i.openOrderUntil = w.Weights, r.Orders, time.Now().Add(openOrderTime)
+	}
+	return err
 }
 
 // ensureStaged ensures that a chunk is staged intact at the engine.
--- a/shells/installer/installer_test.go
+++ b/shells/installer/installer_test.go
@@ -102,13 +102,19 @@
 // withInstallerHolding is like withInstaller, but only the chunks of some versions are
 // held.
 func withInstallerHolding(t *testing.T, e *fakeEngine, wanted func() []installer.Wanted, held func(version int64) bool, f func(is *is.I)) {
+	t.Helper()
+	withInstallerOf(t, e, e, wanted, held, f)
+}
+
+// withInstallerOf is like withInstallerHolding, for an engine that is built on e.
+func withInstallerOf(t *testing.T, engine filbertstile.Engine, e *fakeEngine, wanted func() []installer.Wanted, held func(version int64) bool, f func(is *is.I)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		e.staged = make(map[int][]byte)
 		i := installer.New(installer.Config{
-			Engine: e, Log: reporter.New(reporter.Config{Logger: log}), Wanted: wanted,
+			Engine: engine, Log: reporter.New(reporter.Config{Logger: log}), Wanted: wanted,
 			Chunks: func(w filbertstile.WeightsVersion) (filbertstile.Manifest, [][]byte, bool) {
 				var data [][]byte
 				for n := range chunks {
