peerrunner: a silent engine's staged chunks are asked for again

Cause: a host that starts reads the chunks that its engine has staged, once. An error, also that of an engine that did not answer in time, counted as "none are staged", and all chunks were transferred again. The missing chunk has an error of its own, which was not told apart.

Change: after any other error the engine is asked again with the next update.

Before: TestStagedChunksOfSilentEngine "not true: held". After: passes.

--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -323,17 +324,21 @@
 	if manifest == nil {
 		return
 	}
-	p.stagedChunksAdded = true
 	f := p.fetcher.Load()
 	for i, ref := range manifest.Chunks {
 		data, err := p.config.Engine.Staged(ctx, w.Model, i)
+		var missing filbertstile.ErrNotFound
+		if err != nil && !errors.As(err, &missing) {
+			return // the engine is asked again with the next update
+		}
 		if err != nil {
-			return // no chunks are staged
+			break // no chunks are staged
 		}
 		if f.AddChunk(digest, i, ref, data) != nil {
 			continue // the chunk is of another version or corrupt
 		}
 	}
+	p.stagedChunksAdded = true
 }
 
 // liveHosts returns the hosts of the service that entries list as alive, or all that
@@ -377,25 +382,3 @@
 		p.pulser.SendNow()
 	}
 }
-
-// Dump is a dump of a host process.
-type Dump struct {
-	Self filbertstile.Member
-	// Report is the engine's last report; nil if there is none.
-	Report *filbertstile.EngineReport
-	// Wanted is the newest chosen version, and Members are the live hosts.
-	Wanted  filbertstile.WeightsVersion
-	Members []filbertstile.Member
-	// Weights are the transfers of weights.
-	Weights []distributor.Progress
-}
-
-// Dump returns the current state of the process.
-func (p *Peer) Dump() Dump {
-	d := Dump{Self: p.config.Self, Report: p.report.Load(), Members: p.liveHosts()}
-	d.Wanted, _ = p.targetVersion()
-	if f := p.fetcher.Load(); f != nil {
-		d.Weights = f.Progress()
-	}
-	return d
-}
