imitator, faulter: engines fall silent and go on

Cause: an engine of the rigs could fail or be cold, but not be silent for a while and sound.

Change: Engine.FallSilent; the fault EngineSilent, which the matrix injects in each step, last in the list so that the other cells keep their seeds. TestSilentEngineFailsNoRequest asks for more than the matrix: no request may fail or have an unknown outcome.

--- a/rigs/faulter/catalogue.go
+++ b/rigs/faulter/catalogue.go
@@ -60,6 +60,7 @@
 		{"ChunksCorrupt", "the weight store corrupts one chunk in five", corruptChunks},
 		{"WeightsDown", "the weight store is unavailable", takeWeightStoreDown},
 		{"OperatorsRace", "two operators change the same tier concurrently", proposeConcurrently},
+		{"EngineSilent", "an engine sends nothing for two seconds, and goes on", silenceEngine},
 	}
 }
 
@@ -201,6 +202,12 @@
 	h.Engine.SetBroken(false)
 }
 
+func silenceEngine(ctx context.Context, c *Cell) {
+	const silence = 2 * time.Second
+	c.pickHost(modelService).Engine.FallSilent(silence)
+	_ = sleeper.Sleep(ctx, silence)
+}
+
 func corruptChunks(ctx context.Context, c *Cell) {
 	c.Stage.Weights.CorruptOneIn(5)
 	_ = sleeper.Sleep(ctx, faultDuration)
--- a/rigs/faulter/faulter_test.go
+++ b/rigs/faulter/faulter_test.go
@@ -105,3 +105,23 @@
 		})
 	}
 }
+
+// TestSilentEngineFailsNoRequest guards against a request that fails, ends early or has an unknown
+// outcome as an engine sends nothing for a while.
+func TestSilentEngineFailsNoRequest(t *testing.T) {
+	if runInSubprocess(t) {
+		return
+	}
+	faults := faulter.Faults()
+	silent := faults[slices.IndexFunc(faults, func(f faulter.Fault) bool { return f.Name == "EngineSilent" })]
+	for i, step := range faulter.Steps() {
+		t.Run(step.Name, func(t *testing.T) {
+			bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+				v, err := faulter.Run(ctx, step, []faulter.Fault{silent}, uint64(i))
+				if err != nil || v.Violations()+v.Failed+v.Unknown > 0 {
+					t.Errorf("%v: %+v", err, v)
+				}
+			})
+		})
+	}
+}
--- a/rigs/imitator/engine.go
+++ b/rigs/imitator/engine.go
@@ -76,10 +76,12 @@
 	// completed is the number of requests completed since the engine last became cold.
 	completed int
 	// cold is true while the engine warms up; see concurrencyLimit.
-	cold      bool
-	broken    bool
-	overloads int
-	journal   []Execution
+	cold   bool
+	broken bool
+	// silentUntil is the end of the latest silence.
+	silentUntil time.Time
+	overloads   int
+	journal     []Execution
 	// cancelled holds the IDs of cancelled requests.
 	cancelled map[string]bool
 	// seq is the sequence number of the request that was queued last.
@@ -130,6 +132,21 @@
 	e.broken = broken
 }
 
+// FallSilent makes the engine send nothing for the given time, and go on afterwards.
+func (e *Engine) FallSilent(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silentUntil = time.Now().Add(d)
+}
+
+// awaitSilence waits until the engine is not silent.
+func (e *Engine) awaitSilence() {
+	e.mu.Lock()
+	left := time.Until(e.silentUntil)
+	e.mu.Unlock()
+	time.Sleep(left)
+}
+
 // Serve serves requests until the context ends.
 func (e *Engine) Serve(ctx context.Context, l net.Listener) error {
 	return responder.Serve(ctx, l, responder.Config{
@@ -138,6 +155,7 @@
 }
 
 func (e *Engine) handle(rc *fasthttp.RequestCtx) {
+	e.awaitSilence()
 	switch string(rc.Path()) {
 	case "/state":
 		responder.WriteJSON(rc, fasthttp.StatusOK, e.state())
@@ -276,6 +294,7 @@
 		}
 		for i := offset; i < in.MaxTokens; i++ {
 			time.Sleep(e.config.TokenDelay)
+			e.awaitSilence()
 			if e.shouldAbort(id) {
 				return
 			}
