tracker: an empty watch confirms only what its reader saw

Cause: an answer without changes counted as of the watch's timeout whenever it was read at or after the timeout. A store that ends a watch early, and a process that reads the answer late, confirmed the copy as of a time at which the store might already have had a newer revision. The reader does not know when bytes arrived while it stood still, and the store's pages name nothing in the answer that says how long it waited.

Change: near the end of a watch the tracker notes when the process ran and still had no answer. The copy is confirmed as of the timeout only if that was at most 0.1 s before it and the answer was read at most 0.5 s after it; after a late answer, or without such a note, as of the time at which the watch was sent; in between as of the note and 0.1 s.

Left: an answer that is sent early and is on its way until the end of the watch.

TestEarlyAnswerThatArrivesLate failed always and passes, unchanged; TestEarlyAnswerReadAfterPause is new, four of its seven cases fail on the code before.

--- a/outside/tracker/absence_test.go
+++ b/outside/tracker/absence_test.go
@@ -136,3 +136,77 @@
 		synctest.Wait()
 	})
 }
+
+// pausingStore answers the first watch without events, and no other one. Its clock jumps once, as
+// when the process stands still; timers do not count the time.
+type pausingStore struct {
+	filbertstile.Store
+	started time.Time
+	// answersAfter is the time by the store's clock, pauseAt and pause are when and how long
+	// the process stands still.
+	answersAfter, pauseAt, pause time.Duration
+	watches                      int
+}
+
+func (s *pausingStore) clock() time.Duration {
+	running := time.Since(s.started)
+	if running >= s.pauseAt {
+		running += s.pause
+	}
+	return running
+}
+
+func (s *pausingStore) List(context.Context, string, string) (filbertstile.Batch, error) {
+	return filbertstile.Batch{Revision: 1}, nil
+}
+
+func (s *pausingStore) Watch(ctx context.Context, _ string, _ uint64) (filbertstile.Batch, error) {
+	if s.watches++; s.watches > 1 {
+		<-ctx.Done()
+	}
+	for s.clock() < s.answersAfter && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return filbertstile.Batch{Revision: 1}, ctx.Err()
+}
+
+// TestEarlyAnswerReadAfterPause guards against a watch that the store ended early, and whose answer
+// the process read around the timeout because it had stood still meanwhile; and against a slow store
+// that costs confirmations.
+func TestEarlyAnswerReadAfterPause(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name                         string
+		answersAfter, pauseAt, pause time.Duration
+		// want is the time as of which the copy is confirmed; the watch was sent at 0.
+		want time.Duration
+	}{
+		{"read at the timeout", 100 * ms, 50 * ms, 950 * ms, 0},
+		{"read after the timeout", 100 * ms, 50 * ms, 1200 * ms, 0},
+		{"paused over the timeout", 1004 * ms, 500 * ms, 900 * ms, 0},
+		// An error of up to 0.1 s is allowed.
+		{"paused soon before the timeout", 890 * ms, 880 * ms, 200 * ms, 900 * ms},
+		{"no pause", 1004 * ms, time.Hour, 0, watchTimeout},
+		{"slow store", 1350 * ms, time.Hour, 0, watchTimeout},
+		{"early, no pause", 990 * ms, time.Hour, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				s := &pausingStore{started: time.Now(), answersAfter: c.answersAfter, pauseAt: c.pauseAt, pause: c.pause}
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				x := tracker.New(tracker.Config[row]{Store: s, Prefix: "kind/", WatchTimeout: watchTimeout, Clock: s.clock, Log: reporter.New(reporter.Config{Logger: log})})
+				go x.Run(ctx)
+				synctest.Wait()
+				_, changed := x.Position()
+				<-changed
+				pos, _ := x.Position()
+				is.Equal(pos.ConfirmedAt, c.want)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -72,7 +72,8 @@
 	Era      uint64
 	// ConfirmedAt is the latest time, on Config.Clock, at which the copy is known to have
 	// been up to date: the time at which the last successful list or watch was sent,
-	// or WatchTimeout later if the store waited that long and nothing changed.
+	// or WatchTimeout later if the store waited that long and nothing changed. A store that
+	// ends a watch early without changes may make it later by up to 0.1 s.
 	ConfirmedAt time.Duration
 	// Listed is true after the objects have been listed completely for the first time.
 	Listed bool
@@ -305,7 +306,9 @@
 		timeout = max(0, timeout-(sentAt-from.ReadAt)).Truncate(time.Millisecond)
 		store = t.config.WithWatchTimeout(timeout)
 	}
+	endArrival := awaitArrival(ctx, t.config.Clock, timeout)
 	b, err := store.Watch(ctx, t.config.Prefix, from.Revision)
+	notBefore := endArrival()
 	if err != nil {
 		return false, err
 	}
@@ -314,10 +317,8 @@
 		return false, t.list(ctx)
 	}
 	confirmedAt := sentAt
-	if waited := t.config.Clock() - sentAt; len(b.Objects) == 0 && timeout > 0 && waited >= timeout {
-		// The store waited for the full timeout before it reported that nothing has
-		// changed.
-		confirmedAt = sentAt + timeout
+	if len(b.Objects) == 0 {
+		confirmedAt = confirmedUntil(sentAt, timeout, t.config.Clock(), notBefore)
 	}
 	t.apply(Update{Era: b.Era, From: from.Revision, Revision: max(b.Revision, from.Revision), Objects: b.Objects}, confirmedAt, confirmedAt)
 	return len(b.Objects) > 0, nil
