selector, sharer: processes read one after another once a large change ceases to arrive

If the reader stalls when it has the change and some followers have a part of it, the followers notice after up to 1.2 s. The copies of all of them are then older than the limits of all places in the order, and all read 1 MB over the region's link at once; the others give up the first reader after 0.7 s although it is sending, and the next. Ruled out: a reader that is not the first in the order (each of 20 processes as reader, three times of the change: at most 2.75 s).

Change: the rule that processes read one after another after the arrival ended holds as well where no reader is left, in steps twice as long; a reader whose copies are on their way has 1.4 s; a reader counts as receiving for 0.8 s after its last message (1.2 s before), and as sending for 0.5 s after its last byte (0.6 s), also if it had said that it receives.

All tests of sharer and selector pass.

--- a/decisions/selector/selector.go
+++ b/decisions/selector/selector.go
@@ -26,7 +26,7 @@
 	// receivingFactor is how much older copies may be while newer ones are arriving.
 	receivingFactor = 2
 	// answerTimeout is how long after a process began to follow another one it may still be
-	// without up-to-date copies.
+	// without up-to-date copies; receivingFactor times that while they are arriving.
 	answerTimeout = 700 * time.Millisecond
 	// firstAnswerTimeout is how long a process that has just started waits for the answer of
 	// another one.
@@ -146,7 +146,7 @@
 	}
 	if !found {
 		waited := !s.Empty && !s.NoReaderSince.IsZero() && now.Sub(s.NoReaderSince) >= patience
-		return Choice{Read: s.Reading || waited || s.Age > s.Limit()+patience}
+		return Choice{Read: s.Reading || waited || isOld(now, s, patience)}
 	}
 	own := order(s.Domain, s.Self)
 	readsWell := s.Reading && s.ReadAge <= s.Limit()
@@ -194,7 +194,14 @@
 	if s.Reading {
 		return s.FollowedAge > s.MaxAge
 	}
-	return s.Age > s.Limit()+patience && now.Sub(s.ReceivedUntil) >= patience
+	return isOld(now, s, patience)
+}
+
+// isOld reports whether the copies are so old that a process must read the store. While newer
+// ones were arriving, the copies of all processes may have grown too old. If they cease to arrive,
+// the processes read one after another even so, in larger steps: a large response takes longer.
+func isOld(now time.Time, s State, patience time.Duration) bool {
+	return s.Age > s.Limit()+patience && now.Sub(s.ReceivedUntil) >= receivingFactor*patience
 }
 
 // givesUp reports whether the process that is followed must count as failed. One that has no
@@ -203,7 +210,12 @@
 	if s.Empty && s.Age <= s.Limit() {
 		return unanswered(now, s)
 	}
-	return s.FollowedAge > s.Limit()+patience && now.Sub(s.FollowingSince) > answerTimeout
+	timeout := answerTimeout
+	if s.Receiving {
+		// The copies were old before the peer was followed, and are on their way.
+		timeout *= receivingFactor
+	}
+	return s.FollowedAge > s.Limit()+patience && now.Sub(s.FollowingSince) > timeout
 }
 
 // ChooseAny decides for a process that nobody follows, and that may follow any peer:
--- a/decisions/selector/selector_test.go
+++ b/decisions/selector/selector_test.go
@@ -193,3 +193,40 @@
 		}
 	}
 }
+
+// TestReadersFollowOneAnotherOnceArrivalEnds guards against processes that all read at once because
+// newer copies ceased to arrive when those of all were too old already, and against one that
+// gives up a reader whose newer copies are on their way.
+func TestReadersFollowOneAnotherOnceArrivalEnds(t *testing.T) {
+	is := is.New(t)
+	ended := time.Unix(1e9, 0)
+	names := []string{"a", "b", "c", "e", "f"}
+	reading := func(after time.Duration) (n int) {
+		for _, self := range names {
+			s := selector.State{
+				Self: self, Domain: "d", MaxAge: maxAge, Age: 2 * maxAge, FollowedAge: never, ReceivedUntil: ended,
+				// The one that failed is still heard.
+				Peers: []selector.Peer{{Name: "failed", Heard: true, Reader: true, FailedUntil: ended.Add(3 * time.Second)}},
+			}
+			for _, other := range names {
+				if other != self {
+					s.Peers = append(s.Peers, selector.Peer{Name: other, Heard: true})
+				}
+			}
+			if selector.Choose(ended.Add(after), s).Read {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(reading(100*time.Millisecond) <= 1)
+	is.True(reading(selector.TakeoverStep+100*time.Millisecond) <= 1)
+	is.Equal(reading(2*time.Second), len(names)) // none waits for ever
+
+	s := selector.State{
+		Self: "a", Domain: "d", MaxAge: maxAge, Age: 4 * maxAge, FollowedAge: 4 * maxAge, Receiving: true, ReceivedUntil: ended,
+		FollowingSince: ended, Peers: []selector.Peer{{Name: "b", Heard: true, Reader: true}},
+	}
+	is.True(!selector.Choose(ended.Add(time.Second), s).GiveUp)
+	is.True(selector.Choose(ended.Add(2*time.Second), s).GiveUp)
+}
--- a/shells/sharer/following.go
+++ b/shells/sharer/following.go
@@ -23,7 +23,10 @@
 	silenceTimeout = 1200 * time.Millisecond
 	// arrivalTimeout is the time without bytes after which a message no longer counts as
 	// arriving. Many followers may share the sender's link.
-	arrivalTimeout = 600 * time.Millisecond
+	arrivalTimeout = 500 * time.Millisecond
+	// receivingTimeout is how long after a message the peer counts as receiving that said so
+	// in it. It is longer than keepAliveInterval.
+	receivingTimeout = 800 * time.Millisecond
 )
 
 // ErrSilent reports a process that was followed and has sent nothing for silenceTimeout.
@@ -74,11 +77,15 @@
 	return out
 }
 
-// receiving reports whether newer copies are arriving from the peer, or at the peer.
+// receiving reports whether newer copies are arriving from the peer, or at the peer. Once a
+// message is arriving, its bytes count: the peer may have received all of what it announced.
 func (f *following) receiving(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.peerReceiving && now.Sub(f.lastArrival()) <= silenceTimeout || f.lastArrival().After(f.lastMessage) && now.Sub(f.lastArrival()) <= arrivalTimeout
+	if last := f.lastArrival(); last.After(f.lastMessage) {
+		return now.Sub(last) <= arrivalTimeout
+	}
+	return f.peerReceiving && now.Sub(f.lastMessage) <= receivingTimeout
 }
 
 // lastArrival returns the time at which bytes arrived last, or at which the peer was first
--- a/shells/sharer/large_test.go
+++ b/shells/sharer/large_test.go
@@ -175,6 +175,54 @@
 	}
 }
 
+// TestReaderStallsWhileItSendsLargeChange guards against the same when the reader has the large
+// configuration, and some of the followers have a part of it: their copies are all too old by the time
+// at which they give it up, and all of them read at once.
+func TestReaderStallsWhileItSendsLargeChange(t *testing.T) {
+	const maxReads = 6 // as in TestReaderFailsDuringLargeChange
+	for _, c := range []struct {
+		entries int
+		// phase is the time from a confirmation to the change, and fault from there to the fault.
+		phase, fault time.Duration
+		maxAge       time.Duration
+	}{
+		{20, 783 * time.Millisecond, 343 * time.Millisecond, readyLimit},
+		{20, 608 * time.Millisecond, 365 * time.Millisecond, readyLimit},
+		{20, 664 * time.Millisecond, 390 * time.Millisecond, readyLimit},
+		{20, 581 * time.Millisecond, 437 * time.Millisecond, readyLimit},
+		{20, 759 * time.Millisecond, 473 * time.Millisecond, readyLimit},
+		{20, 339 * time.Millisecond, 494 * time.Millisecond, readyLimit},
+		{60, 700 * time.Millisecond, 400 * time.Millisecond, revokeLimit},
+	} {
+		t.Run(fmt.Sprintf("%dEntries/%s/%s", c.entries, c.phase, c.fault), func(t *testing.T) {
+			withLinks(t, processLinkRate, 1, c.entries, 0, func(s *fleet) {
+				s.store.links = map[string]*link{"d0": {rate: domainLinkRate}}
+				s.restart(rand.New(rand.NewPCG(1, 1)))
+				s.run(8*time.Second, all)
+				s.awaitConfirmation()
+				time.Sleep(c.phase)
+				s.store.takeLargeResponses()
+				s.store.putPadded(1, configuration(rand.New(rand.NewPCG(1, 1))))
+				time.Sleep(c.fault)
+				failed := s.readers()
+				for _, p := range failed {
+					s.fabric.SetStalled(p.member.Name, true)
+					s.store.setRefused(p.member.Name, true)
+				}
+				took, age := s.awaitRevision(2, func(p *process) bool { return !slices.Contains(failed, p) })
+				reads := s.store.takeLargeResponses()
+				t.Logf("in force after %s, highest age %s, read %d times", took, age, reads)
+				if reads > maxReads {
+					t.Errorf("read %d times by %d processes, want at most %d", reads, c.entries, maxReads)
+				}
+				if age > c.maxAge {
+					t.Errorf("highest age %s, want at most %s", age, c.maxAge)
+				}
+			})
+		})
+	}
+}
+
 // TestFollowerOfEarlierBuildGetsPlainObjects guards against a follower that does not read
 // compressed objects, and would take an update for empty.
 func TestFollowerOfEarlierBuildGetsPlainObjects(t *testing.T) {
