requester: a call's connection ends with its context

Two watches of each test with an entry were still open at its end, and the store's stand-in waited for them.

Change: a client has lanes, each of which carries one call at a time over a connection of its own; the end of the call's context closes it, or stops its being opened. Whether a failed read may be repeated follows from the lane's own attempts to connect, no longer from those of all calls. Ruled out: finding the connection of a call in one shared pool (fasthttp gives neither the call to the connection nor the connection to the call). Left: Stream, whose body is not interrupted when the context is cancelled.

TestConnectionEndsWithContext is new and failed before (the server's request had not ended).

--- a/outside/requester/idle_test.go
+++ b/outside/requester/idle_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/outside/requester"
+	"filbertstile.example/filbertstile/rigs/bubbler"
 	"filbertstile.example/filbertstile/rigs/shaper"
 )
 
@@ -106,3 +110,50 @@
 	is.True(call(c, http.MethodGet, "/abort") != nil)
 	is.True(requests.Load() <= 4) // one repetition at most
 }
+
+// TestConnectionEndsWithContext guards against a call that goes on without its caller, and keeps its
+// connection open, until its own timeout.
+func TestConnectionEndsWithContext(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Second} {
+		bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+			is := is.NewRelaxed(t)
+			var ended atomic.Int32
+			network, open := serveIdle(t, func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/wait" {
+					<-r.Context().Done()
+					ended.Add(1)
+				}
+			})
+			c := requester.New(requester.Config{Network: slow{network, delay}, Address: idleAddress, Timeout: time.Hour})
+			is.NoErr(call(c, http.MethodGet, "/"))
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(time.Minute, cancel) // on the idle connection
+			_, err := c.Do(ctx, requester.Call{Step: "test", Path: "/wait"})
+			is.True(errors.Is(err, context.Canceled))
+			synctest.Wait()
+			is.Equal(ended.Load(), int32(1))
+
+			ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), time.Millisecond) // on a new one
+			defer cancel()
+			_, err = c.Do(ctx, requester.Call{Step: "test", Path: "/wait"})
+			is.True(err != nil)
+			synctest.Wait()
+			is.NoErr(call(c, http.MethodGet, "/")) // the client can still be used
+			open.closeAll()
+		})
+	}
+}
+
+// slow is a network that opens connections after a delay.
+type slow struct {
+	filbertstile.Network
+	delay time.Duration
+}
+
+// Dial opens a connection.
+func (s slow) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if err := sleeper.Sleep(ctx, s.delay); err != nil {
+		return nil, err
+	}
+	return s.Network.Dial(ctx, address)
+}
--- a/outside/requester/receiving.go
+++ b/outside/requester/receiving.go
@@ -23,8 +23,6 @@
 type connections struct {
 	mu   sync.Mutex
 	open map[*connection]struct{}
-	// dialed is the number of attempts to open one.
-	dialed int
 }
 
 func newConnections() *connections { return &connections{open: make(map[*connection]struct{})} }
@@ -39,20 +37,6 @@
 	return out
 }
 
-// recordDial records an attempt to open a connection.
-func (c *connections) recordDial() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dialed++
-}
-
-// dials returns the number of attempts to open a connection.
-func (c *connections) dials() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dialed
-}
-
 func (c *connections) remove(conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,6 +133,14 @@
 	return c.received >= largeResponseBytes && now.Sub(c.lastAt) < receivingTimeout
 }
 
+// isOpen reports whether this side has not closed the connection.
+func (c *connection) isOpen() bool {
+	c.connections.mu.Lock()
+	defer c.connections.mu.Unlock()
+	_, open := c.connections.open[c]
+	return open
+}
+
 // Close closes the connection.
 func (c *connection) Close() error {
 	c.connections.remove(c)
--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -45,29 +45,28 @@
 	address     string
 	timeout     time.Duration
 	connections *connections
-	// buffered reads complete responses, and streaming leaves the body to its reader.
-	buffered  *fasthttp.HostClient
+	// buffered read complete responses, and streaming leaves the body to its reader.
+	buffered  *lanes
 	streaming *fasthttp.HostClient
 }
 
 // New returns a client of the configured address.
 func New(c Config) *Client {
 	open := newConnections()
-	dial := func(addr string) (net.Conn, error) {
-		open.recordDial()
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	dial := func(ctx context.Context) (*connection, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		conn, err := c.Network.Dial(ctx, addr)
+		conn, err := c.Network.Dial(ctx, c.Address)
 		if err != nil {
-			return nil, ErrDial{Peer: addr, Cause: err}
+			return nil, ErrDial{Peer: c.Address, Cause: err}
 		}
-		return open.add(conn, addr, c.MaxExtension), nil
+		return open.add(conn, c.Address, c.MaxExtension), nil
 	}
 	idleTimeout := defaultIdleTimeout
 	if c.IdleTimeout > 0 {
 		idleTimeout = c.IdleTimeout
 	}
-	newHostClient := func(streaming bool) *fasthttp.HostClient {
+	newHostClient := func(streaming bool, dial fasthttp.DialFunc) *fasthttp.HostClient {
 		return &fasthttp.HostClient{
 			Addr:                c.Address,
 			Dial:                dial,
@@ -80,7 +79,13 @@
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		}
 	}
-	return &Client{address: c.Address, timeout: c.Timeout, connections: open, buffered: newHostClient(false), streaming: newHostClient(true)}
+	newLane := func() *lane {
+		l := &lane{ctx: context.Background()}
+		l.client = newHostClient(false, func(string) (net.Conn, error) { return l.dial(dial) })
+		return l
+	}
+	streaming := newHostClient(true, func(string) (net.Conn, error) { return dial(context.Background()) })
+	return &Client{address: c.Address, timeout: c.Timeout, connections: open, buffered: &lanes{create: newLane}, streaming: streaming}
 }
 
 // Receiving reports whether a large response is arriving.
@@ -199,8 +204,7 @@
 }
 
 // Do makes the call and reads the complete response. It returns as soon as the context
-// ends, although fasthttp keeps waiting for a response until the call's deadline. A response
-// that is too large is an ErrUnreadable.
+// ends, and ends the call's connection. A response that is too large is an ErrUnreadable.
 func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
 	if err := ctx.Err(); err != nil {
 		return Response{}, fmt.Errorf("%s: peer %s: %w", call.Step, c.address, err)
@@ -211,7 +215,7 @@
 	}
 	done := make(chan outcome, 1)
 	go func() {
-		resp, err := c.exchange(call, c.deadline(ctx, call))
+		resp, err := c.exchange(ctx, call, c.deadline(ctx, call))
 		done <- outcome{response: resp, err: err}
 	}()
 	select {
@@ -231,30 +235,36 @@
 // exchange makes the call. If it fails, idle connections are closed: those that ended or went
 // silent with the one of the call would fail the next calls one after another. A read that
 // failed on such a connection is made once more, and so is a call of which nothing was sent.
-func (c *Client) exchange(call Call, deadline time.Time) (Response, error) {
-	dials := c.connections.dials()
-	resp, err := c.attempt(call, deadline)
-	if err == nil {
-		return resp, nil
+func (c *Client) exchange(ctx context.Context, call Call, deadline time.Time) (Response, error) {
+	l, err := c.buffered.take()
+	if err != nil {
+		return Response{}, err
+	}
+	defer c.buffered.put(l)
+	defer l.begin(ctx)()
+	dials := l.dials()
+	resp, err := c.attempt(l, call, deadline)
+	if err == nil || ctx.Err() != nil {
+		return resp, err
 	}
-	c.buffered.CloseIdleConnections()
-	wasIdle := c.connections.dials() == dials
+	c.buffered.closeIdle()
+	wasIdle := l.dials() == dials
 	var notSent ErrUnusable
 	repeatable := wasIdle && call.isRead() || errors.As(err, &notSent) && call.BodyStream == nil
 	if !repeatable || !time.Now().Before(deadline) {
 		return Response{}, err
 	}
-	return c.attempt(call, deadline)
+	return c.attempt(l, call, deadline)
 }
 
 // attempt makes the call once.
-func (c *Client) attempt(call Call, deadline time.Time) (Response, error) {
+func (c *Client) attempt(l *lane, call Call, deadline time.Time) (Response, error) {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	c.fillRequest(req, call)
-	if err := c.buffered.DoDeadline(req, resp, deadline); err != nil {
+	if err := l.client.DoDeadline(req, resp, deadline); err != nil {
 		return Response{}, err
 	}
 	return Response{
@@ -291,6 +301,6 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.buffered.CloseIdleConnections()
+	c.buffered.closeIdle()
 	c.streaming.CloseIdleConnections()
 }
