forwarder: a caller who leaves as a backup takes over ends with no panic

Cause: when a piece of the first answer and the answer of the backup come at once, the piece is dropped and the first attempt concluded without an error. If the caller left between the check for that and the conclusion, the conclusion took the error's text from nil. The request panicked: its grant was never released, so that the replica had one slot less until the entry's end, no RequestDone or CallerLeft followed, and OnRequestEnd was not called. Ruled out: that an attempt which is not superseded is concluded without an error. Change: such an attempt is concluded with errSuperseded.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -198,9 +198,10 @@
 	for {
 		p, err := a.next()
 		if b := w.settle(err); b != nil {
-			if err != nil {
-				x.connectionEnded(a, err)
+			if err == nil {
+				err = errSuperseded // another replica has answered, and the piece is not used
 			}
+			x.connectionEnded(a, err)
 			x.conclude(a, err)
 			a.close()
 			a, p, err = x.adopt(b, w), b.first, nil
--- /dev/null
+++ b/shells/forwarder/backup_test.go
@@ -0,0 +1,111 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/shells/forwarder"
+)
+
+// backupRig is a forwarder of which only the replica "first" is known when a request arrives, and
+// "b" soon after.
+type backupRig struct {
+	placer    *placer.Placer
+	forwarder *forwarder.Forwarder
+	// ends counts the requests that have ended.
+	ends atomic.Int32
+}
+
+func newBackupRig(link forwarder.Link) *backupRig {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &backupRig{placer: placer.New(placer.Config{Region: "a"})}
+	rows := []filbertstile.Replica{{ID: "first", Service: "s", Address: "first", Slots: 4}, {ID: "b", Service: "s", Address: "b", Slots: 4}}
+	setReplicas := func(rows ...filbertstile.Replica) {
+		r.placer.SetFleet(time.Now(), placer.Fleet{
+			Replicas: filbertstile.NewTable(rows...), Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
+		})
+	}
+	setReplicas(rows[0])
+	time.AfterFunc(10*time.Millisecond, func() { setReplicas(rows...) })
+	r.forwarder = forwarder.New(forwarder.Config{
+		Placer: r.placer, Link: link, RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
+		Log:          reporter.New(reporter.Config{Logger: log}),
+		VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) { r.ends.Add(1) },
+	})
+	return r
+}
+
+// serve forwards one request. It returns the value of a panic, or nil.
+func (r *backupRig) serve(ctx context.Context, kind filbertstile.CallKind) (c *caller, panicked any) {
+	c = &caller{}
+	defer func() { panicked = recover() }()
+	now := time.Now()
+	r.forwarder.Serve(ctx, &forwarder.Call{ID: "1", Route: route(kind), Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}, c)
+	return c, nil
+}
+
+// tiedLink is a Link to a replica "first" whose answer arrives at the instant at which another one
+// has answered, at which the caller leaves too.
+type tiedLink struct {
+	leave func()
+	// delay spreads the caller's leaving over the time that the forwarder takes.
+	delay int
+}
+
+func (l *tiedLink) Send(ctx context.Context, a forwarder.Attempt) (forwarder.Response, error) {
+	answer := &body{Reader: strings.NewReader("answer")}
+	if a.Replica.ID == "first" {
+		return forwarder.Response{Verdict: forwarder.Ran, Status: 200, Body: &tiedBody{body: answer, link: l, ended: ctx.Done()}}, nil
+	}
+	return forwarder.Response{Verdict: forwarder.Ran, Status: 200, Body: answer}, nil
+}
+
+type tiedBody struct {
+	*body
+	link  *tiedLink
+	ended <-chan struct{}
+}
+
+func (b *tiedBody) Read(p []byte) (int, error) {
+	if b.ended != nil {
+		<-b.ended
+		b.ended = nil
+		go func() {
+			for range b.link.delay {
+				_ = strings.Repeat("x", 100)
+			}
+			b.link.leave()
+		}()
+	}
+	return b.body.Read(p)
+}
+
+// TestCallerLeavesAsBackupTakesOver guards against a panic, and a slot of a replica that is never
+// free again, when the caller leaves at that instant. One in some thousand runs shows it.
+func TestCallerLeavesAsBackupTakesOver(t *testing.T) {
+	for n := range 20000 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, leave := context.WithCancel(t.Context())
+			r := newBackupRig(&tiedLink{leave: leave, delay: n % 40})
+			_, panicked := r.serve(ctx, filbertstile.CallIdempotent)
+			is.Equal(panicked, nil)
+			leave()
+			time.Sleep(time.Second)
+			is.Equal(len(r.placer.LocalLoads(true)), 0) // all grants are released
+			is.Equal(r.ends.Load(), int32(1))
+		})
+	}
+}
