forwarder: a failure after a silence does not end the backup

Cause: the first piece of a response ended the backup, also when it reported a failure of the replica (status 500 and above) and another attempt was under way. With two attempts allowed no third could follow, and the caller got the failure although the other replica would have answered. Ruled out: attempts that end with an error or a rejection; these waited for the backup already. Change: the backup goes on in the place of an attempt whose replica reports a failure. If it fails too, the caller gets the failure as before; if it stays silent, at the deadline. Before: TestFailureAfterSilenceLeavesBackup fails in its two cases. After: it passes; TestFailureIsPassedOnIfBackupFailsToo guards the replica's own answer.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -15,6 +15,7 @@
 var (
 	errNotRun          = errors.New("the replica did not run the request")
 	errInvalidResponse = errors.New("invalid response")
+	errReplicaFailed   = errors.New("the response reports a failure of the replica")
 )
 
 // Causes with which the forwarder itself ends an attempt.
@@ -197,13 +198,8 @@
 	w := newSilenceWatch(x, a)
 	for {
 		p, err := a.next()
-		if b := w.settle(err); b != nil {
-			if err == nil {
-				err = errSuperseded // another replica has answered, and the piece is not used
-			}
-			x.connectionEnded(a, err)
-			x.conclude(a, err)
-			a.close()
+		if b := w.settle(err != nil || a.response.Verdict == Failed); b != nil {
+			x.replaced(a, err)
 			a, p, err = x.adopt(b, w), b.first, nil
 		}
 		if err != nil {
@@ -216,6 +212,20 @@
 	}
 }
 
+// replaced ends an attempt, which may have returned a piece, in whose place its backup goes on.
+func (x *requestState) replaced(a *attemptState, err error) {
+	defer a.close()
+	switch {
+	case err != nil:
+		x.connectionEnded(a, err)
+	case a.response.Verdict == Failed:
+		err = errReplicaFailed
+	default:
+		err = errSuperseded // another replica has answered, and the piece is not used
+	}
+	x.conclude(a, err)
+}
+
 // deliver writes a piece of the response to the caller. It reports whether that ends the
 // attempt, and whether another one must follow.
 func (x *requestState) deliver(a *attemptState, p piece) (again, done bool) {
@@ -224,7 +234,7 @@
 	}
 	if a.response.Verdict == Failed && x.mayRetry() {
 		x.release(a.grant, placer.Failed)
-		x.logAttempt(a, "Failed", "the response reports a failure of the replica")
+		x.logAttempt(a, "Failed", errReplicaFailed.Error())
 		return true, true
 	}
 	outcome := placer.Completed
@@ -301,7 +311,7 @@
 		outcome, logged = placer.WrongReplica, "NotRun"
 	case errors.Is(err, errNotRun):
 		outcome, logged = placer.NotRun, "NotRun"
-	case errors.Is(err, errNotContinued) && a.response.Verdict == Failed:
+	case errors.Is(err, errReplicaFailed) || errors.Is(err, errNotContinued) && a.response.Verdict == Failed:
 		outcome, logged = placer.Failed, "Failed"
 	case errors.Is(cause, errVersionDue):
 		// The replica has not failed.
--- a/shells/forwarder/backup_test.go
+++ b/shells/forwarder/backup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"sync/atomic"
@@ -109,3 +110,36 @@
 		})
 	}
 }
+
+// TestFailureAfterSilenceLeavesBackup guards against a backup that is ended, and whose answer is
+// lost, because the replica that was silent reports a failure.
+func TestFailureAfterSilenceLeavesBackup(t *testing.T) {
+	for _, kind := range []filbertstile.CallKind{filbertstile.CallStream, filbertstile.CallIdempotent} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			is := is.New(t)
+			c, l, _ := paced{kind: kind, replicas: map[string]pacedReplica{
+				"first": {headAfter: 1600 * time.Millisecond, failure: failed}, "b": {headAfter: 500 * time.Millisecond},
+			}}.serve(t)
+			is.True(c.whole(kind))
+			is.Equal(l.sent, []string{"first", "b"})
+		})
+	}
+}
+
+// TestFailureIsPassedOnIfBackupFailsToo guards against a replica's failure that is replaced by
+// one of the entry because a backup has ended.
+func TestFailureIsPassedOnIfBackupFailsToo(t *testing.T) {
+	for name, second := range map[string]pacedReplica{
+		"Lost": {headAfter: 500 * time.Millisecond, failure: connectionLost}, "Failed": {headAfter: 500 * time.Millisecond, failure: failed},
+		"Invalid": {headAfter: 500 * time.Millisecond, failure: invalid}, "Silent": {headAfter: forever},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, _, _ := paced{kind: filbertstile.CallIdempotent, replicas: map[string]pacedReplica{
+				"first": {headAfter: 1600 * time.Millisecond, failure: failed}, "b": second,
+			}}.serve(t)
+			is.Equal(c.status, 500)
+			is.Equal(c.body.String(), "error")
+		})
+	}
+}
--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -166,10 +166,10 @@
 	w.timer.Reset(w.timeout)
 }
 
-// settle is called after the attempt has returned a piece, or ended with an error. It returns
-// the backup if that goes on in its place: the attempt has been superseded, or it failed and
-// the backup has answered or does so now.
-func (w *silenceWatch) settle(err error) *backup {
+// settle is called after the attempt has returned a piece, or failed. It returns the backup if
+// that goes on in its place: the attempt has been superseded, or it failed and the backup has
+// answered or does so now.
+func (w *silenceWatch) settle(failed bool) *backup {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopTimer()
@@ -179,7 +179,7 @@
 	}
 	w.backup = nil
 	superseded := errors.Is(context.Cause(w.attempt.ctx), errSuperseded)
-	if err == nil && !superseded {
+	if !failed && !superseded {
 		w.x.abandon(b)
 		return nil
 	}
@@ -250,7 +250,7 @@
 	}
 	if err == nil {
 		x.release(&g, placer.Failed)
-		x.logAttempt(b.attempt, "Failed", "the response reports a failure of the replica")
+		x.logAttempt(b.attempt, "Failed", errReplicaFailed.Error())
 	} else {
 		x.connectionEnded(b.attempt, err)
 		x.conclude(b.attempt, err)
