forwarder: a panic in a backup does not end the process

Cause: an attempt beside a silent one runs in its own goroutine, where neither net/http nor Ingress recovers. Ruled out: the other goroutines of the forwarder: those of crash checks (crash.go) call only the prober and were there before; left as they are. Change: the panic is logged, the backup counts as one that may have run, its grant is released and its connection closed; the first attempt goes on. Before: TestPanicInBackupEndsNoProcess ends the test binary. After: it passes, with -race.

--- a/shells/forwarder/backup_test.go
+++ b/shells/forwarder/backup_test.go
@@ -143,3 +143,29 @@
 		})
 	}
 }
+
+// panicsAtB is a Link whose sends to the replica "b" panic.
+type panicsAtB struct{ *pacedLink }
+
+func (l panicsAtB) Send(ctx context.Context, a forwarder.Attempt) (forwarder.Response, error) {
+	if a.Replica.ID == "b" {
+		_ = a.CheckSend()
+		panic("index out of range")
+	}
+	return l.pacedLink.Send(ctx, a)
+}
+
+// TestPanicInBackupEndsNoProcess guards against a panic in an attempt beside a silent one that
+// ends the process, with the requests of all callers.
+func TestPanicInBackupEndsNoProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBackupRig(panicsAtB{&pacedLink{replicas: map[string]pacedReplica{"first": {silence: 3 * time.Second, silentBefore: 3}}}})
+		c, panicked := r.serve(t.Context(), filbertstile.CallStream)
+		is.Equal(panicked, nil)
+		is.True(c.whole(filbertstile.CallStream)) // the first replica has gone on
+		is.Equal(r.ends.Load(), int32(1))
+		time.Sleep(time.Second)
+		is.Equal(len(r.placer.LocalLoads(true)), 0)
+	})
+}
--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -137,8 +137,8 @@
 	}
 	w.backup = newBackup(w.x)
 	go func(b *backup) {
+		defer w.backupEnded(b)
 		b.run()
-		w.backupEnded(b)
 	}(w.backup)
 }
 
@@ -214,6 +214,8 @@
 	ready   bool
 	attempt *attemptState
 	first   piece
+	// returned is true if the attempt has returned its first piece or an error.
+	returned bool
 }
 
 func newBackup(x *requestState) *backup {
@@ -227,6 +229,7 @@
 // run makes the attempt until its replica has answered.
 func (b *backup) run() {
 	x, config := b.x, b.x.forwarder.config
+	defer func() { b.panicked(recover()) }()
 	if config.Suspector.Recheck(time.Now(), x.keys).Verdict != suspector.Send {
 		b.refused("the request is suspected of crashing replicas")
 		return
@@ -244,6 +247,7 @@
 	b.sent.Store(true)
 	b.attempt = x.newAttempt(&g)
 	b.first, err = b.attempt.next()
+	b.returned = true
 	if err == nil && b.attempt.response.Verdict != Failed {
 		b.ready = true
 		return
@@ -258,6 +262,23 @@
 	b.attempt.close()
 }
 
+// panicked ends the attempt after a panic, which must not end the process. The request may have run.
+func (b *backup) panicked(recovered any) {
+	if recovered == nil {
+		return
+	}
+	x := b.x
+	x.forwarder.config.Log.Panic(reporter.PanicRecovered, recovered, reporter.Fields{"Step": "attempt beside a silent one", "Request": x.call.ID})
+	if b.attempt == nil {
+		return
+	}
+	x.sends, x.runs = b.before.sends+1, b.before.runs+1
+	if !b.returned {
+		x.release(b.attempt.grant, placer.Abandoned)
+	}
+	b.attempt.close()
+}
+
 // refused logs that there is no other replica for the request.
 func (b *backup) refused(reason string) {
 	if b.x.ctx.Err() != nil {
