forwarder: a backup is counted after it has been cancelled

Cause, by reading: abandon read whether the backup had been sent, and cancelled it then. One that was sent between the two counted neither as sent nor as run, so that one run more than MaxAttempts could follow. Ruled out: a false report that the request has not run; the first attempt has answered there and counts. Change: it is cancelled first. A backup that becomes sent afterwards fails in checkSend.

--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -316,11 +316,11 @@
 		b.discard()
 		return
 	}
+	b.cancel(errNotNeeded) // first, so that nothing is sent after sent has been read
 	if b.sent.Load() {
 		x.sends++
 		x.runs++
 	}
-	b.cancel(errNotNeeded)
 }
 
 // adopt makes the attempt of the backup the one of the request.
