--- a/shells/forwarder/backup_test.go
+++ b/shells/forwarder/backup_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -24,14 +23,20 @@
 type backupRig struct {
 	placer    *placer.Placer
 	forwarder *forwarder.Forwarder
-	// ends counts the requests that have ended.
-	ends atomic.Int32
+	// ends counts the requests that have ended, and logged the lines of the log.
+	ends, logged atomic.Int32
+}
+
+// Write counts a line of the log.
+func (r *backupRig) Write(p []byte) (int, error) {
+	r.logged.Add(1)
+	return len(p), nil
 }
 
 func newBackupRig(link forwarder.Link) *backupRig {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	r := &backupRig{placer: placer.New(placer.Config{Region: "a"})}
+	log := logrus.New()
+	log.SetOutput(r)
 	rows := []filbertstile.Replica{{ID: "first", Service: "s", Address: "first", Slots: 4}, {ID: "b", Service: "s", Address: "b", Slots: 4}}
 	setReplicas := func(rows ...filbertstile.Replica) {
 		r.placer.SetFleet(time.Now(), placer.Fleet{
@@ -169,3 +174,19 @@
 		is.Equal(len(r.placer.LocalLoads(true)), 0)
 	})
 }
+
+// TestRefusedBackupsAreFew guards against a processor, and a log, that are filled with attempts to
+// find another replica where the target latency is short or missing. It runs in wall time, as
+// attempts without a pause would stop virtual time.
+func TestRefusedBackupsAreFew(t *testing.T) {
+	for _, target := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond} {
+		t.Run(target.String(), func(t *testing.T) {
+			is := is.New(t)
+			r := newBackupRig(&pacedLink{replicas: map[string]pacedReplica{"first": {headAfter: forever}, "b": {failure: notRun}}})
+			route, now := route(filbertstile.CallIdempotent), time.Now()
+			route.TargetLatency = target
+			r.forwarder.Serve(t.Context(), &forwarder.Call{ID: "1", Route: route, Service: "s", Arrived: now, Deadline: now.Add(time.Second)}, &caller{})
+			is.True(r.logged.Load() <= 8)
+		})
+	}
+}
--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -61,7 +61,11 @@
 	if x.call.Route.Kind == filbertstile.CallStream {
 		return firstEventTimeout
 	}
-	return min(time.Until(x.call.Deadline)/2, responseTimeoutFactor*x.call.Route.TargetLatency)
+	timeout := time.Until(x.call.Deadline) / 2
+	if target := x.call.Route.TargetLatency; target > 0 {
+		timeout = min(timeout, responseTimeoutFactor*target)
+	}
+	return timeout
 }
 
 // mayBackUp reports whether another attempt may begin beside this one, whose request may run.
@@ -163,7 +167,7 @@
 func (w *silenceWatch) forgetFailed(b *backup) {
 	w.x.merge(b)
 	w.backup = nil
-	w.timer.Reset(w.timeout)
+	w.timer.Reset(max(w.timeout, replicaRetryAfter))
 }
 
 // settle is called after the attempt has returned a piece, or failed. It returns the backup if
