forwarder: a third replica is tried while two are silent

Cause: a backup was not watched itself, and no further one began beside it. Change: a backup has a watch and a backup of its own within MaxAttempts; the attempts it began beside count as runs in its copy of the state. A rejection whose body is still read keeps its place: without that TestOrdersOfBackups found three runs of two, once in 100,000 draws. Weighed: a list of backups in one watch; it needs the same merging, for more states. Before: TestThirdReplicaIsTriedWhileTwoAreSilent fails in its six cases. After: it passes with -race; TestOrdersOfBackups passes 150,000 draws and 15,000 with -race, 30,000 on the code as it is here, and the package's tests pass. TestPanicInBackupEndsNoProcess has a third replica too.

--- a/shells/forwarder/backup_test.go
+++ b/shells/forwarder/backup_test.go
@@ -37,14 +37,8 @@
 	r := &backupRig{placer: placer.New(placer.Config{Region: "a"})}
 	log := logrus.New()
 	log.SetOutput(r)
-	rows := []filbertstile.Replica{{ID: "first", Service: "s", Address: "first", Slots: 4}, {ID: "b", Service: "s", Address: "b", Slots: 4}}
-	setReplicas := func(rows ...filbertstile.Replica) {
-		r.placer.SetFleet(time.Now(), placer.Fleet{
-			Replicas: filbertstile.NewTable(rows...), Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
-		})
-	}
-	setReplicas(rows[0])
-	time.AfterFunc(10*time.Millisecond, func() { setReplicas(rows...) })
+	r.setReplicas("first")
+	time.AfterFunc(10*time.Millisecond, func() { r.setReplicas("first", "b") })
 	r.forwarder = forwarder.New(forwarder.Config{
 		Placer: r.placer, Link: link, RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
 		Log:          reporter.New(reporter.Config{Logger: log}),
@@ -53,6 +47,17 @@
 	return r
 }
 
+// setReplicas replaces the replicas.
+func (r *backupRig) setReplicas(ids ...string) {
+	var rows []filbertstile.Replica
+	for _, id := range ids {
+		rows = append(rows, filbertstile.Replica{ID: id, Service: "s", Address: id, Slots: 4})
+	}
+	r.placer.SetFleet(time.Now(), placer.Fleet{
+		Replicas: filbertstile.NewTable(rows...), Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
+	})
+}
+
 // serve forwards one request. It returns the value of a panic, or nil.
 func (r *backupRig) serve(ctx context.Context, kind filbertstile.CallKind) (c *caller, panicked any) {
 	c = &caller{}
@@ -149,12 +154,16 @@
 	}
 }
 
-// panicsAtB is a Link whose sends to the replica "b" panic.
-type panicsAtB struct{ *pacedLink }
+// panicsAtB is a Link whose sends to the replica "b" panic after some time.
+type panicsAtB struct {
+	*pacedLink
+	after time.Duration
+}
 
 func (l panicsAtB) Send(ctx context.Context, a forwarder.Attempt) (forwarder.Response, error) {
 	if a.Replica.ID == "b" {
 		_ = a.CheckSend()
+		time.Sleep(l.after)
 		panic("index out of range")
 	}
 	return l.pacedLink.Send(ctx, a)
@@ -163,16 +172,26 @@
 // TestPanicInBackupEndsNoProcess guards against a panic in an attempt beside a silent one that
 // ends the process, with the requests of all callers.
 func TestPanicInBackupEndsNoProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		r := newBackupRig(panicsAtB{&pacedLink{replicas: map[string]pacedReplica{"first": {silence: 3 * time.Second, silentBefore: 3}}}})
-		c, panicked := r.serve(t.Context(), filbertstile.CallStream)
-		is.Equal(panicked, nil)
-		is.True(c.whole(filbertstile.CallStream)) // the first replica has gone on
-		is.Equal(r.ends.Load(), int32(1))
-		time.Sleep(time.Second)
-		is.Equal(len(r.placer.LocalLoads(true)), 0)
-	})
+	for _, after := range []time.Duration{0, 1600 * time.Millisecond} {
+		for name, third := range map[string]pacedReplica{"Silent": {headAfter: forever}, "Answered": {}, "Lost": {failure: connectionLost}} {
+			t.Run(fmt.Sprintf("%s/%s", after, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					first := pacedReplica{silence: 4 * time.Second, silentBefore: 3}
+					r := newBackupRig(panicsAtB{&pacedLink{replicas: map[string]pacedReplica{"first": first, "c": third}}, after})
+					time.AfterFunc(1650*time.Millisecond, func() { r.setReplicas("first", "b", "c") })
+					route, now := route(filbertstile.CallStream), time.Now()
+					route.MaxAttempts = 3
+					c := &caller{}
+					r.forwarder.Serve(t.Context(), &forwarder.Call{ID: "1", Route: route, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}, c)
+					is.True(c.whole(filbertstile.CallStream)) // the first replica has gone on, or the third
+					is.Equal(r.ends.Load(), int32(1))
+					time.Sleep(2 * time.Second)
+					is.Equal(len(r.placer.LocalLoads(true)), 0)
+				})
+			})
+		}
+	}
 }
 
 // TestRefusedBackupsAreFew guards against a processor, and a log, that are filled with attempts to
@@ -190,3 +209,31 @@
 		})
 	}
 }
+
+// TestThirdReplicaIsTriedWhileTwoAreSilent guards against a request that waits for two replicas
+// which are gone, although another attempt is allowed.
+func TestThirdReplicaIsTriedWhileTwoAreSilent(t *testing.T) {
+	for name, first := range map[string]pacedReplica{
+		"BeforeHead": {headAfter: forever}, "WithinResponse": {silence: forever, silentBefore: 3}, "Rejected": {headAfter: 1550 * time.Millisecond, failure: notRun},
+	} {
+		for _, kind := range []filbertstile.CallKind{filbertstile.CallStream, filbertstile.CallIdempotent} {
+			t.Run(fmt.Sprintf("%s/%v", name, kind), func(t *testing.T) {
+				l := &pacedLink{replicas: map[string]pacedReplica{"first": first, "b": {headAfter: forever}, "c": {}}}
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					r := newBackupRig(l)
+					time.AfterFunc(1650*time.Millisecond, func() { r.setReplicas("first", "b", "c") })
+					route, now := route(kind), time.Now()
+					route.MaxAttempts = 3
+					c := &caller{}
+					r.forwarder.Serve(t.Context(), &forwarder.Call{ID: "1", Route: route, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}, c)
+					is.True(c.whole(kind))
+					is.True(time.Since(now) < 4*time.Second)
+					time.Sleep(time.Second)
+					is.Equal(len(r.placer.LocalLoads(true)), 0)
+					is.Equal(l.sent, []string{"first", "b", "c"})
+				})
+			})
+		}
+	}
+}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -239,6 +239,8 @@
 	onTrial bool
 	// answer is the progress of the answer of the current attempt.
 	answer answer
+	// backup is the backup that this copy of the state belongs to; nil if it is no copy.
+	backup *backup
 }
 
 // Serve forwards the request. It returns after the caller has received a response or
--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -28,7 +28,7 @@
 
 // silenceWatch watches the attempt of a request, and begins another one beside it while its
 // replica is silent. A silent replica may go on: its attempt ends only once the other one has
-// answered.
+// answered. The other one is watched as well.
 type silenceWatch struct {
 	x *requestState
 
@@ -71,12 +71,18 @@
 // mayBackUp reports whether another attempt may begin beside this one, whose request may run.
 func (x *requestState) mayBackUp(a *attemptState) bool {
 	runs := x.runs
-	if !a.responded {
+	if a.uncounted() {
 		runs++
 	}
 	return x.repeatable() && !x.onTrial && x.crashes == 0 && runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
 }
 
+// uncounted reports whether the request does not count as run in the attempt yet. After a
+// rejection another attempt follows, for which the place of this one is kept.
+func (a *attemptState) uncounted() bool {
+	return !a.responded || a.response.Verdict == NotRun || a.response.Verdict == WrongReplica
+}
+
 // watchGap starts to watch for the next event of a stream.
 func (w *silenceWatch) watchGap() {
 	w.mu.Lock()
@@ -139,7 +145,7 @@
 	if w.backup != nil || !w.x.mayBackUp(w.attempt) {
 		return
 	}
-	w.backup = newBackup(w.x)
+	w.backup = newBackup(w.x, w.attempt)
 	go func(b *backup) {
 		defer w.backupEnded(b)
 		b.run()
@@ -209,8 +215,9 @@
 	// before is the state of the request when the backup began.
 	before requestState
 	cancel context.CancelCauseFunc
-	// sent is true if the request may have been sent.
-	sent atomic.Bool
+	// sent is the number of sends, with those of the backups of the backup, whose parent it is.
+	sent   atomic.Int32
+	parent *backup
 	// done is closed when the backup has answered or failed; ended is true then.
 	done  chan struct{}
 	ended bool
@@ -222,11 +229,16 @@
 	returned bool
 }
 
-func newBackup(x *requestState) *backup {
+// newBackup returns a backup of the attempt a, whose request counts as run in it.
+func newBackup(x *requestState, a *attemptState) *backup {
 	copied := *x
 	copied.tried = slices.Clone(x.tried)
-	b := &backup{x: &copied, before: *x, done: make(chan struct{})}
+	if a.uncounted() {
+		copied.runs++
+	}
+	b := &backup{x: &copied, before: copied, parent: x.backup, done: make(chan struct{})}
 	b.x.ctx, b.cancel = context.WithCancelCause(x.ctx)
+	b.x.backup = b
 	return b
 }
 
@@ -248,16 +260,23 @@
 		b.refused("the retry budget is spent")
 		return
 	}
-	b.sent.Store(true)
+	for p := b; p != nil; p = p.parent {
+		p.sent.Add(1)
+	}
 	b.attempt = x.newAttempt(&g)
+	w := newSilenceWatch(x, b.attempt)
 	b.first, err = b.attempt.next()
 	b.returned = true
+	if own := w.settle(err != nil || b.attempt.response.Verdict == Failed); own != nil {
+		x.replaced(b.attempt, err)
+		b.attempt, b.first, err = x.adopt(own, w), own.first, nil
+	}
 	if err == nil && b.attempt.response.Verdict != Failed {
 		b.ready = true
 		return
 	}
 	if err == nil {
-		x.release(&g, placer.Failed)
+		x.release(b.attempt.grant, placer.Failed)
 		x.logAttempt(b.attempt, "Failed", errReplicaFailed.Error())
 	} else {
 		x.connectionEnded(b.attempt, err)
@@ -276,10 +295,13 @@
 	if b.attempt == nil {
 		return
 	}
-	x.sends, x.runs = b.before.sends+1, b.before.runs+1
 	if !b.returned {
+		if own := b.attempt.watch.settle(false); own != nil {
+			own.discard()
+		}
 		x.release(b.attempt.grant, placer.Abandoned)
 	}
+	x.sends, x.runs = b.before.sends+int(b.sent.Load()), b.before.runs+int(b.sent.Load())
 	b.attempt.close()
 }
 
@@ -321,10 +343,9 @@
 		return
 	}
 	b.cancel(errNotNeeded) // first, so that nothing is sent after sent has been read
-	if b.sent.Load() {
-		x.sends++
-		x.runs++
-	}
+	n := int(b.sent.Load())
+	x.sends += n
+	x.runs += n
 }
 
 // adopt makes the attempt of the backup the one of the request.
