forwarder: an empty continuation with a marked end completes a stream

Change: an empty response whose end is marked says that nothing is left. One that repeats earlier events, has only comments, or ends with its connection proves nothing, and ends the attempt as before. A faulty replica that sends a marked empty success in the middle of a stream cannot be told from that.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -57,7 +57,10 @@
 	// events reads the response if it is a stream.
 	events *eventReader
 	// mustContinue is true until the attempt has gone on with a stream that had begun before it.
+	// Nothing is left of the stream if its response is empty and the end of that is marked.
 	mustContinue bool
+	// repeated is true if the response has something that is no continuation.
+	repeated bool
 	// freeBody frees the memory of the response's body; nil if it has none.
 	freeBody func()
 }
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -36,7 +36,7 @@
 		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && a.x.brokeOff(a, a.x.answer.begun()) {
 			err = io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, io.EOF) && a.mustContinue {
+		if errors.Is(err, io.EOF) && a.mustContinue && (a.repeated || a.response.EndsWithConnection) {
 			err = errNotContinued
 		}
 		if errors.Is(err, io.EOF) {
@@ -56,6 +56,7 @@
 		case numbered && id > a.x.lastEventID:
 			return piece{}, fmt.Errorf("read event: %w", errEventGap)
 		case numbered || a.mustContinue && isComment(e):
+			a.repeated = true
 		case a.mustContinue:
 			return piece{}, fmt.Errorf("read event: %w", errNotContinued)
 		default:
