stager, claimer: processes over TCP keep their ports, and a start reports one that has ended

The stage took an address by listening at port 0 and closing it; until the process listened there, an outgoing connection of the test itself could take the port. The process's error was dropped, and everything waited for it. Ruled out: a lost update between relays (the processes that run are subscribed and confirmed; three of four run). Change: ports come from claimer, which platform's tests had as a function of their own: below the range of outgoing connections, and held by a listener on another loopback address. TestProcessWithoutItsPortIsReported fails without the error's way (a cancelled context instead).

--- a/rigs/stager/stager.go
+++ b/rigs/stager/stager.go
@@ -17,12 +17,14 @@
 	"filbertstile.example/filbertstile/decisions/dispatcher"
 	"filbertstile.example/filbertstile/decisions/distributor"
 	"filbertstile.example/filbertstile/decisions/evaluator"
+	"filbertstile.example/filbertstile/rigs/claimer"
 	"filbertstile.example/filbertstile/rigs/imitator"
 	"filbertstile.example/filbertstile/rigs/shaper"
 	"filbertstile.example/filbertstile/shells/entryrunner"
 	"filbertstile.example/filbertstile/shells/hostrunner"
 	"filbertstile.example/filbertstile/shells/recorder"
 	"filbertstile.example/filbertstile/shells/relayer"
+	"filbertstile.example/filbertstile/transport/connector"
 )
 
 const (
@@ -82,25 +84,6 @@
 	process
 }
 
-// process is the goroutine that runs an entry or a host process.
-type process struct {
-	cancel context.CancelFunc
-	done   chan struct{}
-}
-
-// running reports whether the process has started and not ended.
-func (p *process) running() bool {
-	if p.done == nil {
-		return false
-	}
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // Stage runs a deployment, with stand-ins for the outside systems, in one process.
 type Stage struct {
 	config  Config
@@ -118,6 +101,8 @@
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
 	transports     []*http.Transport
+	// claims are the ports of the processes.
+	claims []claimer.Claim
 }
 
 // New returns a Stage without running processes.
@@ -167,8 +152,16 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns an address that no process listens on at present.
+// freeAddress returns an address for a process. On TCP nothing else uses it until Close.
 func (s *Stage) freeAddress() (string, error) {
+	if _, ok := s.config.Base.(*connector.TCP); ok {
+		c, err := claimer.New()
+		if err != nil {
+			return "", err
+		}
+		s.claims = append(s.claims, c)
+		return c.Address(), nil
+	}
 	l, err := s.config.Base.Listen(loopbackAnyPort)
 	if err != nil {
 		return "", err
@@ -282,18 +275,6 @@
 	}
 }
 
-// start runs the function in a goroutine as the process.
-func (s *Stage) start(p *process, run func(context.Context) error) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	p.cancel = cancel
-	done := make(chan struct{})
-	p.done = done
-	s.wg.Go(func() {
-		defer close(done)
-		_ = run(ctx)
-	})
-}
-
 // StartEntry starts or restarts an entry. It does nothing if the entry is running.
 func (s *Stage) StartEntry(p *EntryProcess) error {
 	if p.running() {
@@ -330,26 +311,6 @@
 	return nil
 }
 
-// Kill stops the process without draining it.
-func (p *process) Kill() {
-	p.cancel()
-	<-p.done
-}
-
-// Stop drains the host process and stops it.
-func (p *HostProcess) Stop(ctx context.Context) error {
-	err := p.Host.Drain(ctx)
-	p.Kill()
-	return err
-}
-
-// Stop drains the entry and stops it.
-func (p *EntryProcess) Stop(ctx context.Context) error {
-	err := p.Entry.Drain(ctx)
-	p.Kill()
-	return err
-}
-
 // Close stops all processes and stand-ins.
 func (s *Stage) Close() {
 	s.cancel()
@@ -357,6 +318,9 @@
 		t.CloseIdleConnections()
 	}
 	s.wg.Wait()
+	for _, c := range s.claims {
+		c.Release()
+	}
 }
 
 // HostsOf returns the host processes of a service.
@@ -406,12 +370,12 @@
 // AwaitReady waits until no entry or host process has a stale view.
 func (s *Stage) AwaitReady(ctx context.Context) error {
 	for _, e := range s.Entries {
-		if err := e.Entry.Node().AwaitReady(ctx); err != nil {
+		if err := e.awaitReady(ctx, e.Entry.Node()); err != nil {
 			return err
 		}
 	}
 	for _, h := range s.Hosts {
-		if err := h.Host.Node().AwaitReady(ctx); err != nil {
+		if err := h.awaitReady(ctx, h.Host.Node()); err != nil {
 			return err
 		}
 	}
