forwarder: a planned stop ends with an answer to each request

What callers saw: a request that was read whole, and whose replica was silent, ended with a closed connection 0.3 s before the time of a planned stop of its entry ran out.

With the stops in the report, e0 logs ProcessLeaving at 33.685 s and CallerLeft for the lost request at 35.414 s, 1.73 s later; the time to stop is 2 s, less 0.3 s. The caller had not left.

Cause: at that time the process ended its context, with it those of all requests, which the forwarder takes for callers that have left: it closes their connections without an answer. A silent replica outlasts the wait, and nothing is left to tell the caller.

Change: Forwarder.Stop ends all requests with a cause of its own, as Leave's wait runs out. Callers whose response has not begun get 503 if the request has not run, else 504; a begun stream breaks off, to be resumed elsewhere. 150 ms are left for these responses and for closing connections.

--- a/shells/edgerunner/leaving.go
+++ b/shells/edgerunner/leaving.go
@@ -13,24 +13,26 @@
 
 // Leave begins a planned stop. It returns after addressTTL, the time for which callers may
 // still use the entry's address, has passed and no call is in flight, or earlier if the
-// time to stop runs out or the context ends. The result is the time by which the process
-// must have exited.
+// time to stop runs out, which ends the calls in flight, or the context ends. The result is
+// the time by which all connections must be closed.
 func (e *Edge) Leave(ctx context.Context, addressTTL time.Duration) time.Time {
 	e.leavingSince.Store(time.Now().UnixNano())
 	e.leaving.Store(true)
 	e.config.Log.Event(reporter.ProcessLeaving, reporter.Fields{"InHand": e.inFlight.Load()})
 	e.pulser.SendNow()
 	e.Refresh()
-	exitBy := time.Now().Add(e.config.Bounds.StopTimeout - stopMargin)
+	endAt := time.Now().Add(e.config.Bounds.StopTimeout - stopMargin)
+	closeBy := endAt.Add(closeTimeout)
 	if sleeper.Sleep(ctx, min(addressTTL+addressTTLMargin, e.config.Bounds.StopTimeout/2)) != nil {
-		return exitBy
+		return closeBy
 	}
-	for e.inFlight.Load() > 0 && time.Now().Before(exitBy) {
+	for e.inFlight.Load() > 0 && time.Now().Before(endAt) {
 		if sleeper.Sleep(ctx, drainPollInterval) != nil {
-			return exitBy
+			return closeBy
 		}
 	}
-	return exitBy
+	e.forwarder.Stop()
+	return closeBy
 }
 
 const (
@@ -39,7 +41,10 @@
 	// addressTTLMargin is added to the address TTL for callers that are slow to learn of
 	// other addresses.
 	addressTTLMargin = 700 * time.Millisecond
-	// stopMargin is the time between the process's exit and the time at which it would be
-	// killed.
+	// stopMargin is the time between the end of the calls in flight and the time at which the
+	// process would be killed.
 	stopMargin = 300 * time.Millisecond
+	// closeTimeout is the part of stopMargin in which callers receive the last responses and
+	// their connections are closed.
+	closeTimeout = stopMargin / 2
 )
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -287,8 +287,8 @@
 	return false
 }
 
-// contextEnded handles an attempt that ended because the caller disconnected or the
-// deadline passed.
+// contextEnded handles an attempt that ended because the caller disconnected, the deadline
+// passed or the forwarder stopped.
 func (x *requestState) contextEnded(a *attemptState) bool {
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		x.release(a.grant, placer.NoResponse)
@@ -296,6 +296,11 @@
 		x.fail(CodeDeadline, "no complete response before the deadline", 0)
 		return false
 	}
+	if x.stopped() {
+		x.conclude(a, errStopped)
+		x.failStopped()
+		return false
+	}
 	x.release(a.grant, placer.Abandoned)
 	x.callerDisconnected(a.grant.Replica.ID)
 	return false
@@ -321,6 +326,8 @@
 		outcome, logged, err = placer.Abandoned, "Withdrawn", cause
 	case errors.Is(cause, errNotNeeded):
 		outcome, logged, err = placer.Abandoned, "NotNeeded", cause
+	case a.x.stopped():
+		outcome, logged = placer.Abandoned, "Stopped"
 	case errors.Is(a.x.ctx.Err(), context.Canceled):
 		outcome, logged = placer.Abandoned, "CallerLeft"
 	case errors.Is(cause, errSuperseded):
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	CodePromptPart = "PromptPartBlocked"
 	// CodeRequest means that the request itself is suspected of crashing replicas.
 	CodeRequest = "RequestBlocked"
+	// CodeStopping means that the entry stopped before the response was complete.
+	CodeStopping = "Stopping"
 )
 
 // Call is a caller's request to forward.
@@ -192,6 +194,9 @@
 	retryBudget *retryBudget
 	buffers     *buffers
 	crashes     *crashChecks
+	// stopped ends when Stop is called, by stop.
+	stopped context.Context
+	stop    context.CancelCauseFunc
 }
 
 // New returns a forwarder.
@@ -202,7 +207,9 @@
 	if c.OnNews == nil {
 		c.OnNews = func() {}
 	}
-	return &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes), crashes: newCrashChecks(c)}
+	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes), crashes: newCrashChecks(c)}
+	f.stopped, f.stop = context.WithCancelCause(context.Background())
+	return f
 }
 
 // SetEntryCount sets the number of entries that share the retry budget.
@@ -246,7 +253,7 @@
 // Serve forwards the request. It returns after the caller has received a response or
 // an error, or has disconnected.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, w ResponseWriter) {
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	ctx, cancel := f.requestContext(ctx, c.Deadline)
 	defer cancel()
 	f.retryBudget.requestArrived(c.Service, c.Arrived)
 	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, lastEventID: c.LastEventID}
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -32,6 +32,8 @@
 		x.failWithQueueLength(code, rejected.Reason, rejected.RetryAfter, rejected.QueueLength)
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		x.fail(CodeDeadline, "no free replica before the deadline", 0)
+	case x.stopped():
+		x.failStopped()
 	default:
 		x.callerDisconnected("")
 	}
--- a/shells/forwarder/silence_test.go
+++ b/shells/forwarder/silence_test.go
@@ -151,6 +151,8 @@
 	budget forwarder.RetryBudgetConfig
 	// leaveAfter is the time after which the caller leaves; 0 means never.
 	leaveAfter time.Duration
+	// stopAfter is the time after which the forwarder stops; 0 means never.
+	stopAfter time.Duration
 }
 
 // serve forwards the request in virtual time.
@@ -182,6 +184,9 @@
 		if q.leaveAfter > 0 {
 			time.AfterFunc(q.leaveAfter, leave)
 		}
+		if q.stopAfter > 0 {
+			time.AfterFunc(q.stopAfter, f.Stop)
+		}
 		r := route(q.kind)
 		if q.kind == filbertstile.CallNonIdempotent {
 			r.MaxAttempts = 1
--- /dev/null
+++ b/shells/forwarder/stopping.go
@@ -0,0 +1,44 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"filbertstile.example/filbertstile"
+)
+
+// stopRetryAfter is the retry delay sent to callers whose requests did not run before the
+// forwarder stopped. It is short, as other entries can serve them.
+const stopRetryAfter = 50 * time.Millisecond
+
+// errStopped is the cause with which a stop ends requests.
+var errStopped = errors.New("the entry is stopping")
+
+// Stop ends all requests. Callers whose response has not begun receive an error.
+func (f *Forwarder) Stop() { f.stop(errStopped) }
+
+// requestContext returns the context of a request, which ends at the deadline or when the
+// forwarder stops.
+func (f *Forwarder) requestContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(f.stopped, func() { cancel(context.Cause(f.stopped)) })
+	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
+	return ctx, func() {
+		unregister()
+		cancelDeadline()
+		cancel(nil)
+	}
+}
+
+// stopped reports whether a stop has ended the request.
+func (x *requestState) stopped() bool { return errors.Is(context.Cause(x.ctx), errStopped) }
+
+// failStopped ends a request that a stop has ended.
+func (x *requestState) failStopped() {
+	retryAfter := time.Duration(0)
+	if x.runState() == filbertstile.NotRun {
+		retryAfter = stopRetryAfter
+	}
+	x.fail(CodeStopping, "the entry stopped before the response was complete", retryAfter)
+}
