suspector: entries that did not hear each other add up their crashes

Cause: an entry repeats a crash that it has seen for 4 s. If another does not hear it in that time, as in a cut between failure domains, the crash is never told again; what is told from then on is each entry's own count, and the receiver takes the highest count, not the sum. Two crashes at one entry and one at another stay two for good.

Ruled out: the order of messages and their delay (in the failing draw all messages of one entry were lost), the window of episodes (crashes were 500 ms apart).

Change: after these 4 s a crash is repeated with those of its keys that are Suspected. An entry that learns of a suspicion suspects the key as well, and so adds its own crashes. Crashes without suspected keys are told as before.

Tests: TestCrashesSpreadAfterCut failed before; TestSoundCrashesAreNotRepeated holds the cost.

--- a/decisions/suspector/exchange.go
+++ b/decisions/suspector/exchange.go
@@ -8,7 +8,9 @@
 
 const (
 	// repeatFor is the time for which an entry repeats a crash that it has seen, and its
-	// witnesses of keys that were named as suspects. Several heartbeats may be lost.
+	// witnesses of keys that were named as suspects. Several heartbeats may be lost. After that
+	// a crash is repeated with its suspected keys only: entries that did not hear each other
+	// may each know too few of their crashes.
 	repeatFor = 4 * time.Second
 	// ageTolerance is the difference up to which two ages are the same: messages take
 	// time, and entries have no common clock.
@@ -25,7 +27,8 @@
 
 // Evidence is what an entry tells the others.
 type Evidence struct {
-	// Crashes are recent crashes that the sender has seen, the latest first.
+	// Crashes are crashes that the sender has seen, the latest first: recent ones, and those
+	// with suspected keys.
 	Crashes []Crash
 	// Witnesses are the sender's witnesses of keys that were named as suspects.
 	Witnesses []Witness
@@ -76,12 +79,13 @@
 func (s *Suspector) sharedCrashes(now time.Time) []Crash {
 	var out []Crash
 	for _, c := range slices.Backward(s.order) {
-		if now.Sub(c.at) > repeatFor || len(out) == maxSharedCrashes {
+		if len(out) == maxSharedCrashes {
 			break
 		}
 		x := Crash{Replica: c.replica, Age: now.Sub(c.at)}
 		for key, b := range c.keys {
-			if b.own {
+			p := s.suspects[key]
+			if b.own && (x.Age <= repeatFor || p.state() == Suspected && !p.expired(now)) {
 				x.Keys = append(x.Keys, key)
 			}
 		}
--- a/decisions/suspector/exchange_test.go
+++ b/decisions/suspector/exchange_test.go
@@ -123,6 +123,35 @@
 	is.True(!b.Merge(now, c.Evidence(now))) // has nothing to add
 }
 
+// TestCrashesSpreadAfterCut guards against entries that each know some of the crashes, after they
+// did not hear each other while the crashes were news, and send on a part that has ended replicas
+// three times.
+func TestCrashesSpreadAfterCut(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		is := is.New(t)
+		all := []*suspector.Suspector{newSuspector(0, 2), newSuspector(1, 2)}
+		crash(all[first], start, 0, 2, bad)
+		crash(all[1-first], start.Add(2*apart), 2, 1, bad)
+		now := start.Add(10 * time.Second)
+		for range 2 {
+			all[1].Merge(now, all[0].Evidence(now))
+			all[0].Merge(now, all[1].Evidence(now))
+		}
+		for _, s := range all {
+			is.Equal(stateOf(s, now, bad), "Blocked")
+		}
+	}
+}
+
+// TestSoundCrashesAreNotRepeated guards against old crashes that every heartbeat repeats although
+// nothing is suspected.
+func TestSoundCrashesAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	s := newSuspector(0, 2)
+	now := crash(s, start, 0, 1, bad).Add(10 * time.Second)
+	is.Equal(len(s.Evidence(now).Crashes), 0)
+}
+
 // TestAnswerElsewhereClearsSuspicion guards against an entry that suspects a part on which
 // answers begin at others, and is not told of it.
 func TestAnswerElsewhereClearsSuspicion(t *testing.T) {
