suspector: a crash has the earliest time that any message gives it

What callers saw: nothing yet; found while tracing TestEvidenceInAnyOrder. An entry that stood still for some seconds finds messages about several crashes in its socket. It dated each crash by the first message about it, as if that had just been sent, so that crashes half a second apart fell into one episode, and the part that caused them was only Suspected there.

Cause: the time of a crash was set once. Later messages, which did not wait, tell its age exactly, and were not used.

Ruled out: the delay that Merge knows of (Evidence.Delay) can't serve, as it is an upper bound, and dating crashes too early would split one episode into two.

Change: a crash that another message dates earlier takes that time, and the episodes of its keys are counted again.

Tests: TestLateCrashesAreDated failed before. 20,000 draws of TestEvidenceInAnyOrder pass.

--- a/decisions/suspector/exchange_test.go
+++ b/decisions/suspector/exchange_test.go
@@ -152,6 +152,24 @@
 	is.Equal(len(s.Evidence(now).Crashes), 0)
 }
 
+// TestLateCrashesAreDated guards against crashes that count once because the messages about them
+// waited and arrived together.
+func TestLateCrashesAreDated(t *testing.T) {
+	is := is.New(t)
+	a, b := newSuspector(0, 2), newSuspector(1, 2)
+	var waiting []suspector.Evidence
+	for i := range 3 {
+		at := crash(a, start.Add(time.Duration(i)*apart), i, 1, bad)
+		waiting = append(waiting, suspector.Evidence{Crashes: a.Evidence(at).Crashes})
+	}
+	now := start.Add(3 * time.Second)
+	for _, e := range waiting {
+		b.Merge(now, e)
+	}
+	b.Merge(now, suspector.Evidence{Crashes: a.Evidence(now).Crashes})
+	is.Equal(stateOf(b, now, bad), "Blocked")
+}
+
 // TestAnswerElsewhereClearsSuspicion guards against an entry that suspects a part on which
 // answers begin at others, and is not told of it.
 func TestAnswerElsewhereClearsSuspicion(t *testing.T) {
--- a/decisions/suspector/suspect.go
+++ b/decisions/suspector/suspect.go
@@ -60,6 +60,14 @@
 	return true
 }
 
+// recount counts the episodes of the key again after the crash at the time was dated earlier.
+func (p *suspect) recount(key uint64, was time.Time) {
+	p.episodes = slices.DeleteFunc(p.episodes, func(e episode) bool { return e.at.Equal(was) })
+	for _, c := range p.crashes {
+		p.addEpisode(episode{c.at, c.keys[key].sentAt})
+	}
+}
+
 // maxCounted returns the number of episodes beyond which no more are counted.
 func (p *suspect) maxCounted() int { return max(blockEpisodes, p.policy.maxEpisodes) }
 
--- a/decisions/suspector/suspector.go
+++ b/decisions/suspector/suspector.go
@@ -179,9 +179,13 @@
 	return s.witnesses.get(key)
 }
 
-// crash returns the crash of the boot, after adding it if it is not known.
+// crash returns the crash of the boot, after adding it if it is not known. Messages that waited
+// make it seem later than it was, so that its earliest time counts.
 func (s *Suspector) crash(replica uint64, at time.Time) *crash {
 	if c := s.crashes[replica]; c != nil {
+		if at.Before(c.at) {
+			s.redate(c, at)
+		}
 		return c
 	}
 	c := &crash{replica: replica, at: at, keys: make(map[uint64]blame)}
@@ -194,6 +198,17 @@
 	return c
 }
 
+// redate sets the time of the crash, and counts the episodes of its keys again.
+func (s *Suspector) redate(c *crash, at time.Time) {
+	was := c.at
+	c.at = at
+	for key := range c.keys {
+		if p := s.suspects[key]; slices.Contains(p.crashes, c) {
+			p.recount(key, was)
+		}
+	}
+}
+
 // blame adds the key to the suspects of the crash, and reports whether that is new.
 func (s *Suspector) blame(now time.Time, c *crash, key uint64, b blame) bool {
 	if b.sentAt.After(c.at) {
