matcher: an IPv6 address as host is not cut at a colon of its own

A request to [2001:db8::a], with a port or without, matched no route: all that follows the first colon was taken for the port, so that "[2001" was left, for this and all other addresses that begin alike. Its regions were those of no route too, which allows all.

The host of a request loses its port and its brackets only as a whole, and a route's host its brackets, so that a route may name an address with or without them. A name with more than one colon that is no address in brackets stays as it is.

TestIPv6HostMatches failed before, in ten of thirteen cases and for the regions. Host names with ports match as before (TestLongestPathPrefixMatches).

--- a/decisions/matcher/matcher.go
+++ b/decisions/matcher/matcher.go
@@ -22,7 +22,8 @@
 func New(r filbertstile.Routing) *Matcher {
 	m := &Matcher{routing: r, routesByHostName: make(map[string][]filbertstile.Route), accountsByKey: make(map[string]filbertstile.AccountAccess)}
 	for _, route := range r.Routes.All() {
-		m.routesByHostName[route.HostName] = append(m.routesByHostName[route.HostName], route)
+		name := withoutBrackets(route.HostName)
+		m.routesByHostName[name] = append(m.routesByHostName[name], route)
 	}
 	for _, routes := range m.routesByHostName {
 		slices.SortStableFunc(routes, func(a, b filbertstile.Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -111,8 +112,27 @@
 	return out, len(out) > 0
 }
 
-// normalizeHostName returns the host name in lower case and without the port.
+// withoutBrackets returns the host name of a route, without the brackets of an IPv6 address.
+func withoutBrackets(hostName string) string {
+	if address, closed := strings.CutSuffix(hostName, "]"); closed {
+		return strings.TrimPrefix(address, "[")
+	}
+	return hostName
+}
+
+// normalizeHostName returns the host name or address in lower case, without the port and without
+// the brackets of an IPv6 address. What is neither is returned as it is.
 func normalizeHostName(hostName string) string {
-	name, _, _ := strings.Cut(hostName, ":")
-	return strings.ToLower(name)
+	name := strings.ToLower(hostName)
+	if strings.HasPrefix(name, "[") {
+		address, port, closed := strings.Cut(name[1:], "]")
+		if closed && (port == "" || port[0] == ':') {
+			return address
+		}
+		return name
+	}
+	if host, _, hasPort := strings.Cut(name, ":"); hasPort && strings.Count(name, ":") == 1 {
+		return host
+	}
+	return name
 }
--- a/decisions/matcher/matcher_test.go
+++ b/decisions/matcher/matcher_test.go
@@ -47,6 +47,29 @@
 	}
 }
 
+// TestIPv6HostMatches guards against an IPv6 address as host that is cut at a colon of its own, so
+// that its requests match no route, or that of another address.
+func TestIPv6HostMatches(t *testing.T) {
+	m := matcher.New(filbertstile.Routing{Routes: filbertstile.NewTable(
+		filbertstile.Route{Name: "bare", HostName: "2001:db8::a", PathPrefix: "/"},
+		filbertstile.Route{Name: "bracketed", HostName: "[2001:db8::b]", PathPrefix: "/", Regions: []string{"r1"}},
+		filbertstile.Route{Name: "cut", HostName: "[2001", PathPrefix: "/"},
+	)})
+	for _, c := range []struct{ host, want string }{
+		{"[2001:db8::a]", "bare"}, {"[2001:db8::a]:8080", "bare"}, {"[2001:DB8::A]:80", "bare"}, {"2001:db8::a", "bare"},
+		{"[2001:db8::b]", "bracketed"}, {"[2001:db8::b]:8080", "bracketed"}, {"[2001:db8::b]:", "bracketed"},
+		{"[2001:db8::c]:80", ""}, {"[2001:db8::a", ""}, {"[2001:db8::a]x", ""}, {"", ""}, {"[", ""}, {"[]", ""},
+	} {
+		t.Run(c.host, func(t *testing.T) {
+			is := is.New(t)
+			r, ok := m.Route(c.host, "/")
+			is.Equal(ok, c.want != "")
+			is.Equal(r.Name, c.want)
+		})
+	}
+	is.New(t).Equal(m.Regions("[2001:db8::b]:80"), []string{"r1"})
+}
+
 func TestOnlyListedKeysHaveAccount(t *testing.T) {
 	is := is.New(t)
 	m := matcher.New(routing())
