reporter: a writer may be closed twice

A process that closes its log on two ways out panicked with "close of closed channel" in the second Close. Nothing of the project's own programs does so today; Close is exported and says nothing of it. The channel is closed once, and further calls wait for the first one, so that all of them return after the last line is written.

TestWriterClosesOnce panicked before.

--- a/base/reporter/writer.go
+++ b/base/reporter/writer.go
@@ -19,9 +19,10 @@
 // logging never waits for a slow output. If the buffer is full, lines are dropped
 // and counted.
 type Writer struct {
-	out  io.Writer
-	done chan struct{}
-	wg   sync.WaitGroup
+	out       io.Writer
+	done      chan struct{}
+	closeOnce sync.Once
+	wg        sync.WaitGroup
 
 	mu      sync.Mutex
 	pending bytes.Buffer
@@ -77,8 +78,8 @@
 	}
 }
 
-// Close writes the buffered lines and stops the writer.
+// Close writes the buffered lines and stops the writer. Further calls wait for the first one.
 func (w *Writer) Close() {
-	close(w.done)
+	w.closeOnce.Do(func() { close(w.done) })
 	w.wg.Wait()
 }
--- a/base/reporter/writer_test.go
+++ b/base/reporter/writer_test.go
@@ -48,3 +48,21 @@
 		is.True(strings.Contains(out.text.String(), "LinesDropped"))
 	})
 }
+
+// TestWriterClosesOnce guards against a panic of a process that closes its log on two ways out.
+func TestWriterClosesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		w := reporter.NewWriter(&out)
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+		var closers sync.WaitGroup
+		for range 3 {
+			closers.Go(w.Close)
+		}
+		closers.Wait()
+		w.Close()
+		is.Equal(out.String(), "line\n")
+	})
+}
