dispatcher: a request that ends releases all hosts that were asked for a slot

Replicas looked fuller at an entry than they were, for good: a request of the highest tier, or one that runs at most once, is offered to up to three hosts, and each counts it as in flight. If the call ended before the entry had declined the other offers, as when the record of an earlier call with its key is replayed, Ended released the host that it names, and the request was forgotten; OfferDeclined for the others then found no request, and their counts stayed.

All ways in which a request ends, except out of the queue, release the hosts that still have it. A later OfferDeclined changes nothing.

Read and ruled out: refusals, which end a request only when no host has it, and the usual order of the shell, which declines the other offers before it sends Go.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -360,6 +360,15 @@
 	c.replicas = c.replicas.With(r)
 }
 
+// removeRequest removes a request that has ended. Hosts that have not declined it yet no longer
+// have it either.
+func (c *Core) removeRequest(req *requestState) {
+	for len(req.hosts) > 0 {
+		c.removeHost(req, req.hosts[0], nil)
+	}
+	delete(c.requests, req.request.ID)
+}
+
 func (c *Core) handleCallerDisconnected(id string) {
 	if req := c.requests[id]; req != nil {
 		req.callerDisconnected = true
@@ -377,5 +386,5 @@
 		}
 		return r
 	})
-	delete(c.requests, e.ID)
+	c.removeRequest(req)
 }
--- a/decisions/dispatcher/retrier.go
+++ b/decisions/dispatcher/retrier.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	if req.callerDisconnected {
-		delete(c.requests, e.ID)
+		c.removeRequest(req)
 		return nil
 	}
 	if !e.Reached && !c.spendRetry() {
@@ -68,9 +68,9 @@
 	return true
 }
 
-// rejectSent rejects a request that was sent and that no host has any more.
+// rejectSent rejects a request that was sent and that no host runs any more.
 func (c *Core) rejectSent(req *requestState, err filbertstile.ErrRequest) []Command {
-	delete(c.requests, req.request.ID)
+	c.removeRequest(req)
 	return []Command{Reject{ID: req.request.ID, Err: err}}
 }
 
@@ -84,7 +84,7 @@
 	}
 	c.removeHost(req, e.Host, func(r router.Replica) router.Replica { return r.WithFailure(now, minCooldown, maxCooldown) })
 	if req.callerDisconnected {
-		delete(c.requests, e.ID)
+		c.removeRequest(req)
 		return nil
 	}
 	req.tried = append(req.tried, e.Host)
