dispatcher: a tier gets its floor whatever the weights of the others

A tier with a floor of 50 percent and a weight of 1 beside one of 99 got 34 of 100 requests while both had work. Its weight was raised to half of the sum of the weights as configured, but the sum grows with it, so that the share was 50 of 149.

Tiers whose weights give them less than their floors now get their floors of the whole, and the others divide the rest by their weights; to raise one may bring another below its floor, so that it is repeated until none is. Numbers are whole, so that floors of 100 percent in sum come out exactly; even then a tier without a floor gets one of 100 requests or so. The shares are worked out once for each view.

TestTiersGetTheirFloors failed before in eight of eleven cases; with weights that exceed the floors nothing changes. Left: the weight that goes to hosts with a request is rounded to a whole number, as before.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -117,6 +117,8 @@
 	queues   map[string]*queue
 	replicas filbertstile.Table[router.Replica]
 	buckets  map[string]limiter.Bucket
+	// weights are the tiers' shares of the capacity; see tierWeights.
+	weights map[string]float64
 	// entries is the number of entries that are not leaving.
 	entries int
 	// retryBudget is the number of retries that may be made now.
@@ -199,6 +201,7 @@
 func (c *Core) handleView(e ViewUpdated) {
 	c.view = e.View
 	c.trust = e.Trust
+	c.weights = tierWeights(e.View.Config.Tiers.All())
 	c.entries = 0
 	for _, m := range e.View.Members.All() {
 		if m.Role == filbertstile.RoleEntry && !m.Leaving {
@@ -316,16 +319,6 @@
 	return out
 }
 
-// weight returns a tier's share of the capacity while all tiers have work: its
-// weight, or its floor if that is higher.
-func (c *Core) weight(t filbertstile.Tier) float64 {
-	sum := 0
-	for _, other := range c.view.Config.Tiers.All() {
-		sum += other.Weight
-	}
-	return max(1, float64(t.Weight), float64(sum*t.FloorPercent)/100)
-}
-
 // send removes the request from its queue and sends it to the replicas.
 func (c *Core) send(q *queue, req *requestState, replicas []router.Replica) Command {
 	q.requests = slices.DeleteFunc(q.requests, func(o *requestState) bool { return o == req })
