distributor: releases with the same manifest share a transfer, and all of them complete

A release with the same weights as another one was never complete at a host: wanted together, the second had a transfer of its own that no event reached, as events name the manifest and found the first, so that Done stayed false and the host was never at rest; wanted later, it found the finished transfer of the first, and Completed was not sent again.

A transfer belongs to a manifest and has the releases that want it.

--- a/decisions/distributor/decide.go
+++ b/decisions/distributor/decide.go
@@ -22,13 +22,13 @@
 	for _, m := range want {
 		if t.peers[m.Name] == nil {
 			t.peers[m.Name] = &peerState{member: m, holds: make([]bool, len(t.have))}
-			out = append(out, Subscribe{Manifest: t.want.Manifest, Peer: m})
+			out = append(out, Subscribe{Manifest: t.digest, Peer: m})
 		}
 	}
 	for name := range t.peers {
 		if !slices.ContainsFunc(want, func(m filbertstile.Member) bool { return m.Name == name }) {
 			delete(t.peers, name)
-			out = append(out, Unsubscribe{Manifest: t.want.Manifest, Peer: name})
+			out = append(out, Unsubscribe{Manifest: t.digest, Peer: name})
 		}
 	}
 	return out
@@ -64,14 +64,14 @@
 		// every time.
 		p := usable[c.rng.IntN(len(usable))]
 		t.manifestRequested = now
-		return []Command{FetchManifest{Digest: t.want.Manifest, Peer: p.member}}
+		return []Command{FetchManifest{Digest: t.digest, Peer: p.member}}
 	}
-	rank := rendezvousRank(c.originCandidates, string(t.want.Manifest), c.config.Self.Name)
+	rank := rendezvousRank(c.originCandidates, string(t.digest), c.config.Self.Name)
 	if rank < 0 || now.Sub(t.started) < time.Duration(rank)*c.config.Limits.TakeoverDelay {
 		return nil
 	}
 	t.manifestRequested = now
-	return []Command{FetchManifest{Digest: t.want.Manifest}}
+	return []Command{FetchManifest{Digest: t.digest}}
 }
 
 // fetchFromPeers fetches chunks from peers of the region, the rarest chunk first.
@@ -300,7 +300,7 @@
 	return rank >= 0 && idle >= time.Duration(rank)*delay
 }
 
-// Progress is the state of one transfer, for state dumps and reports.
+// Progress is the state of the transfer of one release, for state dumps and reports.
 type Progress struct {
 	Release  string
 	Manifest filbertstile.Digest
@@ -316,14 +316,16 @@
 	Done bool
 }
 
-// Progress returns the state of all transfers, the most urgent first.
+// Progress returns the state of the transfers of all wanted releases, the most urgent first.
 func (c *Core) Progress() []Progress {
 	out := make([]Progress, 0, len(c.transfers))
 	for _, t := range c.transfers {
-		out = append(out, Progress{
-			Release: t.want.Release, Manifest: t.want.Manifest, Chunks: len(t.have), Missing: t.missing,
-			Peers: sortedNames(t.peers), Fetching: len(t.fetching), Done: t.done,
-		})
+		for _, release := range t.releases {
+			out = append(out, Progress{
+				Release: release, Manifest: t.digest, Chunks: len(t.have), Missing: t.missing,
+				Peers: sortedNames(t.peers), Fetching: len(t.fetching), Done: t.done,
+			})
+		}
 	}
 	return out
 }
--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -154,9 +154,11 @@
 	chunks int
 }
 
-// transfer is the transfer of one release to this host.
+// transfer is the transfer of the weights of one manifest to this host.
 type transfer struct {
-	want     Want
+	digest filbertstile.Digest
+	// releases are the wanted releases with the manifest.
+	releases []string
 	manifest filbertstile.Manifest
 	// hasManifest is true if manifest is set.
 	hasManifest bool
@@ -277,14 +279,7 @@
 	return !slices.ContainsFunc(c.transfers, func(t *transfer) bool { return !t.done })
 }
 
-func (c *Core) findTransfer(d filbertstile.Digest) *transfer {
-	for _, t := range c.transfers {
-		if t.want.Manifest == d {
-			return t
-		}
-	}
-	return nil
-}
+func (c *Core) findTransfer(d filbertstile.Digest) *transfer { return findTransfer(c.transfers, d) }
 
 func (c *Core) handle(now time.Time, e Event) []Command {
 	switch e := e.(type) {
@@ -320,36 +315,6 @@
 	p.holds = make([]bool, len(t.have))
 }
 
-func (c *Core) setWanted(now time.Time, wants []Want) []Command {
-	var out []Command
-	var next []*transfer
-	for _, w := range wants {
-		t := c.findTransfer(w.Manifest)
-		if t == nil {
-			t = &transfer{
-				want: w, started: now, lastProgress: now,
-				fetching: make(map[int]fetch), peers: make(map[string]*peerState), ownerProgress: make(map[string]*ownerProgress),
-			}
-		}
-		next = append(next, t)
-	}
-	for _, t := range c.transfers {
-		kept := false
-		for _, n := range next {
-			kept = kept || n == t
-		}
-		if kept {
-			continue
-		}
-		for name := range t.peers {
-			out = append(out, Unsubscribe{Manifest: t.want.Manifest, Peer: name})
-		}
-		out = append(out, Drop{Manifest: t.want.Manifest})
-	}
-	c.transfers = next
-	return out
-}
-
 func (c *Core) handleManifestArrived(now time.Time, e ManifestArrived) []Command {
 	t := c.findTransfer(e.Digest)
 	if t == nil || t.hasManifest {
@@ -380,15 +345,6 @@
 	return out
 }
 
-// checkCompleted marks the transfer as done once no chunk is missing.
-func (c *Core) checkCompleted(t *transfer) []Command {
-	if t.missing > 0 || t.done {
-		return nil
-	}
-	t.done = true
-	return []Command{Completed{Release: t.want.Release, Manifest: t.want.Manifest}}
-}
-
 // endFetch removes a fetch that has ended. It returns false if no fetch of the chunk
 // from the peer is in flight.
 func (t *transfer) endFetch(index int, peer string) (fetch, bool) {
@@ -533,7 +489,7 @@
 // startFetch records a fetch from the peer and returns its command; nil is the origin.
 func (c *Core) startFetch(now time.Time, t *transfer, index int, p *peerState) Command {
 	f := fetch{index: index, started: now}
-	cmd := FetchChunk{Manifest: t.want.Manifest, Index: index, Ref: t.manifest.Chunks[index], Timeout: c.config.Limits.ChunkTimeout}
+	cmd := FetchChunk{Manifest: t.digest, Index: index, Ref: t.manifest.Chunks[index], Timeout: c.config.Limits.ChunkTimeout}
 	if p == nil {
 		t.originFetches++
 	} else {
--- a/decisions/distributor/order.go
+++ b/decisions/distributor/order.go
@@ -64,7 +64,7 @@
 		return
 	}
 	t.topology = topology{membersVersion: c.membersVersion, neighbours: c.neighbours(t), sourcePeers: c.sourcePeers(t), importRank: c.importRank(t), importers: c.importers(t)}
-	for _, m := range rendezvousOrder(c.owners(t), string(t.want.Manifest)) {
+	for _, m := range rendezvousOrder(c.owners(t), string(t.digest)) {
 		t.topology.owners = append(t.topology.owners, m.Name)
 	}
 }
@@ -98,7 +98,7 @@
 
 // importers returns the hosts that import chunks into this host's region.
 func (c *Core) importers(t *transfer) []filbertstile.Member {
-	candidates := rendezvousOrder(inRegion(c.members, c.config.Self.Region), string(t.want.Manifest)+c.config.Self.Region)
+	candidates := rendezvousOrder(inRegion(c.members, c.config.Self.Region), string(t.digest)+c.config.Self.Region)
 	return candidates[:min(len(candidates), c.config.Limits.MaxImporters)]
 }
 
@@ -115,7 +115,7 @@
 // importRank returns the rank of this host in the order in which hosts import into its
 // region, or -1 if it is not a member. Ranks from MaxImporters on are spares.
 func (c *Core) importRank(t *transfer) int {
-	key := string(t.want.Manifest) + c.config.Self.Region
+	key := string(t.digest) + c.config.Self.Region
 	return rendezvousRank(inRegion(c.members, c.config.Self.Region), key, c.config.Self.Name)
 }
 
@@ -142,7 +142,7 @@
 // rendezvous order, in which links of growing length keep the diameter small with few
 // links per host. In a small region, all other hosts are neighbours.
 func (c *Core) neighbours(t *transfer) []filbertstile.Member {
-	ring := rendezvousOrder(inRegion(c.members, c.config.Self.Region), string(t.want.Manifest))
+	ring := rendezvousOrder(inRegion(c.members, c.config.Self.Region), string(t.digest))
 	n := len(ring)
 	self := slices.IndexFunc(ring, func(m filbertstile.Member) bool { return m.Name == c.config.Self.Name })
 	if self < 0 {
@@ -192,6 +192,6 @@
 // imports.
 func (c *Core) sourcePeers(t *transfer) []filbertstile.Member {
 	sources := inRegion(c.members, c.config.SourceRegion)
-	peers := rendezvousOrder(sources, string(t.want.Manifest)+c.config.Self.Name)
+	peers := rendezvousOrder(sources, string(t.digest)+c.config.Self.Name)
 	return peers[:min(len(peers), c.config.Limits.SourcePeers)]
 }
