placer: a holder of a limit prefers the limited replica to others that are as idle

A replica that names a limit got little of it: with 100 entries, a limit of 1 a second and two idle replicas beside it, mostly 3 to 5 requests in 9.3 s. No request was refused for it, but only a response shows that a limit has ended, so that in one run none had asked 5 s after its end.

The random part of the score decided between replicas that are as idle, which gives a third here and less beside more replicas, and a share saves up one request only.

The width of the random part is now taken off the score of a limited replica, which may be chosen only while this entry has a token: it wins against all that are as idle, in the same region or not, and no longer when it is busier. Tokens are given out as before, so that the limit holds as before.

Ruled out: holders that change (one held it in all traced runs), requests that the holder does not get (each gets 2.5 a second). Weighed: a share that saves up more requests (a burst for each holder when they change); leaving out the random part only (a limited replica in another region would still lose to many idle ones).

--- a/decisions/placer/limits.go
+++ b/decisions/placer/limits.go
@@ -136,6 +136,12 @@
 	return true
 }
 
+// isLimited reports whether the replica has named a limit.
+func (p *Placer) isLimited(r *replicaState) bool {
+	x := p.announced[r.replica.ID]
+	return x != nil && x.limit.limit.Named
+}
+
 // rate returns the rate that all entries together may use.
 func (s *limitState) rate() float64 { return max(s.limit.PerSecond, minLimitedRate) }
 
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -37,6 +37,10 @@
 	// scoreJitter is the width of the random part of the score, in requests. It makes
 	// entries with the same reports choose different replicas.
 	scoreJitter = 2.0
+	// limitPreference is taken off the score of a replica that has named a limit, in
+	// requests. A share that is not used soon is lost, so that the random part of the score
+	// must not decide between the replica and others that are as idle.
+	limitPreference = scoreJitter
 	// maxAssumedEntries bounds the number of entries that are assumed to load a replica
 	// as much as this one if no report shows their load.
 	maxAssumedEntries = 3
@@ -300,6 +304,9 @@
 		if spec != nil {
 			score += float64(r.pendingTokens()) * pendingTokenCost
 		}
+		if p.isLimited(r) {
+			score -= limitPreference
+		}
 		if r.region != p.config.Region {
 			score += otherRegionCost
 		}
@@ -316,10 +323,7 @@
 // belongsToOtherGroup reports whether only entries of other groups choose the replica as long
 // as others are eligible. The limit of a replica is shared by entries of all groups.
 func (p *Placer) belongsToOtherGroup(r *replicaState) bool {
-	if x := p.announced[r.replica.ID]; x != nil && x.limit.limit.Named {
-		return false
-	}
-	return r.otherGroup
+	return r.otherGroup && !p.isLimited(r)
 }
 
 func (p *Placer) engine(service string) *filbertstile.EngineSpec {
