relayer: stamps of subscriptions do not follow the wall clock

A process whose wall clock is set forward after its start took its view as confirmed in the future for as long as the step, and so as trustworthy although no parent or store confirmed it; set back, it took a fresh view as stale. Stamps that a parent echoes were readings of the wall clock, but were turned into times by their distance from the start on the monotonic clock, which does not make the step.

A stamp is now the time since the start on the monotonic clock. Only the process that sent it reads it, and its parents return it as it is, so that builds may be mixed. An echo without a stamp is no contact.

A step itself cannot be played in virtual time.

--- a/shells/relayer/parent.go
+++ b/shells/relayer/parent.go
@@ -27,7 +27,7 @@
 	minRevision uint64
 	nodes       int
 	slowest     string
-	// stampMicros is the time of the subscriber's clock in its last message, and
+	// stampMicros is the stamp in the subscriber's last message, which only it can read, and
 	// stampReceivedAt when that message arrived.
 	stampMicros     int64
 	stampReceivedAt time.Time
--- a/shells/relayer/subscriber.go
+++ b/shells/relayer/subscriber.go
@@ -16,8 +16,6 @@
 	"filbertstile.example/filbertstile/transport/messenger"
 )
 
-func unixMicros(t time.Time) int64 { return t.UnixMicro() }
-
 // subscribe subscribes to a parent, again after each failure, until the context ends.
 func (r *Relay) subscribe(ctx context.Context, parent filbertstile.Member, primary bool) {
 	for ctx.Err() == nil {
@@ -41,7 +39,7 @@
 		Id: r.config.Client.NextID(),
 		Kind: &wire.Request_Subscribe{Subscribe: &wire.Subscribe{
 			Node: r.config.Self.Name, Revision: v.Config.Revision, MembersVersion: r.newAck(primary).GetMembersVersion(),
-			StampMicroseconds: unixMicros(time.Now()), Primary: primary,
+			StampMicroseconds: r.stamp(), Primary: primary,
 		}},
 	})
 	if err != nil {
@@ -89,17 +87,17 @@
 			return err
 		}
 	}
-	stamp := time.UnixMicro(u.GetEchoMicroseconds())
+	echoed := r.localTime(u.GetEchoMicroseconds())
 	r.mu.Lock()
-	r.parentReports[parent.Name] = parentReport{lastContact: r.localTime(stamp), outage: u.GetOutage(), storeUnreachable: u.GetStoreOutOfReach()}
+	r.parentReports[parent.Name] = parentReport{lastContact: echoed, outage: u.GetOutage(), storeUnreachable: u.GetStoreOutOfReach()}
 	r.mu.Unlock()
 	if u.GetRevision() > r.config.Holder.View().Config.Revision {
 		return viewer.ErrRevisionGap{Have: r.config.Holder.View().Config.Revision, Got: u.GetRevision()}
 	}
-	if u.GetEchoMicroseconds() == 0 || u.GetVouchedMillisecondsAgo() >= neverConfirmed {
+	if echoed.IsZero() || u.GetVouchedMillisecondsAgo() >= neverConfirmed {
 		return nil
 	}
-	at := r.localTime(stamp).Add(-time.Duration(u.GetVouchedMillisecondsAgo()) * time.Millisecond)
+	at := echoed.Add(-time.Duration(u.GetVouchedMillisecondsAgo()) * time.Millisecond)
 	// The confirmation holds only for the revision of the parent's view.
 	if u.GetRevision() == r.config.Holder.View().Config.Revision {
 		r.config.Holder.Confirm(at, u.GetStoreOutOfReach())
@@ -111,10 +109,17 @@
 // confirmed the view.
 const neverConfirmed = int64(1) << 40
 
-// localTime converts an echoed stamp of this process's clock to a time with a monotonic
-// clock reading.
-func (r *Relay) localTime(stamp time.Time) time.Time {
-	return r.started.Add(stamp.Sub(time.UnixMicro(r.started.UnixMicro())))
+// stamp returns the time since the start of this process, in microseconds. The wall clock may be
+// set in the meantime, and the echo of a stamp must not be later than its sending. It is
+// never 0, which stands for no stamp.
+func (r *Relay) stamp() int64 { return max(1, time.Since(r.started).Microseconds()) }
+
+// localTime returns the time of an echoed stamp; zero if it is none.
+func (r *Relay) localTime(stamp int64) time.Time {
+	if stamp <= 0 {
+		return time.Time{}
+	}
+	return r.started.Add(time.Duration(stamp) * time.Microsecond)
 }
 
 // sendAcks sends acks to the parent after changes and confirmations of the view, and
@@ -144,7 +149,7 @@
 	v := r.config.Holder.View()
 	a := &wire.Ack{
 		MinRevision: v.Config.Revision, Revision: v.Config.Revision, MembersVersion: v.MembersVersion,
-		Slowest: r.config.Self.Name, StampMicroseconds: unixMicros(time.Now()),
+		Slowest: r.config.Self.Name, StampMicroseconds: r.stamp(),
 	}
 	if !r.wantsMembers(primary) {
 		a.MembersVersion = membersUnwanted
