hostrunner, entryrunner: a result whose body was cut says so

A caller of a call that runs at most once could get the start of its response as all of it, with status 200: a host keeps the first 64 KiB of the body or so for the case that the contact to the entry is lost, and cut the rest without a sign. The entry that sealed the call then replayed the part with a complete end. Where the outcome goes to the record first, such a body was left out for its size, and the caller told.

The result and Sealed now say whether the body is only a start, and the entry answers as it does for bodies that the record leaves out: the call ran, its response was too large to be stored. The start is still sent, as owners of records leave a body out by its length, of either build. An entry of the build before does not know the new field and behaves as it did.

The loss of contact itself was not played with a long body.

--- a/decisions/gatekeeper/events.go
+++ b/decisions/gatekeeper/events.go
@@ -61,6 +61,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// BodyTruncated is true if the body was too large to be kept, and Body is only its start.
+	BodyTruncated bool
 }
 
 // Event is an input of the core.
--- a/shells/entryrunner/call.go
+++ b/shells/entryrunner/call.go
@@ -480,7 +480,7 @@
 		return false
 	case filbertstile.Ran:
 		c.entry.loop.Post(dispatcher.Ended{ID: c.request.ID, Host: to.Host.Name, OK: true})
-		c.replay(recorder.Outcome{Run: filbertstile.Ran, Status: int(sealed.GetStatus()), ContentType: sealed.GetContentType(), Body: sealed.GetBody()})
+		c.replay(sealedOutcome(sealed))
 		return true
 	default:
 		c.entry.loop.Post(failure)
--- a/shells/entryrunner/convert.go
+++ b/shells/entryrunner/convert.go
@@ -51,6 +51,14 @@
 	return result
 }
 
+// sealedOutcome returns the outcome that a host reports for a sealed call.
+func sealedOutcome(s *wire.Sealed) recorder.Outcome {
+	return recorder.Outcome{
+		Run: filbertstile.RunState(s.GetRun()), Status: int(s.GetStatus()), ContentType: s.GetContentType(),
+		Body: s.GetBody(), BodyOmitted: s.GetBodyTruncated(),
+	}
+}
+
 func toOutcome(o recorder.Outcome) *wire.Outcome {
 	return &wire.Outcome{
 		Key: o.Key, RequestId: o.RequestID, Run: string(o.Run), Status: int32(o.Status), ContentType: o.ContentType, Body: o.Body, Host: o.Host,
--- a/shells/entryrunner/once.go
+++ b/shells/entryrunner/once.go
@@ -156,10 +156,9 @@
 				continue
 			}
 			if run := filbertstile.RunState(sealed.GetRun()); run != filbertstile.Unknown {
-				e.recordOutcome(recorder.Outcome{
-					Key: c.recordKey, RequestID: c.request.ID, Run: run, Status: int(sealed.GetStatus()),
-					ContentType: sealed.GetContentType(), Body: sealed.GetBody(), Host: host,
-				})
+				o := sealedOutcome(sealed)
+				o.Key, o.RequestID, o.Host = c.recordKey, c.request.ID, host
+				e.recordOutcome(o)
 			}
 			return
 		}
--- a/shells/hostrunner/hostrunner.go
+++ b/shells/hostrunner/hostrunner.go
@@ -491,7 +491,8 @@
 	sealed, _ := cmd.(gatekeeper.Sealed)
 	h.node.Log.Event(reporter.RequestSealed, reporter.Fields{"Request": seal.GetRequestId(), "Run": sealed.Result.Run})
 	_ = s.Send(&wire.Frame{Kind: &wire.Frame_Sealed{Sealed: &wire.Sealed{
-		Run: string(sealed.Result.Run), Status: int32(sealed.Result.Status), ContentType: sealed.Result.ContentType, Body: sealed.Result.Body,
+		Run: string(sealed.Result.Run), Status: int32(sealed.Result.Status), ContentType: sealed.Result.ContentType,
+		Body: sealed.Result.Body, BodyTruncated: sealed.Result.BodyTruncated,
 	}}})
 }
 
--- a/shells/hostrunner/work.go
+++ b/shells/hostrunner/work.go
@@ -334,5 +334,8 @@
 }
 
 func (w *responseWriter) result(err error) gatekeeper.Result {
-	return gatekeeper.Result{Run: w.runState(err), Status: w.status, ContentType: w.contentType, Body: w.body.Bytes()}
+	return gatekeeper.Result{
+		Run: w.runState(err), Status: w.status, ContentType: w.contentType, Body: w.body.Bytes(),
+		BodyTruncated: w.once && int64(w.body.Len()) < w.length,
+	}
 }
