forwarder: an event that arrives byte by byte is searched once

Callers saw nothing of it, but a replica that sends an event a byte at a time took a processor of the entry from all others.

Cause: after each read the whole of the buffered part was searched for the end of the event, so that the work grew with the square of its size.

The search goes on three bytes before the end of what was searched, as the mark of an end may arrive in parts. TestEventsDoNotDependOnReads compares the events of drawn texts, byte by byte and at once.

--- a/shells/forwarder/body_test.go
+++ b/shells/forwarder/body_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // endless is a body without end.
@@ -58,3 +60,34 @@
 	_, err = newEventReader(iotest.OneByteReader(io.LimitReader(&endless{}, 2*maxEventBytes))).next()
 	is.True(errors.As(err, &tooLong))
 }
+
+// TestEventThatTricklesCostsLittle guards against an event that arrives byte by byte and keeps a
+// processor busy: each byte made the entry search all bytes before it.
+func TestEventThatTricklesCostsLittle(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", maxEventBytes-len("id: 1\n\n"))
+	started := time.Now()
+	e, err := newEventReader(iotest.OneByteReader(strings.NewReader("id: 1\n" + long + "\n\n"))).next()
+	is.NoErr(err)
+	is.Equal(len(e), maxEventBytes+1)
+	is.True(time.Since(started) < 500*time.Millisecond)
+}
+
+// TestEventsDoNotDependOnReads guards against an end of an event that is missed, or found
+// elsewhere, as it arrives in several reads.
+func TestEventsDoNotDependOnReads(t *testing.T) {
+	read := func(source io.Reader) (out []string) {
+		r := newEventReader(source)
+		for {
+			e, err := r.next()
+			if err != nil {
+				return append(out, err.Error())
+			}
+			out = append(out, string(e))
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOf(rapid.SampledFrom([]rune("\r\n\r\n\nx"))).Draw(t, "text")
+		is.New(t).Equal(read(iotest.OneByteReader(strings.NewReader(text))), read(strings.NewReader(text)))
+	})
+}
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -14,6 +14,8 @@
 	source io.Reader
 	// buf holds data that was read and not yet returned.
 	buf []byte
+	// searched is the number of bytes at the beginning of buf in which no event ends.
+	searched int
 	// readBuf is the buffer for one call of source.Read.
 	readBuf []byte
 }
@@ -27,11 +29,12 @@
 // an event.
 func (r *eventReader) next() ([]byte, error) {
 	for {
-		if end := eventEnd(r.buf); end > 0 {
+		if end := r.eventEnd(); end > 0 {
 			e := r.buf[:end:end]
-			r.buf = r.buf[end:]
+			r.buf, r.searched = r.buf[end:], 0
 			return e, nil
 		}
+		r.searched = len(r.buf)
 		if len(r.buf) > maxEventBytes {
 			return nil, ErrTooLong{Limit: "the limit for an event", LimitBytes: maxEventBytes}
 		}
@@ -50,7 +53,16 @@
 }
 
 // hasBufferedEvent reports whether a complete event is buffered.
-func (r *eventReader) hasBufferedEvent() bool { return eventEnd(r.buf) > 0 }
+func (r *eventReader) hasBufferedEvent() bool { return r.eventEnd() > 0 }
+
+// eventEnd returns the length of the first event in the buffer; 0 if it holds no complete event.
+func (r *eventReader) eventEnd() int {
+	from := max(0, r.searched-len("\r\n\r\n")+1) // the end of an event may have arrived in parts
+	if end := eventEnd(r.buf[from:]); end > 0 {
+		return from + end
+	}
+	return 0
+}
 
 // eventEnd returns the length of the first event in b, including the empty line at its
 // end; 0 if b holds no complete event.
