forwarder: long events of streams count as memory for responses

Replicas that begin an event and do not end it could take 256 KiB of an entry for each stream, without a limit for all of them; a smallest entry of 184 MB is used up by some 700 such streams.

Cause: only the bodies of responses that are no streams were counted against Config.BufferBytes.

What exceeds 16 KiB of an event is taken from the same memory as bodies now, and given back before the next event is read and as the attempt ends. Past the limit the attempt ends like one whose body is too long. Events of sound replicas are smaller than that and take nothing.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -93,6 +93,9 @@
 	if a.freeBody != nil {
 		a.freeBody()
 	}
+	if a.events != nil {
+		a.events.close()
+	}
 }
 
 // await calls f, which blocks until the replica is heard. It returns errSuperseded if another
@@ -173,7 +176,7 @@
 	if a.mustContinue && (!resp.Streamed || resp.Verdict == Failed) {
 		return errNotContinued
 	}
-	a.events = newEventReader(resp.Body)
+	a.events = newEventReader(resp.Body, x.forwarder.buffers)
 	return nil
 }
 
--- a/shells/forwarder/body.go
+++ b/shells/forwarder/body.go
@@ -31,7 +31,7 @@
 	return fmt.Sprintf("response is longer than %s, which is %d bytes", e.Limit, e.LimitBytes)
 }
 
-// buffers is the memory for the bodies of all responses that are being read.
+// buffers is the memory for the bodies and the long events of all responses that are being read.
 type buffers struct {
 	limit int64
 
--- a/shells/forwarder/body_test.go
+++ b/shells/forwarder/body_test.go
@@ -53,11 +53,11 @@
 func TestEndlessEventEnds(t *testing.T) {
 	is := is.New(t)
 	source := &endless{}
-	_, err := newEventReader(source).next()
+	_, err := newEventReader(source, newBuffers(0)).next()
 	var tooLong ErrTooLong
 	is.True(errors.As(err, &tooLong))
 	is.True(source.read <= 2*maxEventBytes)
-	_, err = newEventReader(iotest.OneByteReader(io.LimitReader(&endless{}, 2*maxEventBytes))).next()
+	_, err = newEventReader(iotest.OneByteReader(io.LimitReader(&endless{}, 2*maxEventBytes)), newBuffers(0)).next()
 	is.True(errors.As(err, &tooLong))
 }
 
@@ -67,7 +67,7 @@
 	is := is.New(t)
 	long := strings.Repeat("x", maxEventBytes-len("id: 1\n\n"))
 	started := time.Now()
-	e, err := newEventReader(iotest.OneByteReader(strings.NewReader("id: 1\n" + long + "\n\n"))).next()
+	e, err := newEventReader(iotest.OneByteReader(strings.NewReader("id: 1\n"+long+"\n\n")), newBuffers(0)).next()
 	is.NoErr(err)
 	is.Equal(len(e), maxEventBytes+1)
 	is.True(time.Since(started) < 500*time.Millisecond)
@@ -77,7 +77,7 @@
 // elsewhere, as it arrives in several reads.
 func TestEventsDoNotDependOnReads(t *testing.T) {
 	read := func(source io.Reader) (out []string) {
-		r := newEventReader(source)
+		r := newEventReader(source, newBuffers(0))
 		for {
 			e, err := r.next()
 			if err != nil {
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -6,12 +6,19 @@
 	"strconv"
 )
 
-// maxEventBytes is the maximum size of a stream event.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes is the maximum size of a stream event.
+	maxEventBytes = 256 << 10
+	// smallEventBytes is how much of an event is held without memory of the buffers.
+	smallEventBytes = 16 << 10
+)
 
 // eventReader splits a text/event-stream into events.
 type eventReader struct {
-	source io.Reader
+	source  io.Reader
+	buffers *buffers
+	// reserved is the number of bytes that were taken from buffers.
+	reserved int64
 	// buf holds data that was read and not yet returned.
 	buf []byte
 	// searched is the number of bytes at the beginning of buf in which no event ends.
@@ -20,14 +27,44 @@
 	readBuf []byte
 }
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, readBuf: make([]byte, 4<<10)}
+// newEventReader returns a reader that holds long events in memory of the buffers.
+func newEventReader(source io.Reader, b *buffers) *eventReader {
+	return &eventReader{source: source, buffers: b, readBuf: make([]byte, 4<<10)}
+}
+
+// close frees the memory of the buffers. The reader must not be used afterwards.
+func (r *eventReader) close() {
+	r.buffers.release(r.reserved)
+	r.reserved = 0
+}
+
+// freeLongEvent frees the memory of the last event if it was a long one.
+func (r *eventReader) freeLongEvent() {
+	if r.reserved > 0 && len(r.buf) <= smallEventBytes {
+		r.buf = bytes.Clone(r.buf)
+		r.close()
+	}
+}
+
+// reserve takes memory of the buffers for n more bytes, and returns false if there is none.
+func (r *eventReader) reserve(n int) bool {
+	missing := int64(len(r.buf)+n) - smallEventBytes - r.reserved
+	if missing <= 0 {
+		return true
+	}
+	missing = max(missing, bodyStepBytes)
+	if !r.buffers.reserve(missing) {
+		return false
+	}
+	r.reserved += missing
+	return true
 }
 
 // next returns the next event, including the empty line at its end. It returns io.EOF if
 // the stream ended after a complete event, and io.ErrUnexpectedEOF if it ended within
-// an event.
+// an event. The event is valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
+	r.freeLongEvent()
 	for {
 		if end := r.eventEnd(); end > 0 {
 			e := r.buf[:end:end]
@@ -39,6 +76,9 @@
 			return nil, ErrTooLong{Limit: "the limit for an event", LimitBytes: maxEventBytes}
 		}
 		n, err := r.source.Read(r.readBuf)
+		if !r.reserve(n) {
+			return nil, ErrTooLong{Limit: "the memory that is left for responses", LimitBytes: r.buffers.limit}
+		}
 		r.buf = append(r.buf, r.readBuf[:n]...)
 		if n > 0 {
 			continue
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -177,8 +177,8 @@
 	// OnNews is called when other entries should be told of new evidence about requests that
 	// crash replicas, or of a limit that a replica has named; nil if there are none.
 	OnNews func()
-	// BufferBytes is the memory for the bodies of all responses that are being read; 0
-	// means the default. Streams do not count.
+	// BufferBytes is the memory for the bodies, and the long events of streams, of all
+	// responses that are being read; 0 means the default.
 	BufferBytes int64
 	Log         *reporter.Log
 	// VersionFloor returns the minimum version of the weights for requests to a service.
