messenger: a request that arrives slowly gives its handler free

A peer that opened streams and sent a byte of their requests now and then, or nothing more, held all handlers of a process: the requests of other peers were closed without a reply for as long as it went on.

Cause: nothing limited the time in which a request arrives. The client gives up after 0.7 s, but the server trusted it to do so.

Evidence: TestRequestThatTricklesEnds (bytes, and silence) had no reply for another peer 16 s later.

The read deadline of the stream is 10 s ahead until the request has arrived. That is longer than the 4 s without progress after which a session ends, so that a sound peer that was cut off for a while loses nothing.

--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -30,6 +30,9 @@
 	writeTimeout = 4 * time.Second
 	// openTimeout is the maximum time until a request has been sent.
 	openTimeout = 700 * time.Millisecond
+	// requestTimeout is the maximum time in which a request arrives after its stream was opened.
+	// It is longer than the pauses that a session outlives.
+	requestTimeout = 10 * time.Second
 	// maxFrameBytes is the maximum size of a received frame or request.
 	maxFrameBytes     = 20 << 20
 	streamWindowBytes = 256 << 10
@@ -238,9 +241,11 @@
 	defer s.Close()
 	req := new(wire.Request)
 	opts := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	_ = raw.SetReadDeadline(time.Now().Add(requestTimeout)) // it never fails
 	if err := opts.UnmarshalFrom(s.reader, req); err != nil {
 		return
 	}
+	_ = raw.SetReadDeadline(time.Time{})
 	s.id = req.GetId()
 	s.peer = req.GetSender()
 	ctx, cancel := context.WithCancel(ctx)
