forwarder: the search of all orders stops the forwarder as the entry does

TestEveryOrderOfEvents stopped an entry by the end of the callers' contexts, which is how callers leave. It calls Forwarder.Stop now, and checks as well that a request whose caller waits does not end with a closed connection unless its stream has begun.

--- a/shells/forwarder/everyorder_test.go
+++ b/shells/forwarder/everyorder_test.go
@@ -197,8 +197,12 @@
 		Log:          reporter.New(reporter.Config{Logger: log}),
 		VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) { reported++ },
 	})
-	ctx, interrupt := context.WithCancel(ctx)
-	defer interrupt()
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	interrupt := leave
+	if !i.leaves {
+		interrupt = f.Stop
+	}
 	timer := time.AfterFunc(i.after, interrupt)
 	defer timer.Stop()
 	callerCtx := context.Background()
@@ -221,7 +225,7 @@
 		f.Serve(ctx, &forwarder.Call{ID: "1", Route: route, Service: "s", Arrived: started, Deadline: started.Add(orderDeadline), Key: suspector.RequestKey(1)}, writer)
 	}()
 	w.took = time.Since(started)
-	interrupt()
+	leave()
 	time.Sleep(2 * time.Second) // whatever runs later has run
 	v := orderVerdict{route: x.route.route, interruption: i, world: w, caller: c, panicked: panicked, reported: reported}
 	out := v.violations()
@@ -262,6 +266,7 @@
 		ends = append(ends, "stream")
 	}
 	add(len(ends) != 1, fmt.Sprintf("ended %d times: %v", len(ends), ends))
+	add(!v.interruption.leaves && !c.streamed && slices.Contains(ends, "abort"), "closed without an answer though the caller waits")
 	add(v.reported != 1, fmt.Sprintf("reported %d ends", v.reported))
 	add(len(c.late) > 0, fmt.Sprintf("written after the end: %v", c.late))
 	add(c.head != nil && c.head != "1", "got the answer to another request")
