edgerunner, pulser: two entries of a group relay its heartbeats to other groups

Seen: each entry sent its heartbeat to each entry of all other groups every 0.8 s. With 100 entries at rest each entry got 119 of them a second, 46 with 50, 23 with 25 (virtual time).

Cause: the state of an entry reached other groups only from itself.

Change: a heartbeat to another group carries the latest ones of the sender's group, without their lists and with their ages, and two entries of the group send it to each entry of another group: one of the receiver's failure domain where the group has one, and one of another domain. Evidence, limits, new manifests, planned stops and new readers still go to all, at once. The age counts, so that a process is missed as early as before; an entry that stood still relays none. A relayed heartbeat that overtakes the sender's own one does not make that one late.

Allowed: where both relays of an entry end at once, the others of the group may be missed for about a second.

Ruled out: a longer interval, as ended entries would stay in the directory for longer.

--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,6 +35,8 @@
 	largest int
 	// cut holds the addresses whose datagrams are lost, in both directions.
 	cut map[string]bool
+	// sent counts the datagrams by the addresses of sender and receiver.
+	sent map[[2]string]int
 }
 
 // datagramConn is the connection of one entry.
@@ -82,6 +85,9 @@
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	c.network.largest = max(c.network.largest, len(b))
+	if c.network.sent != nil {
+		c.network.sent[[2]string{c.address, to.String()}]++
+	}
 	if c.network.cut[c.address] || c.network.cut[to.String()] {
 		return len(b), nil
 	}
@@ -191,6 +197,17 @@
 	slots int
 	// coldRate is the rate limit of cold replicas; 0 is none.
 	coldRate float64
+	// domains is the number of failure domains of the entries; 0 is one.
+	domains int
+}
+
+// member returns the entry with the index.
+func (r *evidenceRig) member(i int) filbertstile.Member {
+	domain := "d"
+	if r.domains > 0 {
+		domain = fmt.Sprint("d", i%r.domains)
+	}
+	return filbertstile.Member{Name: fmt.Sprint("e", i), Role: filbertstile.RoleEntry, Domain: domain, Region: "r1", Address: fmt.Sprintf("10.0.0.%d:80", i)}
 }
 
 // start starts the entry with the index, and returns a function that stops it.
@@ -200,9 +217,13 @@
 	logger.SetOutput(io.Discard)
 	log := reporter.New(reporter.Config{Logger: logger})
 	member := func(name string) filbertstile.Member {
-		return filbertstile.Member{Name: "e" + name, Role: filbertstile.RoleEntry, Domain: "d", Region: "r1", Address: fmt.Sprintf("10.0.0.%s:80", name)}
+		index, err := strconv.Atoi(name)
+		if err != nil {
+			panic(err)
+		}
+		return r.member(index)
 	}
-	self := member(fmt.Sprint(i))
+	self := r.member(i)
 	link := r.link
 	if link == nil {
 		link = r.replicas
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -82,15 +82,20 @@
 		{Pulse: newPulse(e.withPeerHosts(direct)), To: sameRegion},
 		{Pulse: newPulse(nil), To: otherRegions},
 	}
-	if e.otherGroupsDue() {
-		out = append(out, pulser.Message{Pulse: newEntryPulse(), To: d.OtherPeers})
+	if due, urgent := e.otherGroupsDue(); due {
+		p, to := newEntryPulse(), d.OtherPeers
+		p.Relayed = e.relayed(d)
+		if !urgent && len(limits) == 0 && !hasEvidence(evidence) {
+			to = e.relayTargets(d)
+		}
+		out = append(out, pulser.Message{Pulse: p, To: to})
 	}
 	return out
 }
 
 // newPulse returns a message with the state of this entry.
 func (e *Edge) newPulse() *wire.Pulse {
-	return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Serving: e.placer.Serving()}
+	return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Serving: e.placer.Serving(), TakesRelayed: true}
 }
 
 // splitByRegion splits hosts into those in this entry's region and all others.
@@ -106,17 +111,18 @@
 }
 
 // otherGroupsDue reports whether a heartbeat to the entries of other groups is due: after
-// otherGroupsInterval, or at once if there is a new manifest or a planned stop has begun.
-// It records that the heartbeat is sent.
-func (e *Edge) otherGroupsDue() bool {
+// otherGroupsInterval, or at once if there is a new manifest or a planned stop has begun. In
+// the latter cases it is urgent. It records that the heartbeat is sent.
+func (e *Edge) otherGroupsDue() (due, urgent bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	leaving := e.leaving.Load()
-	if leaving == e.otherGroupsSentLeaving && time.Since(e.otherGroupsSentAt) < otherGroupsInterval-heartbeatInterval/2 {
-		return false
+	urgent = leaving != e.otherGroupsSentLeaving || e.otherGroupsSentAt.IsZero()
+	if !urgent && time.Since(e.otherGroupsSentAt) < otherGroupsInterval-heartbeatInterval/2 {
+		return false, false
 	}
 	e.otherGroupsSentAt, e.otherGroupsSentLeaving = time.Now(), leaving
-	return true
+	return true, urgent
 }
 
 // weightsToSend returns the versions of the weights to announce in heartbeats: the latest
--- a/transport/pulser/pulser.go
+++ b/transport/pulser/pulser.go
@@ -47,8 +47,8 @@
 	Compose func() []Message
 	// Interval is the time between two heartbeats.
 	Interval time.Duration
-	// OnHeartbeat is called with each heartbeat that is newer than the sender's last one;
-	// it must not block.
+	// OnHeartbeat is called with each heartbeat that arrives from its sender and is newer
+	// than the last such one; it must not block.
 	OnHeartbeat func(p *wire.Pulse)
 	// OnChange is called after a process is added to or removed from the table, or after
 	// its Leaving, Current or Serving field changes.
@@ -63,9 +63,26 @@
 
 // Peer is a process whose heartbeats arrive.
 type Peer struct {
-	// Pulse is the last heartbeat.
-	Pulse      *wire.Pulse
+	// Pulse is the last heartbeat. If another process relayed it, it has no lists.
+	Pulse *wire.Pulse
+	// ReceivedAt is the time at which it arrived here or at the process that relayed it.
 	ReceivedAt time.Time
+	// direct is the position of the last heartbeat that arrived from the process itself: a
+	// relayed one must not make it seem late.
+	direct position
+}
+
+// position is the place of a heartbeat in the order in which a process sends them.
+type position struct {
+	incarnation int64
+	sequence    uint64
+}
+
+func positionOf(p *wire.Pulse) position { return position{p.GetIncarnation(), p.GetSequence()} }
+
+// after reports whether the heartbeat was sent after the one with the position o.
+func (p position) after(o position) bool {
+	return cmp.Or(cmp.Compare(p.incarnation, o.incarnation), cmp.Compare(p.sequence, o.sequence)) > 0
 }
 
 // Pulser sends heartbeats and keeps the table of peers.
@@ -171,23 +188,56 @@
 	p.record(pulse)
 }
 
-// record stores a heartbeat if it is newer than the sender's last one.
+// record stores a heartbeat if it is newer than the sender's last one, and those that it
+// relays.
 func (p *Pulser) record(pulse *wire.Pulse) {
+	now := time.Now()
 	p.mu.Lock()
 	old, ok := p.peers[pulse.GetName()]
-	order := cmp.Or(cmp.Compare(pulse.GetIncarnation(), old.Pulse.GetIncarnation()), cmp.Compare(pulse.GetSequence(), old.Pulse.GetSequence()))
-	if ok && order <= 0 {
+	if ok && !positionOf(pulse).after(old.direct) {
 		p.mu.Unlock()
 		return
 	}
-	p.peers[pulse.GetName()] = Peer{Pulse: pulse, ReceivedAt: time.Now()}
+	changed := p.store(pulse, now)
+	stored := p.peers[pulse.GetName()]
+	stored.direct = positionOf(pulse)
+	p.peers[pulse.GetName()] = stored
+	for _, r := range pulse.GetRelayed() {
+		if p.storeRelayed(r, now) {
+			changed = true
+		}
+	}
 	p.mu.Unlock()
 	p.config.OnHeartbeat(pulse)
-	if !ok || old.Pulse.GetLeaving() != pulse.GetLeaving() || old.Pulse.GetCurrent() != pulse.GetCurrent() || old.Pulse.GetServing() != pulse.GetServing() {
+	if changed {
 		p.peersChanged()
 	}
 }
 
+// storeRelayed stores a heartbeat that another process relayed if it is newer than the last
+// one, and reports whether that changes the table. The caller holds p.mu.
+func (p *Pulser) storeRelayed(pulse *wire.Pulse, now time.Time) (changed bool) {
+	age := pulse.GetAgeMilliseconds()
+	if pulse.GetName() == "" || pulse.GetName() == p.config.Self.Name || age < 0 || age > HeartbeatTimeout.Milliseconds() {
+		return false
+	}
+	return p.store(pulse, now.Add(-time.Duration(age)*time.Millisecond))
+}
+
+// store stores a heartbeat if it is newer than the last one of the process, and reports
+// whether the process is new to the table or its state differs. The caller holds p.mu.
+func (p *Pulser) store(pulse *wire.Pulse, at time.Time) (changed bool) {
+	old, ok := p.peers[pulse.GetName()]
+	if ok && !positionOf(pulse).after(positionOf(old.Pulse)) {
+		return false
+	}
+	if at.Before(old.ReceivedAt) {
+		at = old.ReceivedAt
+	}
+	p.peers[pulse.GetName()] = Peer{Pulse: pulse, ReceivedAt: at, direct: old.direct}
+	return !ok || old.Pulse.GetLeaving() != pulse.GetLeaving() || old.Pulse.GetCurrent() != pulse.GetCurrent() || old.Pulse.GetServing() != pulse.GetServing()
+}
+
 // expire removes the processes whose last heartbeat is older than HeartbeatTimeout.
 func (p *Pulser) expire() {
 	now := time.Now()
--- a/transport/pulser/pulser_test.go
+++ b/transport/pulser/pulser_test.go
@@ -25,6 +25,8 @@
 	closed chan struct{}
 	// sent is the number of datagrams that the pulser has sent.
 	sent int
+	// handled holds the sequence numbers of the heartbeats that the pulser has handed on.
+	handled []uint64
 }
 
 func (s *socket) ReadFrom(b []byte) (int, net.Addr, error) {
@@ -64,7 +66,7 @@
 			Compose: func() []pulser.Message {
 				return []pulser.Message{{Pulse: &wire.Pulse{}, To: []filbertstile.Member{{Address: "127.0.0.1:1"}}}}
 			},
-			OnHeartbeat: func(*wire.Pulse) {}, OnChange: func() { changes++ },
+			OnHeartbeat: func(p *wire.Pulse) { s.handled = append(s.handled, p.GetSequence()) }, OnChange: func() { changes++ },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -151,3 +153,42 @@
 		is.True(strings.Contains(out.String(), "no such load"))
 	})
 }
+
+// TestRelayedHeartbeat guards against a peer that a relayed heartbeat keeps in the table for
+// longer than its own would, and against an older one that replaces a newer one.
+func TestRelayedHeartbeat(t *testing.T) {
+	withPulser(t, func(is *is.I, s *socket, p *pulser.Pulser, changes *int) {
+		relay := func(sequence uint64, r *wire.Pulse) {
+			s.send(t, &wire.Pulse{Name: "relay", Incarnation: 1, Sequence: sequence, Relayed: []*wire.Pulse{r}})
+		}
+		relay(1, &wire.Pulse{Name: "a", Incarnation: 1, Sequence: 5, AgeMilliseconds: 1000})
+		is.Equal(p.PeerNames(), []string{"a", "relay"})
+		is.Equal(*changes, 1)
+		relay(2, &wire.Pulse{Name: "a", Incarnation: 1, Sequence: 5})
+		time.Sleep(pulser.HeartbeatTimeout - time.Second)
+		is.Equal(p.PeerNames(), []string{"a", "relay"})
+		time.Sleep(time.Millisecond)
+		is.Equal(p.PeerNames(), []string{"relay"})
+		relay(3, &wire.Pulse{Name: "a", Incarnation: 1, Sequence: 7, Leaving: true})
+		relay(4, &wire.Pulse{Name: "a", Incarnation: 1, Sequence: 6})
+		is.True(p.Peers()["a"].Pulse.GetLeaving())
+		for i, r := range []*wire.Pulse{
+			{Name: "self", Sequence: 1}, {Sequence: 1}, {Name: "b", Sequence: 1, AgeMilliseconds: -1}, {Name: "b", Sequence: 1, AgeMilliseconds: 1 << 62},
+		} {
+			relay(uint64(5+i), r)
+		}
+		is.Equal(p.PeerNames(), []string{"a", "relay"})
+	})
+}
+
+// TestHeartbeatAfterRelayedOne guards against a heartbeat whose lists are lost because a later
+// one of its sender was relayed faster.
+func TestHeartbeatAfterRelayedOne(t *testing.T) {
+	withPulser(t, func(is *is.I, s *socket, p *pulser.Pulser, _ *int) {
+		s.send(t, &wire.Pulse{Name: "relay", Incarnation: 1, Sequence: 1, Relayed: []*wire.Pulse{{Name: "a", Incarnation: 1, Sequence: 30, Leaving: true}}})
+		s.send(t, &wire.Pulse{Name: "a", Incarnation: 1, Sequence: 20})
+		s.send(t, &wire.Pulse{Name: "a", Incarnation: 1, Sequence: 20})
+		is.Equal(s.handled, []uint64{1, 20})
+		is.True(p.Peers()["a"].Pulse.GetLeaving())
+	})
+}
