platform: requests end at a planned stop only as its time runs out

Cause: the process woke up late. The time for the last responses was part of a fixed schedule, and had passed before the requests were told to end, so that the process closed their connections first. Read on the way: Leave ended requests also as none was in flight early in a stop, so that one that arrived a moment later was refused although there was time for it.

--- a/shells/edgerunner/leaving.go
+++ b/shells/edgerunner/leaving.go
@@ -13,8 +13,8 @@
 
 // Leave begins a planned stop. It returns after addressTTL, the time for which callers may
 // still use the entry's address, has passed and no call is in flight, or earlier if the
-// time to stop runs out, which ends the calls in flight, or the context ends. The result is
-// the time by which all connections must be closed.
+// time to stop runs out or the context ends. The result is the time at which the calls that
+// are still in flight must end.
 func (e *Edge) Leave(ctx context.Context, addressTTL time.Duration) time.Time {
 	e.leavingSince.Store(time.Now().UnixNano())
 	e.leaving.Store(true)
@@ -22,19 +22,21 @@
 	e.pulser.SendNow()
 	e.Refresh()
 	endAt := time.Now().Add(e.config.Bounds.StopTimeout - stopMargin)
-	closeBy := endAt.Add(closeTimeout)
 	if sleeper.Sleep(ctx, min(addressTTL+addressTTLMargin, e.config.Bounds.StopTimeout/2)) != nil {
-		return closeBy
+		return endAt
 	}
 	for e.inFlight.Load() > 0 && time.Now().Before(endAt) {
 		if sleeper.Sleep(ctx, drainPollInterval) != nil {
-			return closeBy
+			return endAt
 		}
 	}
-	e.forwarder.Stop()
-	return closeBy
+	return endAt
 }
 
+// EndCalls ends all calls, at the end of a planned stop. Callers whose response has not begun
+// receive an error.
+func (e *Edge) EndCalls() { e.forwarder.Stop() }
+
 const (
 	// drainPollInterval is the time between two checks whether calls are in flight.
 	drainPollInterval = 20 * time.Millisecond
@@ -44,7 +46,4 @@
 	// stopMargin is the time between the end of the calls in flight and the time at which the
 	// process would be killed.
 	stopMargin = 300 * time.Millisecond
-	// closeTimeout is the part of stopMargin in which callers receive the last responses and
-	// their connections are closed.
-	closeTimeout = stopMargin / 2
 )
