edgerunner: an entry uses replicas only once it knows who shares them

What callers saw: cold replicas that are overrun as all entries start, so that they fall over (FAILBACK).

The lists of the store arrive in any order; where that of the replicas came before that of the members, the entry was ready, and took itself for the only one until its next refresh.

The same cause: without the list of the marks, a failure domain that is out of service counts as in service.

Change: replicas are not used, and the entry is not ready, until members and marks are listed as well, or 5 s after the start: an entry that can't read one kind still serves.

--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -52,6 +52,9 @@
 	// refreshInterval is the minimum time between two updates of what the entry works out
 	// from its sources and peers. All changes within it take one update.
 	refreshInterval = 100 * time.Millisecond
+	// listsTimeout is how long after its start an entry waits for the lists of the members and of
+	// the marks before it uses replicas without them.
+	listsTimeout = 5 * time.Second
 	// maintenanceInterval is the time between two checks for expired connections and for
 	// changes of readiness.
 	maintenanceInterval = 500 * time.Millisecond
@@ -218,6 +221,9 @@
 			serving = now
 			e.Refresh()
 		}
+		if !e.replicasKnown.Load() {
+			e.Refresh() // listsTimeout may have passed
+		}
 		e.config.CloseExpiredConns()
 		if e.config.Messages != nil {
 			e.config.Messages.CloseIdle(idleSessionTimeout)
@@ -256,8 +262,15 @@
 	}
 }
 
+// listsKnown reports whether all lists are known that the use of replicas depends on, or have
+// not come within listsTimeout. Without the members, an entry would take itself for the only
+// one, and without the marks, all failure domains for in service.
+func (e *Edge) listsKnown() bool {
+	return e.sources.Members.View().Listed && e.sources.Marks.View().Listed || e.config.Clock()-e.startedAt >= listsTimeout
+}
+
 // refresh applies the current routing, replicas and peers, and returns the log fields that
-// describe the result.
+// describe the result; nil if the replicas may not be used yet.
 func (e *Edge) refresh() reporter.Fields {
 	routing, known := e.routing()
 	if known {
@@ -270,6 +283,9 @@
 	}
 	replicas := e.sources.Replicas.View()
 	d := e.updateDivision(replicas.Rows, routing.Pools)
+	if !e.listsKnown() {
+		return nil
+	}
 	now := time.Now()
 	entries, groupEntries := e.senders.counts(d)
 	e.placer.RetainPeers(now, d.LiveGroupPeers)
--- a/shells/edgerunner/edgerunner_test.go
+++ b/shells/edgerunner/edgerunner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -34,6 +35,8 @@
 	unreachable bool
 	// objectCounts is the number of objects by prefix.
 	objectCounts map[string]int
+	// late holds the time that the list of a prefix takes in addition.
+	late map[string]time.Duration
 }
 
 var errUnreachable = errors.New("the store is unreachable")
@@ -45,7 +48,7 @@
 }
 
 func (s *store) List(_ context.Context, prefix, _ string) (filbertstile.Batch, error) {
-	time.Sleep(listLatency)
+	time.Sleep(listLatency + s.late[prefix])
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachable {
@@ -112,13 +115,19 @@
 
 // withEdgeBounds is like withEdge, with the given bounds.
 func withEdgeBounds(t *testing.T, b edgerunner.Bounds, f func(ctx context.Context, is *is.I, s *store, e *edgerunner.Edge)) {
+	t.Helper()
+	withLateStore(t, b, nil, f)
+}
+
+// withLateStore is like withEdgeBounds, with lists that take longer.
+func withLateStore(t *testing.T, b edgerunner.Bounds, late map[string]time.Duration, f func(ctx context.Context, is *is.I, s *store, e *edgerunner.Edge)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		log := reporter.New(reporter.Config{Logger: logger})
-		s := &store{objectCounts: map[string]int{"config/": 1}}
+		s := &store{objectCounts: map[string]int{"config/": 1}, late: late}
 		e := edgerunner.New(edgerunner.Config{
 			Self: filbertstile.Member{Name: "e1", Role: filbertstile.RoleEntry, Region: "r1", HTTPAddress: "10.0.0.1:80"}, Log: log,
 			Metrics: metrics.NewRegistry(), CloseExpiredConns: func() {},
@@ -201,6 +210,27 @@
 	})
 }
 
+// TestStartWaitsForAllLists guards against an entry that takes requests before it knows which other
+// entries share the replicas, and which failure domains are out of service.
+func TestStartWaitsForAllLists(t *testing.T) {
+	for _, c := range []struct {
+		prefix      string
+		late, ready time.Duration
+	}{
+		{"members/", time.Second, time.Second}, {"evacuations/", time.Second, time.Second}, {"servers/", time.Second, time.Second},
+		{"members/", time.Minute, 5 * time.Second}, {"evacuations/", time.Minute, 5 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%s%v", c.prefix, c.late), func(t *testing.T) {
+			withLateStore(t, edgerunner.Bounds{RevokeTimeout: 5 * time.Second, StopTimeout: 8 * time.Second}, map[string]time.Duration{c.prefix: c.late}, func(_ context.Context, is *is.I, _ *store, e *edgerunner.Edge) {
+				advance(c.ready - 100*time.Millisecond)
+				is.True(!e.Ready())
+				advance(800 * time.Millisecond)
+				is.True(e.Ready())
+			})
+		})
+	}
+}
+
 // TestLateStreamsWhileLeaving guards against truncated responses to requests that arrive
 // late in a planned stop: those that may not end in time must be rejected. Randomized tests
 // of the whole system found such truncated streams.
--- a/shells/edgerunner/evidence_test.go
+++ b/shells/edgerunner/evidence_test.go
@@ -104,9 +104,12 @@
 type listedStore struct {
 	filbertstile.Store
 	counts map[string]int
+	// late holds the time that the list of a prefix takes.
+	late map[string]time.Duration
 }
 
 func (s *listedStore) List(_ context.Context, prefix, _ string) (filbertstile.Batch, error) {
+	time.Sleep(s.late[prefix])
 	b := filbertstile.Batch{Revision: 1}
 	for i := range s.counts[prefix] {
 		b.Objects = append(b.Objects, filbertstile.Object{Key: fmt.Sprintf("%s%d", prefix, i)})
--- a/shells/edgerunner/limits_test.go
+++ b/shells/edgerunner/limits_test.go
@@ -138,10 +138,15 @@
 }
 
 func newLimitRig(ctx context.Context, entries int, limit, coldRate float64, engine bool) *limitRig {
+	return newLimitRigWith(ctx, entries, limit, coldRate, engine, 0)
+}
+
+// newLimitRigWith is like newLimitRig, with a store that takes a time to list the members.
+func newLimitRigWith(ctx context.Context, entries int, limit, coldRate float64, engine bool, membersLate time.Duration) *limitRig {
 	r := &limitRig{
 		evidenceRig: evidenceRig{
 			network: &datagrams{inboxes: make(map[string]chan []byte)}, entries: entries, slots: 16, coldRate: coldRate,
-			store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 3, "members/": entries}},
+			store: &listedStore{counts: map[string]int{"config/": 1, "servers/": 3, "members/": entries}, late: map[string]time.Duration{"members/": membersLate}},
 		},
 		replicas: &limitedReplicas{limit: limit}, callers: entries,
 	}
@@ -274,11 +279,15 @@
 // limit from entries that have just started, and do not hear each other yet.
 func TestColdLimitAsAllEntriesStart(t *testing.T) {
 	const coldRate = 17
-	for _, entries := range []int{7, 24, 44, 100} {
-		t.Run(fmt.Sprintf("entries=%d", entries), func(t *testing.T) {
+	for _, c := range []struct {
+		entries int
+		// membersLate is the time until the members are listed.
+		membersLate time.Duration
+	}{{7, 0}, {24, 0}, {44, 0}, {100, 0}, {24, 300 * time.Millisecond}, {100, 50 * time.Millisecond}, {100, 300 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("entries=%d/late=%v", c.entries, c.membersLate), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				r := newLimitRig(t.Context(), entries, 0, coldRate, true)
+				r := newLimitRigWith(t.Context(), c.entries, 0, coldRate, true, c.membersLate)
 				defer r.stop()
 				started := time.Now()
 				r.play(t.Context(), is, 4*time.Second)
