requester: a stream's connection ends with its context

A request whose caller had left, or that the gate of its host had cancelled, went on at the backend server until its next bytes, or until the deadline of the call if none came: Stream checked its context only before the call. While it opened a connection, too, the context did not count. It keeps a slot of the server for as long.

Do had the same fault and got lanes, each with a connection that ends with the context of the call in progress. Stream now uses such lanes of its own. The error holds the context's and the cause, so that a call that was still connecting is known not to have been sent; a connection that opens just then is an ErrDial too.

TestStreamEndsWithContext failed before in its nine cases: 3 h, the call's timeout, in place of the half second or the minute after which the context ended. TestConcurrentStreams holds before and after: idle connections are used again.

--- a/outside/requester/lane.go
+++ b/outside/requester/lane.go
@@ -43,8 +43,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if ctx.Err() != nil {
-		_ = conn.Close() // nothing was sent
-		return nil, errInterrupted
+		_ = conn.Close()
+		return nil, ErrDial{Peer: conn.peer, Cause: errInterrupted}
 	}
 	l.conn = conn
 	return conn, nil
--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -47,7 +47,7 @@
 	connections *connections
 	// buffered read complete responses, and streaming leaves the body to its reader.
 	buffered  *lanes
-	streaming *fasthttp.HostClient
+	streaming *lanes
 }
 
 // New returns a client of the configured address.
@@ -66,10 +66,11 @@
 	if c.IdleTimeout > 0 {
 		idleTimeout = c.IdleTimeout
 	}
-	newHostClient := func(streaming bool, dial fasthttp.DialFunc) *fasthttp.HostClient {
-		return &fasthttp.HostClient{
+	newLane := func(streaming bool) *lane {
+		l := &lane{ctx: context.Background()}
+		l.client = &fasthttp.HostClient{
 			Addr:                c.Address,
-			Dial:                dial,
+			Dial:                func(string) (net.Conn, error) { return l.dial(dial) },
 			MaxConns:            maxConns,
 			MaxIdleConnDuration: idleTimeout,
 			MaxResponseBodySize: maxResponseBytes,
@@ -78,14 +79,13 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		}
-	}
-	newLane := func() *lane {
-		l := &lane{ctx: context.Background()}
-		l.client = newHostClient(false, func(string) (net.Conn, error) { return l.dial(dial) })
 		return l
 	}
-	streaming := newHostClient(true, func(string) (net.Conn, error) { return dial(context.Background()) })
-	return &Client{address: c.Address, timeout: c.Timeout, connections: open, buffered: &lanes{create: newLane}, streaming: streaming}
+	return &Client{
+		address: c.Address, timeout: c.Timeout, connections: open,
+		buffered:  &lanes{create: func() *lane { return newLane(false) }},
+		streaming: &lanes{create: func() *lane { return newLane(true) }},
+	}
 }
 
 // Receiving reports whether a large response is arriving.
@@ -277,30 +277,43 @@
 }
 
 // Stream makes the call and passes the response's body to read as a stream, which is
-// closed when read returns. Reading the body fails after the call's deadline, but is
-// not interrupted if the context is cancelled.
+// closed when read returns. Reading the body fails after the call's deadline, and as soon
+// as the context ends, which ends the call's connection.
 func (c *Client) Stream(ctx context.Context, call Call, read func(resp Response, body io.Reader) error) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%s: peer %s: %w", call.Step, c.address, err)
 	}
+	err := c.stream(ctx, call, read)
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", ctx.Err(), err)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: peer %s: %w", call.Step, c.address, err)
+	}
+	return nil
+}
+
+func (c *Client) stream(ctx context.Context, call Call, read func(resp Response, body io.Reader) error) error {
+	l, err := c.streaming.take()
+	if err != nil {
+		return err
+	}
+	defer c.streaming.put(l)
+	defer l.begin(ctx)()
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	c.fillRequest(req, call)
-	if err := c.streaming.DoDeadline(req, resp, c.deadline(ctx, call)); err != nil {
-		return fmt.Errorf("%s: peer %s: %w", call.Step, c.address, err)
+	if err := l.client.DoDeadline(req, resp, c.deadline(ctx, call)); err != nil {
+		return err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	head := Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}
-	if err := read(head, resp.BodyStream()); err != nil {
-		return fmt.Errorf("%s: peer %s: %w", call.Step, c.address, err)
-	}
-	return nil
+	return read(Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}, resp.BodyStream())
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.buffered.closeIdle()
-	c.streaming.CloseIdleConnections()
+	c.streaming.closeIdle()
 }
