--- a/outside/requester/receiving_test.go
+++ b/outside/requester/receiving_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +29,8 @@
 	interval time.Duration
 	// pieces is the number of pieces that arrive; the others never do.
 	pieces int
+	// head makes the pieces fields of a header without end.
+	head bool
 }
 
 func (n piecesNetwork) Dial(context.Context, string) (net.Conn, error) {
@@ -39,12 +43,16 @@
 	if _, err := conn.Read(make([]byte, 4096)); err != nil {
 		return
 	}
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", responseSize); err != nil {
+	head, piece := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", responseSize), make([]byte, n.size)
+	if n.head {
+		head, piece = "HTTP/1.1 200 OK\r\n", []byte("X: "+strings.Repeat("y", n.size)+"\r\n")
+	}
+	if _, err := io.WriteString(conn, head); err != nil {
 		return
 	}
 	for range n.pieces {
 		time.Sleep(n.interval)
-		if _, err := conn.Write(make([]byte, n.size)); err != nil {
+		if _, err := conn.Write(piece); err != nil {
 			return
 		}
 	}
@@ -66,6 +74,7 @@
 		"NothingComes":  {fails: true, took: callTimeout},
 		"Stalls":        {network: piecesNetwork{size: 16 << 10, interval: 50 * time.Millisecond, pieces: 30}, fails: true, took: 30*50*time.Millisecond + 900*time.Millisecond},
 		"SmallAndSlow":  {network: piecesNetwork{size: 100, interval: 50 * time.Millisecond, pieces: all}, fails: true, took: callTimeout},
+		"HeadTrickles":  {network: piecesNetwork{size: 1, interval: 50 * time.Millisecond, pieces: all, head: true}, fails: true, took: callTimeout},
 		"HardlyAnyByte": {network: piecesNetwork{size: 1 << 10, interval: 50 * time.Millisecond, pieces: 1 << 10}, fails: true, took: callTimeout + maxExtension},
 	} {
 		t.Run(name, func(t *testing.T) {
