installer: the end of a load is seen within 50 ms

What callers saw: a replica that had loaded a version was left without requests for up to 0.2 s more, each time it switched. Evidence: TestEndOfLoadIsSeenSoon, in virtual time, failed before (up to 190 ms late, at most 50 ms are allowed). Change: while the engine loads, its report is read every 50 ms, as while the replica drains. A host at rest reads it as before.

--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -101,6 +101,8 @@
 	draining          filbertstile.WeightsVersion
 	drainStartedAt    time.Time
 	engineUnreachable bool
+	// loading is true if the engine was loading weights as of its last report.
+	loading bool
 	// openOrder is the version of the last order that got no response, which was given after
 	// openOrders orders; zero if there is none. It may be accepted until openOrderUntil.
 	openOrder      filbertstile.WeightsVersion
@@ -120,7 +122,7 @@
 		if err := i.step(ctx); err != nil && ctx.Err() == nil {
 			i.config.Log.Event(reporter.SwitchFailed, reporter.Fields{"Error": err})
 			pause = retryDelay
-		} else if i.draining == (filbertstile.WeightsVersion{}) && !i.engineUnreachable {
+		} else if !i.switching() {
 			pause = idlePollInterval
 		}
 		if sleeper.Sleep(ctx, pause) != nil {
@@ -129,6 +131,12 @@
 	}
 }
 
+// switching reports whether the replica serves no requests, or is about to, until a step that
+// must not be late: the replica drains, or its engine loads weights or has to be found.
+func (i *Installer) switching() bool {
+	return i.draining != (filbertstile.WeightsVersion{}) || i.loading || i.engineUnreachable
+}
+
 // step reads the engine's report and takes the next step of a switch, if one is due.
 func (i *Installer) step(ctx context.Context) error {
 	r, err := i.config.Engine.Report(ctx)
@@ -136,6 +144,7 @@
 		i.handleUnreachable(err)
 		return nil
 	}
+	i.loading = r.Loading
 	if i.engineUnreachable {
 		i.engineUnreachable = false
 		i.config.Log.Event(reporter.HostFound, reporter.Fields{"Peer": "engine", "Born": r.Born.UnixMilli()})
