messenger: a process that does not answer a dial is dialled again beside it

Cause: a process that starts follows the first registered one of its domain. A shorter wait was not tried: it costs calls where a sound process is slow. Change: another attempt begins after 30 ms beside the first one, and after twice as long each time, six at most; the first result counts, and other connections are closed. A far process is reached as soon as before.

--- a/transport/messenger/export_test.go
+++ b/transport/messenger/export_test.go
@@ -20,8 +20,9 @@
 	return len(c.peers)
 }
 
-// SessionConfig and NewJoiner are what sessions use.
+// SessionConfig, NewJoiner and Dial are what sessions use.
 var (
 	SessionConfig = sessionConfig
 	NewJoiner     = newJoiner
+	Dial          = dial
 )
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -313,7 +313,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	conn, err := c.network.Dial(dialCtx, address)
+	conn, err := dial(dialCtx, c.network, address)
 	if err != nil {
 		return nil, err
 	}
