forwarder: the stand-in link of tests may be used by attempts beside each other

go test -race failed in TestReportedRunState (pairs with responseTimeout), in a run of the package and again in a run of the test alone.

Cause: the stand-in link of that test recorded attempts without a lock, and a backup sends from a goroutine of its own. The forwarder itself has no part in the race.

Evidence: the test and TestIdempotentRetriedAtOtherReplica passed 15 times with -race after the change. What they check is as before.

--- a/shells/forwarder/forwarder_test.go
+++ b/shells/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,12 +82,21 @@
 // repeats.
 type script struct {
 	steps []step
-	sent  []forwarder.Attempt
+
+	mu   sync.Mutex
+	sent []forwarder.Attempt
 }
 
-func (s *script) Send(ctx context.Context, a forwarder.Attempt) (forwarder.Response, error) {
-	x := s.steps[min(len(s.sent), len(s.steps)-1)]
+// next records the attempt and returns its step.
+func (s *script) next(a forwarder.Attempt) step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sent = append(s.sent, a)
+	return s.steps[min(len(s.sent), len(s.steps))-1]
+}
+
+func (s *script) Send(ctx context.Context, a forwarder.Attempt) (forwarder.Response, error) {
+	x := s.next(a)
 	if x.blocks {
 		<-ctx.Done()
 		return forwarder.Response{}, exchanger.ErrNoResponse{Cause: ctx.Err()}
