forwarder: nothing is sent after a planned stop has ended

A request that arrived after Stop, as its body was complete only then, could be sent to a replica and cut off in the same moment: its caller got 504 (may have run) instead of 503, and the replica worked for nobody. So could the next attempt of a request that the stop ended between two attempts.

Cause: the end of the forwarder reaches the context of a request through another goroutine, and a free replica is granted before that has run.

Evidence: TestNothingIsSentAfterStop failed in its first pass, one attempt was sent. It passes now, in 100 passes.

The context of a request that arrives later has ended from the beginning, and no attempt begins in a request that a stop has ended.

--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -263,6 +263,10 @@
 
 // nextAttempt makes one attempt and reports whether another one must follow.
 func (x *requestState) nextAttempt() bool {
+	if x.stopped() {
+		x.failStopped()
+		return false
+	}
 	trial, ok := x.admit()
 	if !ok {
 		return false
--- a/shells/forwarder/stopping.go
+++ b/shells/forwarder/stopping.go
@@ -23,6 +23,9 @@
 func (f *Forwarder) requestContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	unregister := context.AfterFunc(f.stopped, func() { cancel(context.Cause(f.stopped)) })
+	if f.stopped.Err() != nil {
+		cancel(context.Cause(f.stopped)) // at once, while AfterFunc may take a moment
+	}
 	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
 	return ctx, func() {
 		unregister()
--- a/shells/forwarder/stopping_test.go
+++ b/shells/forwarder/stopping_test.go
@@ -92,3 +92,30 @@
 		is.True(callers[1].failure.RetryAfter > 0)
 	})
 }
+
+// TestNothingIsSentAfterStop guards against requests that arrive after the end of a planned stop,
+// and that are sent and cut off at once.
+func TestNothingIsSentAfterStop(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			p := placer.New(placer.Config{Region: "a"})
+			p.SetFleet(time.Now(), placer.Fleet{
+				Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "first", Service: "s", Address: "first", Slots: 1}),
+				Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
+			})
+			link := &pacedLink{replicas: withFirst(pacedReplica{headAfter: forever}, nil)}
+			f := forwarder.New(forwarder.Config{
+				Placer: p, Link: link, Log: reporter.New(reporter.Config{Logger: discardLog()}),
+				VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
+			})
+			f.Stop()
+			var got caller
+			now := time.Now()
+			f.Serve(t.Context(), &forwarder.Call{Route: route(filbertstile.CallNonIdempotent), Service: "s", Arrived: now, Deadline: now.Add(time.Second)}, &got)
+			is.Equal(len(link.sent), 0)
+			is.True(got.failedWith(filbertstile.NotRun))
+			is.Equal(got.failure.Code, forwarder.CodeStopping)
+		})
+	}
+}
