suspector: a request is not blamed for a crash from before it was sent

A request was blocked after two crashes instead of three, or suspected after one, if another entry dated the first crash before this entry had sent the request to the replica, which was down by then.

Cause: a crash that is dated earlier kept all that was blamed for it, although blame leaves out requests that were sent later. As such a request is "sent after" its own crash, the crash also counted as two episodes once another entry named the same request.

Evidence: TestCrashDatedBeforeItsRequest failed in both cases (Blocked, Suspected).

The blame of a request that was sent later ends when the crash is dated. A request that was also lost at the other entry is blamed again by the same message.

--- a/decisions/suspector/requests_test.go
+++ b/decisions/suspector/requests_test.go
@@ -298,3 +298,25 @@
 		}
 	})
 }
+
+// TestCrashDatedBeforeItsRequest guards against a request that is blamed, and counted twice, for a
+// crash that another entry then dates before the request was sent.
+func TestCrashDatedBeforeItsRequest(t *testing.T) {
+	for _, c := range []struct {
+		lostElsewhere []uint64
+		want          string
+	}{
+		{lostElsewhere: []uint64{badRequest}, want: "Suspected"},
+		{lostElsewhere: []uint64{bad}, want: "Free"},
+	} {
+		is := is.New(t)
+		s := newSuspector(0, 2)
+		s.RecordCrash(start, 1, suspector.LostRequest{Keys: []uint64{badRequest}, SentAt: start.Add(-200 * time.Millisecond)})
+		for range 2 {
+			s.Merge(start, suspector.Evidence{Crashes: []suspector.Crash{{Replica: 1, Age: 500 * time.Millisecond, Keys: c.lostElsewhere}}})
+		}
+		now := start.Add(time.Second)
+		s.RecordCrash(now, 2, suspector.LostRequest{Keys: []uint64{badRequest}, SentAt: now.Add(-50 * time.Millisecond)})
+		is.Equal(stateOf(s, now, badRequest), c.want)
+	}
+}
--- a/decisions/suspector/suspector.go
+++ b/decisions/suspector/suspector.go
@@ -198,14 +198,25 @@
 	return c
 }
 
-// redate sets the time of the crash, and counts the episodes of its keys again.
+// redate sets the time of the crash, and counts the episodes of its keys again. A request that
+// was sent later did not cause the crash.
 func (s *Suspector) redate(c *crash, at time.Time) {
 	was := c.at
 	c.at = at
-	for key := range c.keys {
-		if p := s.suspects[key]; slices.Contains(p.crashes, c) {
-			p.recount(key, was)
+	for key, b := range c.keys {
+		p := s.suspects[key]
+		if b.sentAt.After(at) {
+			delete(c.keys, key)
+			p.crashes = slices.DeleteFunc(p.crashes, func(o *crash) bool { return o == c })
+		} else if !slices.Contains(p.crashes, c) {
+			continue
+		}
+		p.recount(key, was)
+		if p.count() == 0 {
+			s.forget(key, p)
+			continue
 		}
+		s.logChange(at, key, p)
 	}
 }
 
