placer: a request visits only the replicas of its service and group

Seen: BenchmarkAcquire places a request on one of the 11 replicas of the entry's group.

Cause: choosing a replica walked a map of all replicas of all services and groups, for each request, and for each queued one at each event that might free a slot.

Change: the replicas are kept by service, those of the own group apart from the others. Replicas of other groups are visited if none of the own group is eligible, or if they have named a limit, which all groups share. Which replicas are considered is unchanged.

--- /dev/null
+++ b/decisions/placer/benchmark_test.go
@@ -0,0 +1,36 @@
+package placer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"filbertstile.example/filbertstile/decisions/placer"
+)
+
+// BenchmarkAcquire measures the placement of a request on one of the 11 replicas of the group,
+// by the number of replicas of all groups.
+func BenchmarkAcquire(b *testing.B) {
+	for _, replicas := range []int{11, 138, 1000, 10000} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			f := fleet(replicas, 1<<20, 100, 0)
+			f.GroupReplicas, f.GroupEntries = make(map[string]bool), 8
+			for i := range 11 {
+				f.GroupReplicas[fmt.Sprintf("r%02d", i)] = true
+			}
+			p := placer.New(placer.Config{Region: "a", Seed: 1, ColdBurst: 1.5, ColdSlack: 5})
+			p.SetFleet(time.Now(), f)
+			b.ReportAllocs()
+			for b.Loop() {
+				req := request(100)
+				req.TargetLatency = time.Hour
+				g, err := p.Acquire(context.Background(), req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Release(&g, placer.Completed)
+			}
+		})
+	}
+}
--- a/decisions/placer/limits.go
+++ b/decisions/placer/limits.go
@@ -319,8 +319,8 @@
 // the request, tried before or not.
 func (p *Placer) limitDelay(now time.Time, req Request) time.Duration {
 	req.Tried = nil
-	for id, r := range p.byID {
-		if x := p.announced[id]; (x == nil || !x.limit.limit.Named) && p.eligible(now, req, r) {
+	for r := range p.all(req.Service) {
+		if x := p.announced[r.replica.ID]; (x == nil || !x.limit.limit.Named) && p.eligible(now, req, r) {
 			return 0
 		}
 	}
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -71,6 +71,7 @@
 	byID      map[string]*replicaState
 	byAddress map[string]*replicaState
 	byHash    map[uint32]*replicaState
+	byService map[string]*candidates
 	queue     []*queuedRequest
 	// peerLoads are the latest loads reported by the other entries, by entry name and
 	// replica hash.
@@ -107,6 +108,7 @@
 	byID := make(map[string]*replicaState, f.Replicas.Len())
 	byAddress := make(map[string]*replicaState, f.Replicas.Len())
 	byHash := make(map[uint32]*replicaState, f.Replicas.Len())
+	byService := make(map[string]*candidates)
 	for _, x := range f.Replicas.All() {
 		r := p.byID[x.ID]
 		if r == nil || !r.replica.Born.Equal(x.Born) {
@@ -123,8 +125,12 @@
 		byID[x.ID] = r
 		byAddress[x.Address] = r
 		byHash[HashOf(x.ID)] = r
+		if byService[x.Service] == nil {
+			byService[x.Service] = &candidates{}
+		}
+		byService[x.Service].add(r)
 	}
-	p.fleet, p.byID, p.byAddress, p.byHash = f, byID, byAddress, byHash
+	p.fleet, p.byID, p.byAddress, p.byHash, p.byService = f, byID, byAddress, byHash, byService
 	p.retainAnnouncements(now)
 	p.divideLimits(now)
 	p.sumPeerLoads()
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -273,8 +273,8 @@
 	bestScore := 0.0
 	var cooling *replicaState
 	spec := p.engine(req.Service)
-	for _, r := range p.byID {
-		if p.belongsToOtherGroup(r) != otherGroup || !p.eligible(now, req, r) {
+	for r := range p.ofGroups(req.Service, otherGroup) {
+		if !p.eligible(now, req, r) {
 			continue
 		}
 		anyEligible = true
@@ -334,8 +334,8 @@
 // anyOutsideCooldown reports whether any eligible replica, free or not, is not in
 // cooldown.
 func (p *Placer) anyOutsideCooldown(now time.Time, req Request, otherGroup bool) bool {
-	for _, r := range p.byID {
-		if p.belongsToOtherGroup(r) == otherGroup && p.eligible(now, req, r) && !now.Before(r.cooldownUntil) {
+	for r := range p.ofGroups(req.Service, otherGroup) {
+		if p.eligible(now, req, r) && !now.Before(r.cooldownUntil) {
 			return true
 		}
 	}
