grouper: an assignment ranks only groups with room, without allocation

Cause: for each entry, host and engine the ranks of all groups were computed, each from a new string, those of full groups too; sorting hashed each key again in each comparison.

TestAssignmentsOfOtherBuilds holds the assignment of the build before (its value is from the code before). What is left grows with entries times groups.

--- a/decisions/grouper/grouper.go
+++ b/decisions/grouper/grouper.go
@@ -5,6 +5,7 @@
 package grouper
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -60,33 +61,34 @@
 // limit. The limit is an equal share of the items, rounded down, and one more once
 // all groups have their share.
 func assignEvenly(items []Item, groups []int, out map[string]int) {
-	slices.SortFunc(items, func(a, b Item) int {
-		if ha, hb := xxhash.Sum64String(a.Key), xxhash.Sum64String(b.Key); ha < hb {
-			return -1
-		} else if ha > hb {
-			return 1
-		}
-		return 0
-	})
+	hashes := make(map[string]uint64, len(items))
+	for _, x := range items {
+		hashes[x.Key] = xxhash.Sum64String(x.Key)
+	}
+	slices.SortFunc(items, func(a, b Item) int { return cmp.Compare(hashes[a.Key], hashes[b.Key]) })
 	limit := len(items) / len(groups)
-	sizes := make(map[int]int, len(groups))
+	sizes := make([]int, len(groups))
 	for i, x := range items {
 		if i == limit*len(groups) {
 			limit++
 		}
-		group := highestRanked(x.Key, groups, func(g int) bool { return sizes[g] < limit })
-		sizes[group]++
-		out[x.Key] = group
+		best := highestRanked(x.Key, groups, sizes, limit)
+		sizes[best]++
+		out[x.Key] = groups[best]
 	}
 }
 
-// highestRanked returns the group with the highest rank for the key among those
-// with room.
-func highestRanked(key string, groups []int, hasRoom func(int) bool) int {
-	best, bestRank := groups[0], uint64(0)
-	for _, g := range groups {
-		if rank := xxhash.Sum64String(key + "\x00" + strconv.Itoa(g)); hasRoom(g) && rank >= bestRank {
-			best, bestRank = g, rank
+// highestRanked returns the index of the group with the highest rank for the key among those
+// whose size is below the limit.
+func highestRanked(key string, groups, sizes []int, limit int) int {
+	best, bestRank := 0, uint64(0)
+	prefix := append([]byte(key), 0)
+	for i, g := range groups {
+		if sizes[i] >= limit {
+			continue
+		}
+		if rank := xxhash.Sum64(strconv.AppendInt(prefix, int64(g), 10)); rank >= bestRank {
+			best, bestRank = i, rank
 		}
 	}
 	return best
--- a/decisions/grouper/grouper_test.go
+++ b/decisions/grouper/grouper_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -81,3 +83,19 @@
 	}
 	is.Equal(len(grouper.Assign(items(1, 3), nil)), 0)
 }
+
+// TestAssignmentsOfOtherBuilds guards against a change of the assignment, which entries of the
+// build before would not share.
+func TestAssignmentsOfOtherBuilds(t *testing.T) {
+	is := is.New(t)
+	var items []grouper.Item
+	for i := range 400 {
+		items = append(items, grouper.Item{Key: fmt.Sprint("entry-", i), Domain: fmt.Sprint(i % 5)})
+	}
+	groupOf := grouper.Assign(items, grouper.GroupIndices(50)[:47])
+	var b strings.Builder
+	for _, x := range items {
+		fmt.Fprintf(&b, "%s=%d;", x.Key, groupOf[x.Key])
+	}
+	is.Equal(xxhash.Sum64String(b.String()), uint64(5056706025110297925))
+}
