tracker: an update copies the rows once, not once for each object

Cause: each object of an update made a new copy of the immutable table, so that the cost grew with objects times rows, in each process.

Change: the changes of an update are collected, and Table.WithChanges applies them with one copy. The rows after an update are the same.

--- a/outside/tracker/update.go
+++ b/outside/tracker/update.go
@@ -209,11 +209,11 @@
 	}
 	changed := u.Revision > v.Revision && len(u.Objects) > 0
 	if changed {
-		kept := make([]filbertstile.Object, 0, len(u.Objects))
+		kept, rows := make([]filbertstile.Object, 0, len(u.Objects)), newRowChanges[T]()
 		for _, o := range u.Objects {
-			v.Rows, o = t.applyObject(v.Rows, o)
-			kept = append(kept, o)
+			kept = append(kept, t.applyObject(rows, o))
 		}
+		v.Rows = rows.applyTo(v.Rows)
 		u.From, u.Objects = v.Revision, kept
 		t.history = append(t.history, u)
 		t.trimHistory()
@@ -249,17 +249,18 @@
 // applyObject applies one change, and returns what is kept of it. An object that can no longer
 // be decoded is removed, as it describes nothing that can be used; nor does anything need its
 // value, which may be large. The caller holds t.mu.
-func (t *Tracker[T]) applyObject(rows filbertstile.Table[T], o filbertstile.Object) (filbertstile.Table[T], filbertstile.Object) {
+func (t *Tracker[T]) applyObject(rows *rowChanges[T], o filbertstile.Object) filbertstile.Object {
 	oldKey, known := t.rowKeys[o.Key]
 	if !o.Removed {
 		row, err := t.config.Decode(o)
 		if err == nil {
 			if known && oldKey != row.Key() {
-				rows = rows.Without(oldKey)
+				rows.remove(oldKey)
 			}
 			t.objects[o.Key], t.rowKeys[o.Key] = o, row.Key()
 			delete(t.unreadable, o.Key)
-			return rows.With(row), o
+			rows.put(row)
+			return o
 		}
 		t.recordUnreadable(o, err)
 		o.Value = nil
@@ -270,9 +271,9 @@
 	}
 	if known {
 		delete(t.rowKeys, o.Key)
-		rows = rows.Without(oldKey)
+		rows.remove(oldKey)
 	}
-	return rows, o
+	return o
 }
 
 // notifyChanged wakes the processes that follow this copy. The caller holds t.mu.
--- a/table.go
+++ b/table.go
@@ -78,6 +78,34 @@
 	return Table[R]{rows: rows}
 }
 
+// WithChanges returns a copy of the table with the rows added, or replaced where their keys
+// exist, and without the rows of the removed keys. A key must not be among both. It copies the
+// table once, whatever the number of changes.
+func (t Table[R]) WithChanges(rows []R, removed []string) Table[R] {
+	changed := NewTable(rows...)
+	keys := make([]string, 0, changed.Len()+len(removed))
+	for _, r := range changed.rows {
+		keys = append(keys, r.Key())
+	}
+	keys = append(keys, removed...)
+	slices.Sort(keys)
+	out := make([]R, 0, len(t.rows)+changed.Len())
+	copied := 0
+	for _, key := range keys {
+		i, exists := t.find(key)
+		if i > copied {
+			out = append(out, t.rows[copied:i]...)
+		}
+		if r, ok := changed.Get(key); ok {
+			out = append(out, r)
+		}
+		if copied = max(copied, i); exists {
+			copied = i + 1
+		}
+	}
+	return Table[R]{rows: append(out, t.rows[copied:]...)}
+}
+
 // MarshalJSON encodes the table as a list of its rows.
 func (t Table[R]) MarshalJSON() ([]byte, error) {
 	if t.rows == nil {
