--- a/shells/edgerunner/relaying.go
+++ b/shells/edgerunner/relaying.go
@@ -1,7 +1,6 @@
 package edgerunner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -71,29 +70,40 @@
 	return out
 }
 
-// relaysFor returns the names of the two candidates that relay the group's heartbeats to an
-// entry of another group: one of the entry's own failure domain, if there is any, as the domain
-// may be cut off, and one of another domain, so that the loss of a domain ends only one.
+// relaysFor returns the names of the candidates that relay the group's heartbeats to an entry of
+// another group, at most two: one of the entry's own failure domain, if there is any, as the
+// domain may be cut off, and one of another domain, so that the loss of a domain ends only one.
 func relaysFor(to filbertstile.Member, candidates []filbertstile.Member) []string {
-	order := slices.Clone(candidates)
-	rank := func(m filbertstile.Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + to.Name) }
-	elsewhere := func(m filbertstile.Member) int {
-		if m.Domain == to.Domain {
-			return 0
-		}
-		return 1
+	first := lowest(to, candidates, func(m filbertstile.Member) bool { return m.Domain == to.Domain })
+	if first == nil {
+		first = lowest(to, candidates, func(filbertstile.Member) bool { return true })
+	}
+	second := lowest(to, candidates, func(m filbertstile.Member) bool { return m.Domain != first.Domain })
+	if second == nil {
+		second = lowest(to, candidates, func(m filbertstile.Member) bool { return m.Name != first.Name })
 	}
-	slices.SortFunc(order, func(a, b filbertstile.Member) int {
-		return cmp.Or(cmp.Compare(elsewhere(a), elsewhere(b)), cmp.Compare(rank(a), rank(b)))
-	})
-	if len(order) < 2 {
-		return []string{order[0].Name}
+	if second == nil {
+		return []string{first.Name}
 	}
-	second := order[1]
-	if i := slices.IndexFunc(order, func(m filbertstile.Member) bool { return m.Domain != order[0].Domain }); i > 0 {
-		second = order[i]
+	return []string{first.Name, second.Name}
+}
+
+// lowest returns the candidate that comes first in the rendezvous order of the entry among those
+// for which matches is true, or nil.
+func lowest(to filbertstile.Member, candidates []filbertstile.Member, matches func(filbertstile.Member) bool) *filbertstile.Member {
+	var best *filbertstile.Member
+	var bestRank uint64
+	var buf [64]byte
+	prefix := append(append(buf[:0], to.Name...), 0)
+	for i, m := range candidates {
+		if !matches(m) {
+			continue
+		}
+		if rank := xxhash.Sum64(append(prefix, m.Name...)); best == nil || rank < bestRank {
+			best, bestRank = &candidates[i], rank
+		}
 	}
-	return []string{order[0].Name, second.Name}
+	return best
 }
 
 // hasEvidence reports whether there is any evidence.
