pulser: changes of the peers are logged together

TestChangesAreLoggedTogether, 238 peers that start and change their state three times: 952 lines.

Cause: a line with the whole set for each change, also where the set was the same; its size and number both grow with the processes.

Change: the set is logged with the next heartbeats of the process, if it differs from the last one logged. What depends on a change is still told at once.

Evidence: the test failed before; now one line.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -134,7 +134,7 @@
 	{ReplicaLeaving, "ReplicaLeaving", "requests", logrus.InfoLevel, "A replica has said in a response that it leaves; it gets no more requests from this process.", noAction},
 	{ReplicaPaused, "ReplicaPaused", "requests", logrus.InfoLevel, "A replica has rejected a request and named a time for which it wants none from this process.", "Check the replica's load if this repeats."},
 	{ReplicasChanged, "ReplicasChanged", "requests", logrus.InfoLevel, "The set of replicas that take requests has changed.", noAction},
-	{PeersChanged, "PeersChanged", "process", logrus.InfoLevel, "The set of processes whose heartbeats arrive has changed.", noAction},
+	{PeersChanged, "PeersChanged", "process", logrus.InfoLevel, "The set of processes whose heartbeats arrive has changed since the last such line.", noAction},
 	{ReplicaCrashed, "ReplicaCrashed", "requests", logrus.WarnLevel, "A replica's process ended while requests of this entry were in flight there; the keys of those without a begun answer, and the parts of their prompts, are suspects.", "Look for a part or a key that the lines have in common."},
 	{PromptPartChanged, "PromptPartChanged", "requests", logrus.WarnLevel, "A part of prompts is now suspected of crashing replicas, blocked, or free again.", "Check which requests hold a blocked part; they are refused for minutes after the last crash."},
 	{BackupRefused, "BackupRefused", "requests", logrus.InfoLevel, "The replica of a request is silent, and no other one takes the request; it waits on.", "Check the replica if this repeats."},
--- a/transport/pulser/pulser.go
+++ b/transport/pulser/pulser.go
@@ -94,6 +94,9 @@
 	mu       sync.Mutex
 	peers    map[string]Peer
 	sequence uint64 // of the last heartbeat sent
+	// logged are the names of the processes in the table that were last logged. Only Run uses
+	// it.
+	logged []string
 }
 
 // New returns a pulser. It neither sends nor receives before Run is called.
@@ -120,6 +123,7 @@
 	for ctx.Err() == nil {
 		p.sendComposed()
 		p.expire()
+		p.logPeers()
 		select {
 		case <-ticker.C:
 		case <-p.wake:
@@ -210,7 +214,7 @@
 	p.mu.Unlock()
 	p.config.OnHeartbeat(pulse)
 	if changed {
-		p.peersChanged()
+		p.config.OnChange()
 	}
 }
 
@@ -251,15 +255,18 @@
 	}
 	p.mu.Unlock()
 	if removed {
-		p.peersChanged()
+		p.config.OnChange()
 	}
 }
 
-// peersChanged logs the current peers and calls OnChange.
-func (p *Pulser) peersChanged() {
+// logPeers logs the processes in the table if they have changed since it last did.
+func (p *Pulser) logPeers() {
 	names := p.PeerNames()
+	if slices.Equal(names, p.logged) {
+		return
+	}
+	p.logged = names
 	p.config.Log.Event(reporter.PeersChanged, reporter.Fields{"Heard": names})
-	p.config.OnChange()
 }
 
 // Peers returns the processes whose last heartbeat is at most HeartbeatTimeout old, by
--- a/transport/pulser/pulser_test.go
+++ b/transport/pulser/pulser_test.go
@@ -1,7 +1,9 @@
 package pulser_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -192,3 +194,34 @@
 		is.True(p.Peers()["a"].Pulse.GetLeaving())
 	})
 }
+
+// TestChangesAreLoggedTogether guards against a log line with all processes for each one that
+// starts: their size grows with the square of the number of processes.
+func TestChangesAreLoggedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&out)
+		s := &socket{in: make(chan []byte), closed: make(chan struct{})}
+		p := pulser.New(pulser.Config{
+			Self: filbertstile.Member{Name: "self"}, Conn: s, Log: reporter.New(reporter.Config{Logger: log}), Interval: 400 * time.Millisecond,
+			Compose: func() []pulser.Message { return nil }, OnHeartbeat: func(*wire.Pulse) {}, OnChange: func() {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		const peers = 238
+		for round := range 4 {
+			for i := range peers {
+				s.send(t, &wire.Pulse{Name: fmt.Sprint("p", i), Incarnation: 1, Sequence: uint64(round + 1), Serving: round%2 == 0})
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+		synctest.Wait()
+		cancel()
+		<-done
+		is.Equal(strings.Count(out.String(), "PeersChanged"), 1)
+		is.True(strings.Contains(out.String(), fmt.Sprint("p", peers-1))) // the line lists all
+	})
+}
