distributor, peerrunner: a host uses a manifest that it has read itself at once

Of fifteen logged hosts all have the configuration and the version by 36 s (region of the store) or 40.4 s; they get the manifest from a peer at 41.6 to 44.4 s, and hold all chunks 0.2 s later, as the engines have kept them. Entries refuse with NoReplica in between, some 900 of 1,010 refusals of the logged entries from 38 to 43 s.

Cause, found by reading: a host that reads the manifest from the origin first learns its digest from it, and knows the document. Its distributor does not: it asks a peer, or waits for its turn among the hosts of the origin's region, one second each, and of other regions without end. Others could not get it from that host meanwhile.

--- a/decisions/distributor/decide.go
+++ b/decisions/distributor/decide.go
@@ -46,13 +46,17 @@
 	return now.Sub(t.lastProgress) >= time.Duration(spareRank)*c.config.Limits.TakeoverDelay
 }
 
-// requestManifest requests the manifest until it arrives: from a peer that has it, or
-// else from the origin. The hosts that may read from the origin ask it one after
+// requestManifest requests the manifest until it arrives: from the host's own process or a
+// peer that has it, or else from the origin. The hosts that may read from the origin ask it one after
 // another, TakeoverDelay apart, so that normally only the first one does.
 func (c *Core) requestManifest(now time.Time, t *transfer) []Command {
 	if t.hasManifest || now.Sub(t.manifestRequested) < c.config.Limits.ManifestRetryDelay && !t.manifestRequested.IsZero() {
 		return nil
 	}
+	if t.processHasManifest {
+		t.manifestRequested = now
+		return []Command{FetchManifest{Digest: t.digest}}
+	}
 	var usable []*peerState
 	for _, name := range sortedNames(t.peers) {
 		if p := t.peers[name]; c.usable(now, p) {
--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -118,6 +118,9 @@
 type Want struct {
 	Release  string
 	Manifest filbertstile.Digest
+	// HasManifest is true if the host's process has the manifest already, so that it need not
+	// wait for its turn to ask the origin.
+	HasManifest bool
 }
 
 // fetch is a chunk in flight.
@@ -157,6 +160,9 @@
 // transfer is the transfer of the weights of one manifest to this host.
 type transfer struct {
 	digest filbertstile.Digest
+	// processHasManifest is true if the host's process has the manifest, so that it need not come
+	// from a peer.
+	processHasManifest bool
 	// releases are the wanted releases with the manifest.
 	releases []string
 	manifest filbertstile.Manifest
--- a/decisions/distributor/wants.go
+++ b/decisions/distributor/wants.go
@@ -20,6 +20,7 @@
 			}
 			next = append(next, t)
 		}
+		t.processHasManifest = t.processHasManifest || w.HasManifest
 		if !slices.Contains(releases[t], w.Release) {
 			releases[t] = append(releases[t], w.Release)
 		}
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -18,7 +18,7 @@
 		version := filbertstile.WeightsVersion{Model: w.Model, Version: w.Version - age}
 		digest, ok := p.weightSource.digest(version)
 		if ok && (age == 0 || p.holdsAllChunks(digest) || p.worthFetching(version, digest)) {
-			out = append(out, distributor.Want{Release: version.Model, Manifest: digest})
+			out = append(out, distributor.Want{Release: version.Model, Manifest: digest, HasManifest: p.weightSource.hasManifest(version)})
 		}
 	}
 	return out
