peerrunner, KNOWN-RED: processes that start list all processes over one link

Cause, shown in the model of a region's link to the store: each process lists all processes by itself before it knows whom to follow, so that what crosses the link grows with the processes of the region times those of the system.

--- a/shells/peerrunner/routing_test.go
+++ b/shells/peerrunner/routing_test.go
@@ -313,3 +313,29 @@
 	close(c.closed)
 	return nil
 }
+
+// TestConfigurationInLargeSystemSoonAfterPowerLoss guards against processes that each list all
+// processes of a large system over the narrow link between two regions, and hold each other up.
+func TestConfigurationInLargeSystemSoonAfterPowerLoss(t *testing.T) {
+	const entries, hosts = 29, 66
+	for _, members := range []int{95, 470, 1000, 3300} {
+		t.Run(fmt.Sprintf("%dMembers", members), func(t *testing.T) {
+			withDomain(t, entries, hosts, 64<<10, func(d *domain) {
+				for n := range members - entries - hosts {
+					m := d.member(filbertstile.RoleHost, hosts+n)
+					m.Region, m.Domain = "other", "other"
+					value, err := json.Marshal(m)
+					if err != nil {
+						d.t.Fatal(err)
+					}
+					d.store.objects[membersPrefix] = append(d.store.objects[membersPrefix], filbertstile.Object{Key: membersPrefix + m.Name, Version: uint64(1000 + n), Value: value})
+				}
+			}, func(d *domain) {
+				is := is.New(d.t)
+				took := d.awaitRoutings(30 * time.Second)
+				t.Logf("all hosts after %s", took)
+				is.True(took <= 4*time.Second)
+			})
+		})
+	}
+}
