--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -31,7 +31,7 @@
 	// detected after pulser.HeartbeatTimeout.
 	heartbeatInterval = 400 * time.Millisecond
 	// otherGroupsInterval is the time between two heartbeats to the entries of other
-	// groups, which consider the entry dead after two consecutive losses.
+	// groups, each of which two entries of the group tell of all of it.
 	otherGroupsInterval = 800 * time.Millisecond
 	// loadInterval is the minimum time between two messages that tell the other entries of
 	// the group which of this entry's loads on replicas have changed.
