forwarder, reporter: events say which limit held and whether the configuration had changed

A request that ended at its route's limit looked in the log like one that ended at its caller's, and nothing said whether the configuration changed while it ran. All events of requests and attempts have Limit (Route or Caller), LimitLeft, Leaving, and ConfigNow if the latest known version is not the one that was applied.

--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -123,6 +123,9 @@
 	}
 	call.Service = matcher.ChooseService(route, req.ID)
 	call.Deadline = deadline(req, route)
+	if req.Timeout > 0 {
+		call.CallerDeadline = req.Arrived.Add(req.Timeout)
+	}
 	return call, nil
 }
 
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -180,7 +180,7 @@
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Placer: e.placer, Link: c.Link, RetryBudget: c.RetryBudget, BufferBytes: c.BufferBytes, Log: c.Log, VersionFloor: e.versionFloor, OnRequestEnd: e.recordRequestEnd,
-		Suspector: e.suspector, Prober: c.Prober, OnNews: e.announceNews,
+		Suspector: e.suspector, Prober: c.Prober, OnNews: e.announceNews, Situation: e.situation,
 	})
 	return e
 }
--- a/shells/edgerunner/routing.go
+++ b/shells/edgerunner/routing.go
@@ -6,6 +6,7 @@
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/decisions/matcher"
+	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
 // currentMatcher returns the matcher of the latest known routing, and the time since the store
@@ -39,3 +40,12 @@
 	e.matcher.Store(matcher.New(r))
 	e.config.Log.Event(reporter.ChangeApplied, reporter.Fields{"Config": r.Version, "Routes": r.Routes.Len()})
 }
+
+// situation returns the situation of the entry for the log events of requests.
+func (e *Edge) situation() forwarder.Situation {
+	s := forwarder.Situation{Leaving: e.leaving.Load()}
+	if m := e.matcher.Load(); m != nil {
+		s.ConfigVersion = m.Routing().Version
+	}
+	return s
+}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -59,6 +59,8 @@
 	Arrived time.Time
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
+	// CallerDeadline is the time at which the caller stops waiting; zero if it has not said.
+	CallerDeadline time.Time
 	// LastEventID is the ID of the last stream event that the caller has; 0 if it has
 	// none.
 	LastEventID int64
@@ -183,6 +185,8 @@
 	Log         *reporter.Log
 	// VersionFloor returns the minimum version of the weights for requests to a service.
 	VersionFloor func(service string) placer.VersionFloor
+	// Situation returns the situation of the entry, for log events; nil if there is none.
+	Situation func() Situation
 	// OnRequestEnd is called at the end of each request. The status is an error code,
 	// "Done" or "CallerLeft".
 	OnRequestEnd func(c *Call, status string, took time.Duration)
@@ -207,6 +211,9 @@
 	if c.OnNews == nil {
 		c.OnNews = func() {}
 	}
+	if c.Situation == nil {
+		c.Situation = func() Situation { return Situation{} }
+	}
 	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes), crashes: newCrashChecks(c)}
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
 	return f
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -107,5 +107,6 @@
 	f["Request"], f["Route"], f["Service"], f["Account"] = c.ID, c.Route.Name, c.Service, c.Account
 	f["Took"], f["Waited"], f["Sends"], f["Runs"] = time.Since(c.Arrived).String(), x.queueTime.String(), x.sends, x.runs
 	f["Config"], f["ConfigAge"] = c.ConfigVersion, c.ConfigAge.String()
+	x.addLimitFields(f)
 	return f
 }
