edgerunner, forwarder, platform: a request ends at the limit that holds, not before it

Callers of a route of 1 s whose answer was complete after 985 ms got a cut stream or 504 after 970 ms; so did callers whose route had been raised to 5 s while their request ran, and whose answer was ready after 2 s. A request whose body was still arriving at its route's limit got its 503 only up to a second later.

Cause: the entry fixed the limit at admission, and subtracted 30 ms (or a tenth) from the route's timeout for the transmission. Replicas were told the same time as their deadline, so that they stopped at the old limit as well.

The caller's limit stays as it is, and is what replicas are told.

--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -40,11 +40,6 @@
 	// drainCallMargin is the time before the end of Bounds.StopTimeout from which calls
 	// that are not streams are rejected. Such calls take one or two seconds at most.
 	drainCallMargin = 2500 * time.Millisecond
-	// defaultTimeout is the maximum timeout of a request whose route sets none.
-	defaultTimeout = 30 * time.Second
-	// timeoutMargin is subtracted from the route's timeout for the transmission of the
-	// response, or a tenth of the timeout if that is less.
-	timeoutMargin = 30 * time.Millisecond
 )
 
 // Request holds the parts of a caller's request that determine whether and how it is
@@ -122,10 +117,7 @@
 		}
 	}
 	call.Service = matcher.ChooseService(route, req.ID)
-	call.Deadline = deadline(req, route)
-	if req.Timeout > 0 {
-		call.CallerDeadline = req.Arrived.Add(req.Timeout)
-	}
+	e.setLimits(call, req)
 	return call, nil
 }
 
@@ -142,19 +134,6 @@
 	return elapsed > e.config.Bounds.StopTimeout-drainCallMargin
 }
 
-// deadline returns the earlier of the route's and the caller's deadline. defaultTimeout
-// applies if the route sets no timeout.
-func deadline(req Request, route filbertstile.Route) time.Time {
-	timeout := defaultTimeout
-	if route.Timeout > 0 {
-		timeout = route.Timeout - min(timeoutMargin, route.Timeout/10)
-	}
-	if req.Timeout > 0 {
-		timeout = min(timeout, req.Timeout)
-	}
-	return req.Arrived.Add(timeout)
-}
-
 // MaxBodyBytes returns the maximum size of the body of a caller's request.
 func (e *Edge) MaxBodyBytes() int64 {
 	if m := e.matcher.Load(); m != nil && m.Routing().MaxBodyBytes > 0 {
--- a/shells/forwarder/abandoned.go
+++ b/shells/forwarder/abandoned.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 )
@@ -25,7 +24,7 @@
 	progress, replica := a.progress, a.grant.Replica.ID
 	stop := context.AfterFunc(x.ctx, func() {
 		cause := context.Cause(x.ctx)
-		awaited := errors.Is(x.ctx.Err(), context.Canceled) && !x.stopped() && progress.written.Load() && !progress.answered.Load()
+		awaited := !x.limitReached() && !x.stopped() && progress.written.Load() && !progress.answered.Load()
 		if !awaited || !x.forwarder.config.Placer.NeedsResponse(replica) {
 			cancel(cause)
 			return
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -134,7 +134,7 @@
 func (a *attemptState) send() error {
 	x := a.x
 	toSend := Attempt{
-		Call: x.call, Replica: a.grant.Replica, Deadline: x.call.Deadline, LastEventID: x.lastEventID, ExpectedVersion: a.grant.ExpectedVersion, CheckSend: a.checkSend,
+		Call: x.call, Replica: a.grant.Replica, Deadline: x.call.replicaDeadline(), LastEventID: x.lastEventID, ExpectedVersion: a.grant.ExpectedVersion, CheckSend: a.checkSend,
 	}
 	var resp Response
 	err := a.await(func() (err error) {
@@ -293,7 +293,7 @@
 // contextEnded handles an attempt that ended because the caller disconnected, the deadline
 // passed or the forwarder stopped.
 func (x *requestState) contextEnded(a *attemptState) bool {
-	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+	if x.limitReached() {
 		x.release(a.grant, placer.NoResponse)
 		x.logAttempt(a, CodeDeadline, "no complete response before the deadline")
 		x.fail(CodeDeadline, "no complete response before the deadline", 0)
@@ -331,7 +331,7 @@
 		outcome, logged, err = placer.Abandoned, "NotNeeded", cause
 	case a.x.stopped():
 		outcome, logged = placer.Abandoned, "Stopped"
-	case errors.Is(a.x.ctx.Err(), context.Canceled):
+	case a.x.ctx.Err() != nil && !a.x.limitReached():
 		outcome, logged = placer.Abandoned, "CallerLeft"
 	case errors.Is(cause, errSuperseded):
 		logged, err = "Superseded", cause
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -57,10 +57,17 @@
 	Regions []string
 	// Arrived is the time at which the request arrived at the entry.
 	Arrived time.Time
-	// Deadline is the earlier of the caller's and the route's deadline.
+	// Deadline is the time at which the call ends by the routing that was applied. Limit returns
+	// the time by the latest one.
 	Deadline time.Time
-	// CallerDeadline is the time at which the caller stops waiting; zero if it has not said.
+	// CallerDeadline is the time at which the caller stops waiting, which no change moves; zero if
+	// it has not said.
 	CallerDeadline time.Time
+	// LatestDeadline returns the time at which the call's route ends it by the latest known
+	// routing, or zero if that says nothing else. It is nil if Deadline does not change.
+	LatestDeadline func() time.Time
+	// ReplicaDeadline is the time until which replicas may work; zero means Limit.
+	ReplicaDeadline time.Time
 	// LastEventID is the ID of the last stream event that the caller has; 0 if it has
 	// none.
 	LastEventID int64
@@ -83,7 +90,7 @@
 type Attempt struct {
 	Call    *Call
 	Replica filbertstile.Replica
-	// Deadline is the time until which the replica must complete the response.
+	// Deadline is the time until which the replica may work. The attempt may be ended sooner.
 	Deadline time.Time
 	// LastEventID is the ID of the event after which the replica must resume the stream;
 	// 0 if it must begin with the first event.
@@ -260,7 +267,7 @@
 // Serve forwards the request. It returns after the caller has received a response or
 // an error, or has disconnected.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, w ResponseWriter) {
-	ctx, cancel := f.requestContext(ctx, c.Deadline)
+	ctx, cancel := f.requestContext(ctx, c)
 	defer cancel()
 	f.retryBudget.requestArrived(c.Service, c.Arrived)
 	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, lastEventID: c.LastEventID}
@@ -293,7 +300,7 @@
 		x.fail(CodeRetryBudget, "the retry budget is spent", replicaRetryAfter)
 		return false
 	}
-	if time.Until(x.call.Deadline) < minTimeLeft {
+	if time.Until(x.call.Limit()) < minTimeLeft {
 		x.forwarder.config.Placer.Release(&g, placer.Abandoned)
 		x.fail(CodeDeadline, "too little time is left before the deadline", 0)
 		return false
@@ -305,7 +312,7 @@
 func (x *requestState) placerRequest() placer.Request {
 	req := placer.Request{
 		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, Tried: x.tried,
-		Arrived: x.call.Arrived, TargetLatency: x.call.Route.TargetLatency, Deadline: x.call.Deadline, PromptTokens: x.call.PromptTokens,
+		Arrived: x.call.Arrived, TargetLatency: x.call.Route.TargetLatency, Deadline: x.call.Limit(), PromptTokens: x.call.PromptTokens,
 		VersionFloor: x.forwarder.config.VersionFloor(x.call.Service), PreferIdle: x.onTrial || x.crashes > 0,
 		Repeatable: x.call.Route.Retryable(),
 	}
@@ -323,5 +330,5 @@
 
 // mayRetry reports whether the request may be sent again although it may have run.
 func (x *requestState) mayRetry() bool {
-	return x.repeatable() && x.crashes < maxCrashes && x.runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
+	return x.repeatable() && x.crashes < maxCrashes && x.runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Limit()) > minTimeLeft
 }
--- a/shells/forwarder/limit.go
+++ b/shells/forwarder/limit.go
@@ -1,6 +1,10 @@
 package forwarder
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"filbertstile.example/filbertstile/base/reporter"
@@ -20,19 +24,110 @@
 	Leaving bool
 }
 
-// limitName returns the name of the limit that ends the request.
-func (c *Call) limitName() string {
-	if !c.CallerDeadline.IsZero() && !c.CallerDeadline.After(c.Deadline) {
-		return limitCaller
+// errLimitReached is the cause with which a request ends at its limit.
+var errLimitReached = fmt.Errorf("the time limit has been reached: %w", context.DeadlineExceeded)
+
+// limitReached reports whether the request has ended at its limit.
+func (x *requestState) limitReached() bool {
+	return errors.Is(context.Cause(x.ctx), context.DeadlineExceeded)
+}
+
+// routeLimit returns the time at which the route ends the call. A change of the configuration
+// moves it only to a later time.
+func (c *Call) routeLimit() time.Time {
+	if c.LatestDeadline != nil {
+		if latest := c.LatestDeadline(); latest.After(c.Deadline) {
+			return latest
+		}
+	}
+	return c.Deadline
+}
+
+// Limit returns the time at which the call ends, as far as is known.
+func (c *Call) Limit() time.Time {
+	limit, _ := c.limit()
+	return limit
+}
+
+// LimitedByCaller reports whether the call ends as its caller stops waiting.
+func (c *Call) LimitedByCaller() bool {
+	_, name := c.limit()
+	return name == limitCaller
+}
+
+// limit returns the time at which the call ends, and the name of the limit.
+func (c *Call) limit() (time.Time, string) {
+	limit := c.routeLimit()
+	if !c.CallerDeadline.IsZero() && !c.CallerDeadline.After(limit) {
+		return c.CallerDeadline, limitCaller
+	}
+	return limit, limitRoute
+}
+
+// replicaDeadline returns the time until which replicas may work.
+func (c *Call) replicaDeadline() time.Time {
+	if !c.ReplicaDeadline.IsZero() {
+		return c.ReplicaDeadline
 	}
-	return limitRoute
+	return c.Limit()
+}
+
+// limitWatch watches the limit of a call.
+type limitWatch struct {
+	call    *Call
+	moved   func(limit time.Time)
+	reached func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+	done  bool
+}
+
+// WatchLimit calls reached once the limit of the call has passed. If the limit turns out to have
+// moved by then, it calls moved and waits on. Neither is called after end has returned.
+func (c *Call) WatchLimit(moved func(limit time.Time), reached func()) (end func()) {
+	w := &limitWatch{call: c, moved: moved, reached: reached}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	left := time.Until(c.Limit())
+	if left <= 0 {
+		reached()
+		return func() {}
+	}
+	w.timer = time.AfterFunc(left, w.due)
+	return w.end
+}
+
+// due is called when the limit has passed that was last known.
+func (w *limitWatch) due() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		return
+	}
+	limit := w.call.Limit()
+	if left := time.Until(limit); left > 0 {
+		w.moved(limit)
+		w.timer.Reset(left)
+		return
+	}
+	w.done = true
+	w.reached()
+}
+
+func (w *limitWatch) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = true
+	w.timer.Stop()
 }
 
 // addLimitFields adds what tells whether a limit, a stop or a change of the configuration ended
 // the request or the attempt.
 func (x *requestState) addLimitFields(f reporter.Fields) {
 	c, now := x.call, x.forwarder.config.Situation()
-	f["Limit"], f["LimitLeft"], f["Leaving"] = c.limitName(), time.Until(c.Deadline).String(), now.Leaving
+	limit, name := c.limit()
+	f["Limit"], f["LimitLeft"], f["Leaving"] = name, time.Until(limit).String(), now.Leaving
 	if now.ConfigVersion != 0 && now.ConfigVersion != c.ConfigVersion {
 		f["ConfigNow"] = now.ConfigVersion
 	}
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -30,7 +29,7 @@
 			code = CodeNoReplica
 		}
 		x.failWithQueueLength(code, rejected.Reason, rejected.RetryAfter, rejected.QueueLength)
-	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case x.limitReached():
 		x.fail(CodeDeadline, "no free replica before the deadline", 0)
 	case x.stopped():
 		x.failStopped()
--- a/shells/forwarder/silence.go
+++ b/shells/forwarder/silence.go
@@ -56,7 +56,7 @@
 	if x.call.Route.Kind == filbertstile.CallStream {
 		return firstEventTimeout
 	}
-	timeout := time.Until(x.call.Deadline) / 2
+	timeout := time.Until(x.call.Limit()) / 2
 	if target := x.call.Route.TargetLatency; target > 0 {
 		timeout = min(timeout, responseTimeoutFactor*target)
 	}
@@ -69,7 +69,7 @@
 	if a.uncounted() {
 		runs++
 	}
-	return x.repeatable() && !x.onTrial && x.crashes == 0 && runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Deadline) > minTimeLeft
+	return x.repeatable() && !x.onTrial && x.crashes == 0 && runs < x.call.Route.MaxAttempts && x.sends < maxSends && time.Until(x.call.Limit()) > minTimeLeft
 }
 
 // uncounted reports whether the request does not count as run in the attempt yet. After a
--- a/shells/forwarder/stopping.go
+++ b/shells/forwarder/stopping.go
@@ -18,18 +18,18 @@
 // Stop ends all requests. Callers whose response has not begun receive an error.
 func (f *Forwarder) Stop() { f.stop(errStopped) }
 
-// requestContext returns the context of a request, which ends at the deadline or when the
+// requestContext returns the context of a request, which ends at the call's limit or when the
 // forwarder stops.
-func (f *Forwarder) requestContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+func (f *Forwarder) requestContext(ctx context.Context, c *Call) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	unregister := context.AfterFunc(f.stopped, func() { cancel(context.Cause(f.stopped)) })
 	if f.stopped.Err() != nil {
 		cancel(context.Cause(f.stopped)) // at once, while AfterFunc may take a moment
 	}
-	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
+	endWatch := c.WatchLimit(func(time.Time) {}, func() { cancel(errLimitReached) })
 	return ctx, func() {
 		unregister()
-		cancelDeadline()
+		endWatch()
 		cancel(nil)
 	}
 }
