exchanger: a reset that the write of the request gets ends the response

Callers got a 200 with the first part of an answer, framed as whole: the replica answers a long request without a length, before it has read all of it, and the connection is reset.

Cause: the kernel reports a reset once, to whichever call meets it first. While a long body is still being written that is the write, and the read of the response then sees the end of the connection, which ends a body without a length.

At the end of a body without a length the outcome of the write now counts as well: the response is complete only if the request was written. The deadline of a refusal's body also ends the write, so that the read doesn't wait longer for it.

--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -108,8 +108,10 @@
 	stop func() bool
 	// delivery is the watch over the delivery of the request.
 	delivery *delivery
-	// complete is true after the entire body has been read.
+	// complete is true after the entire body has been read, and failure is set after the end of
+	// the connection was found to be no end of the body.
 	complete bool
+	failure  error
 }
 
 // Do sends the request once and reads the status line and the header of the
@@ -168,15 +170,32 @@
 	return err
 }
 
-// SetReadDeadline sets the deadline for reading more of the body.
-func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetReadDeadline(t) }
+// SetReadDeadline sets the deadline for reading more of the body, and for writing what is left
+// of the request.
+func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetDeadline(t) }
+
+// EndsWithConnection reports whether only the end of the connection ends the body.
+func (e *Exchange) EndsWithConnection() bool {
+	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
+}
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (e *Exchange) Read(b []byte) (int, error) {
+	if e.failure != nil {
+		return 0, e.failure
+	}
 	n, err := e.Response.Body.Read(b)
-	if errors.Is(err, io.EOF) {
-		e.complete = true
+	if !errors.Is(err, io.EOF) || e.complete {
+		return n, err
+	}
+	if e.EndsWithConnection() {
+		// The kernel reports a reset once. If the write has got it, the read sees an end.
+		if err := <-e.written; err != nil {
+			e.failure = fmt.Errorf("send request: %w", err)
+			return n, e.failure
+		}
 	}
+	e.complete = true
 	return n, err
 }
 
@@ -191,7 +210,7 @@
 	if !e.stop() {
 		return
 	}
-	if !e.complete || e.Response.Close || e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 {
+	if !e.complete || e.Response.Close || e.EndsWithConnection() {
 		_ = e.conn.Close()
 		return
 	}
