exchanger: a head that was cut short doesn't go on in the next response

Callers could get the body of another request's answer as their own: a replica stops within a header line of one response and sends another one on the connection, as faulty replicas send late copies.

Cause: the line that was cut and the status line of the next response are one line, which net/http takes for a field with an odd value ("X-Other: soHTTP/1.1 200 OK") or an odd reason. The rest of the second head then belongs to the first response, whose ID comes first. Besides, net/http takes a field with a space before its colon as another field, so that a body whose length is given so ends with its connection, and skips status 101.

A head with a second status line, more than one ID, a space in a field's name, another protocol's version or a status that was not asked for is an error now, after which the request may have run.

--- a/outside/exchanger/conn.go
+++ b/outside/exchanger/conn.go
@@ -90,6 +90,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -152,7 +152,7 @@
 		return fail("read response", err)
 	}
 	id := resp.Header.Get(r.IDHeader)
-	if id != r.ID && (id != "" || cn.reused) {
+	if id != r.ID && (id != "" || cn.reused) || len(resp.Header.Values(r.IDHeader)) > 1 {
 		return fail("read response", errRequestMismatch)
 	}
 	return &Exchange{Response: resp, WrittenAt: writtenAt, Unidentified: id != r.ID, client: c, conn: cn, written: written, stop: stop, delivery: d}, nil
