forwarder: an answer that ends with its connection is checked for every request

Callers of plain services got a 200 with an empty body, or the first part of one, framed as whole: the replica sends a head without a length and closes, as a process that crashes does.

Cause: whether such an answer is empty, and whether its replica has crashed, was looked at for requests with parts of prompts only. Even for these, an answer that had begun 250 ms before was not checked, as it cleared its parts by then, and a check that had found the replica running up to 250 ms before counted. Ruled out: answers with a length or in chunks; resets, which are errors.

Now each answer that ends with its connection is incomplete if it is empty, or if a connection that is opened after its end is refused. That costs one connection for each such answer, which has cost one already; connections that end with an error still share a check. Answers that have cleared their keys blame none. Responses to HEAD, which have no body, don't count as answers that end with their connection. What a replica that goes on running cuts and closes in order can't be told from a whole answer.

--- a/outside/exchanger/exchanger.go
+++ b/outside/exchanger/exchanger.go
@@ -176,7 +176,7 @@
 
 // EndsWithConnection reports whether only the end of the connection ends the body.
 func (e *Exchange) EndsWithConnection() bool {
-	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
+	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0 && e.Response.Body != http.NoBody
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
--- a/outside/exchanger/head_test.go
+++ b/outside/exchanger/head_test.go
@@ -1,6 +1,8 @@
 package exchanger_test
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -93,3 +95,22 @@
 		})
 	}
 }
+
+// TestResponseToHEADIsComplete guards against a response to HEAD without a length that counts as
+// one whose body ends with its connection, and so as an empty one.
+func TestResponseToHEADIsComplete(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nKeep-Alive: timeout=5\r\n\r\n"
+	withServer(t, []string{response, response}, func(is *is.I, c *exchanger.Client, address string, s *server) {
+		for _, id := range []string{"1", "2"} {
+			r := request(id)
+			r.Method = http.MethodHead
+			e, err := c.Do(t.Context(), address, r)
+			is.NoErr(err)
+			is.True(!e.EndsWithConnection())
+			_, err = io.ReadAll(e)
+			is.NoErr(err)
+			e.Close()
+		}
+		is.Equal(int(s.conns.Load()), 1)
+	})
+}
--- a/shells/forwarder/crash.go
+++ b/shells/forwarder/crash.go
@@ -88,10 +88,21 @@
 // has crashed. If the result is not known within the given time, it returns Unknown, and the
 // keys are blamed later.
 func (k *crashChecks) connectionEnded(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest, wait time.Duration) Liveness {
+	return k.await(ctx, r, lost, time.Time{}, wait)
+}
+
+// answerEnded returns whether the replica runs after an answer has ended with its connection.
+func (k *crashChecks) answerEnded(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest) Liveness {
+	return k.await(ctx, r, lost, time.Now(), probeTimeout)
+}
+
+// await returns the result of a check that began no earlier than since, or Unknown if there is
+// none within the given time.
+func (k *crashChecks) await(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest, since time.Time, wait time.Duration) Liveness {
 	if k.config.Prober == nil {
 		return Unknown
 	}
-	check := k.join(r, lost)
+	check := k.join(r, lost, since)
 	if check == nil {
 		return Unknown
 	}
@@ -106,22 +117,23 @@
 	return Unknown
 }
 
-// join adds a request to the check of the replica, which is started if there is none. It
-// returns nil if the request was sent after the replica had crashed: another process, whose
-// start is not known yet, has its address.
-func (k *crashChecks) join(r filbertstile.Replica, lost suspector.LostRequest) *crashCheck {
+// join adds a request to the check of the replica, which is started if there is none that began
+// no earlier than since and none that found that the process has ended. It returns nil if the
+// request was sent after the replica had crashed: another process, whose start is not known yet,
+// has its address.
+func (k *crashChecks) join(r filbertstile.Replica, lost suspector.LostRequest, since time.Time) *crashCheck {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, boot := time.Now(), bootOf(r)
 	check := k.checks[boot]
-	if check != nil && !check.mayRepeat(now) {
+	if check != nil && !check.mayRepeat(now) && (check.result == Ended || !check.startedAt.Before(since)) {
 		if check.result == Ended {
 			if lost.SentAt.After(check.startedAt) {
 				return nil
 			}
 			k.blame(check, lost)
 		} else {
-			check.lost = append(check.lost, lost)
+			check.add(lost)
 		}
 		return check
 	}
@@ -130,12 +142,20 @@
 			delete(k.checks, key)
 		}
 	}
-	check = &crashCheck{replica: r, boot: boot, startedAt: now, done: make(chan struct{}), lost: []suspector.LostRequest{lost}}
+	check = &crashCheck{replica: r, boot: boot, startedAt: now, done: make(chan struct{})}
+	check.add(lost)
 	k.checks[boot] = check
 	go k.run(check)
 	return check
 }
 
+// add adds a request that was lost if the replica has crashed. One without keys is no evidence.
+func (c *crashCheck) add(lost suspector.LostRequest) {
+	if len(lost.Keys) > 0 {
+		c.lost = append(c.lost, lost)
+	}
+}
+
 // mayRepeat reports whether the result is known and may have changed since.
 func (c *crashCheck) mayRepeat(now time.Time) bool {
 	select {
@@ -168,7 +188,7 @@
 
 // blame records the keys of the requests as suspects of the crash.
 func (k *crashChecks) blame(c *crashCheck, lost ...suspector.LostRequest) {
-	if k.config.Suspector.RecordCrash(c.startedAt, c.boot, lost...) {
+	if len(lost) > 0 && k.config.Suspector.RecordCrash(c.startedAt, c.boot, lost...) {
 		k.config.OnNews()
 	}
 }
--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -75,17 +75,17 @@
 }
 
 // brokeOff reports whether an answer that ended with its connection is incomplete, as it is
-// empty or its replica has crashed. Without parts of prompts, only a trial is worth the
-// connection that tells whether the replica runs.
+// empty or its replica has crashed.
 func (x *requestState) brokeOff(a *attemptState, begun bool) bool {
-	if x.answer.witnessed || len(x.call.PromptParts) == 0 && !x.onTrial {
-		return false
-	}
 	if !begun || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
 		return !begun
 	}
+	lost := suspector.LostRequest{SentAt: a.startedAt}
+	if !x.answer.witnessed {
+		lost.Keys = x.keys
+	}
 	// The answer can't be passed on before this is known.
-	result := x.forwarder.crashes.connectionEnded(x.ctx, a.grant.Replica, suspector.LostRequest{Keys: x.keys, SentAt: a.startedAt}, probeTimeout)
+	result := x.forwarder.crashes.answerEnded(x.ctx, a.grant.Replica, lost)
 	x.answer.outlived = result == Alive
 	return result == Ended
 }
