forwarder: callers that close their side get an answer

What callers saw: a caller that sent a whole request, closed its sending side and waited got its connection closed without an answer, whatever the kind of the request.

Cause: net/http ends the context of a request when the caller's FIN arrives, as it does for a reset, and the entry took both for a caller that has left.

Ruled out: telling a caller that waits from one that has closed its connection without writing to it (same FIN, same state). The error of the server's read is hidden, but the state of the connection is not: CLOSE_WAIT after a FIN, another after a reset.

Without the rule in callerSide.close, TestSentRequestOutlivesItsCallersSide fails in its five cases, and TestQueuedRequestEndsWithItsCallersSide.

Why it works: a request that must not be repeated and that a replica has goes on until its deadline, a planned stop, or a reset by its caller; to break it off gains nothing, as it may have run. Any other request ends as soon as before, but if its response has not begun with an error: 503 if it has not run, else 504. A caller that has left doesn't read it.

--- a/base/peeker/peeker_test.go
+++ b/base/peeker/peeker_test.go
@@ -11,22 +11,32 @@
 )
 
 // TestQuiet guards against a connection that is used although its peer has sent something or
-// has ended it, and against one that is given up without need.
+// has ended it, and against one that is given up without need. It also checks SideClosed.
 func TestQuiet(t *testing.T) {
 	for name, c := range map[string]struct {
-		act   func(peer, conn net.Conn)
-		quiet bool
+		act        func(peer, conn net.Conn)
+		quiet      bool
+		sideClosed bool
 	}{
-		"idle":         {func(net.Conn, net.Conn) {}, true},
-		"unread bytes": {func(peer, _ net.Conn) { _, _ = peer.Write([]byte("HTTP")) }, false},
-		"ended":        {func(peer, _ net.Conn) { _ = peer.Close() }, false},
+		"idle":         {func(net.Conn, net.Conn) {}, true, false},
+		"unread bytes": {func(peer, _ net.Conn) { _, _ = peer.Write([]byte("HTTP")) }, false, false},
+		"ended":        {func(peer, _ net.Conn) { _ = peer.Close() }, false, true},
 		"reset": {func(peer, _ net.Conn) {
 			_ = peer.(*net.TCPConn).SetLinger(0)
 			_ = peer.Close()
-		}, false},
-		"half closed":   {func(peer, _ net.Conn) { _ = peer.(*net.TCPConn).CloseWrite() }, false},
-		"closed here":   {func(_, conn net.Conn) { _ = conn.Close() }, false},
-		"past deadline": {func(_, conn net.Conn) { _ = conn.SetReadDeadline(time.Now().Add(-time.Second)) }, false},
+		}, false, false},
+		"half closed": {func(peer, _ net.Conn) { _ = peer.(*net.TCPConn).CloseWrite() }, false, true},
+		"half closed, unread bytes": {func(peer, _ net.Conn) {
+			_, _ = peer.Write([]byte("HTTP"))
+			_ = peer.(*net.TCPConn).CloseWrite()
+		}, false, true},
+		"half closed, reset": {func(peer, _ net.Conn) {
+			_ = peer.(*net.TCPConn).CloseWrite()
+			_ = peer.(*net.TCPConn).SetLinger(0)
+			_ = peer.Close()
+		}, false, false},
+		"closed here":   {func(_, conn net.Conn) { _ = conn.Close() }, false, false},
+		"past deadline": {func(_, conn net.Conn) { _ = conn.SetReadDeadline(time.Now().Add(-time.Second)) }, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -41,6 +51,7 @@
 			defer func() { _ = peer.Close() }()
 			c.act(peer, conn)
 			time.Sleep(50 * time.Millisecond)
+			is.Equal(peeker.SideClosed(conn), c.sideClosed)
 			is.Equal(peeker.Quiet(conn), c.quiet)
 		})
 	}
--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -129,7 +129,7 @@
 	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "An attempt to run a request on a replica ended without a complete response; the log line says for how long the replica had been silent (Silent), and whether another attempt took its place meanwhile (Outcome Superseded). Repeats of a request have the same Key.", noAction},
 	{RequestRefused, "RequestRefused", "requests", logrus.InfoLevel, "A request was rejected and has not run; the log line has the reason.", noAction},
 	{RequestDone, "RequestDone", "requests", logrus.InfoLevel, "A request ended with a complete response.", noAction},
-	{CallerLeft, "CallerLeft", "requests", logrus.InfoLevel, "The caller closed its connection before the response was complete.", noAction},
+	{CallerLeft, "CallerLeft", "requests", logrus.InfoLevel, "The caller closed its connection, or its side of it, before the response was complete.", noAction},
 	{ReplicaHeld, "ReplicaHeld", "requests", logrus.InfoLevel, "A replica failed and gets no requests during the cooldown given in the log line.", "Check the replica if this repeats."},
 	{ReplicaLeaving, "ReplicaLeaving", "requests", logrus.InfoLevel, "A replica has said in a response that it leaves; it gets no more requests from this process.", noAction},
 	{ReplicaPaused, "ReplicaPaused", "requests", logrus.InfoLevel, "A replica has rejected a request and named a time for which it wants none from this process.", "Check the replica's load if this repeats."},
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -267,6 +267,7 @@
 	case errors.As(err, &notSent):
 		// A request of which nothing was sent is sent again even if it is not idempotent.
 		x.conclude(a, err)
+		x.side.takeBack()
 		if len(x.tried) < 2*maxSends {
 			return true
 		}
@@ -274,6 +275,7 @@
 		return false
 	case errors.Is(err, errNotRun):
 		x.conclude(a, err)
+		x.side.takeBack()
 		if x.sends < maxSends {
 			return true
 		}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -42,6 +42,9 @@
 	CodeRequest = "RequestBlocked"
 	// CodeStopping means that the entry stopped before the response was complete.
 	CodeStopping = "Stopping"
+	// CodeSideClosed means that the caller closed its side of the connection before the response
+	// was complete.
+	CodeSideClosed = "SideClosed"
 )
 
 // Call is a caller's request to forward.
@@ -59,6 +62,9 @@
 	Arrived time.Time
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
+	// Sending ends once the caller has closed its side of the connection: it may have left, or
+	// wait for the response. It is nil if that is not known.
+	Sending context.Context
 	// LastEventID is the ID of the last stream event that the caller has; 0 if it has
 	// none.
 	LastEventID int64
@@ -223,6 +229,7 @@
 	// keys is what may be suspected of crashing replicas.
 	keys   []uint64
 	writer ResponseWriter
+	side   *callerSide
 	// tried lists the IDs of the replicas of all attempts.
 	tried []string
 	// sends is the number of sends.
@@ -253,10 +260,12 @@
 // Serve forwards the request. It returns after the caller has received a response or
 // an error, or has disconnected.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, w ResponseWriter) {
+	ctx, side, unwatch := watchCallerSide(ctx, c)
+	defer unwatch()
 	ctx, cancel := f.requestContext(ctx, c.Deadline)
 	defer cancel()
 	f.retryBudget.requestArrived(c.Service, c.Arrived)
-	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, lastEventID: c.LastEventID}
+	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, side: side, lastEventID: c.LastEventID}
 	for x.nextAttempt() {
 	}
 }
@@ -267,6 +276,10 @@
 		x.failStopped()
 		return false
 	}
+	if x.sideClosed() {
+		x.callerDisconnected("")
+		return false
+	}
 	trial, ok := x.admit()
 	if !ok {
 		return false
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -71,11 +71,15 @@
 	return filbertstile.Unknown
 }
 
-// callerDisconnected ends a request whose caller has disconnected. The replica is empty
+// callerDisconnected ends a request whose caller has disconnected, or has closed its side. The replica is empty
 // if no attempt was in flight.
 func (x *requestState) callerDisconnected(replica string) {
 	x.forwarder.config.Log.Event(reporter.CallerLeft, x.addFields(reporter.Fields{"Peer": replica, "Begun": x.responseStarted}))
 	x.forwarder.config.OnRequestEnd(x.call, "CallerLeft", time.Since(x.call.Arrived))
+	if x.sideClosed() && !x.responseStarted {
+		x.failSideClosed()
+		return
+	}
 	x.writer.Abort()
 }
 
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/decisions/suspector"
 )
@@ -57,6 +58,11 @@
 	if d := x.forwarder.config.Suspector.Recheck(time.Now(), x.keys); d.Verdict == suspector.Refuse {
 		return ErrBlocked{Step: "send request", Peer: g.Replica.Address, Key: FormatKey(d.Key)}
 	}
+	if x.call.Route.Kind == filbertstile.CallNonIdempotent {
+		if err := x.side.handOver(); err != nil {
+			return err
+		}
+	}
 	a.progress.written.Store(true)
 	return nil
 }
--- /dev/null
+++ b/shells/forwarder/sideclosed_test.go
@@ -0,0 +1,121 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/shells/forwarder"
+)
+
+// TestSentRequestOutlivesItsCallersSide guards against a request that can't be repeated, and is broken
+// off at its replica, as its caller has closed its side of the connection.
+func TestSentRequestOutlivesItsCallersSide(t *testing.T) {
+	const closeSideAfter = 100 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		first     pacedReplica
+		stopAfter time.Duration
+		// failure is the code of the error that the caller gets; empty if it gets the answer.
+		failure string
+		took    time.Duration
+	}{
+		{name: "BeforeHead", first: pacedReplica{headAfter: 2 * time.Second}, took: 2 * time.Second},
+		{name: "WithinBody", first: pacedReplica{silence: 2 * time.Second}, took: 2 * time.Second},
+		{name: "UntilDeadline", first: pacedReplica{headAfter: forever}, failure: forwarder.CodeDeadline, took: 6 * time.Second},
+		{name: "UntilStop", first: pacedReplica{headAfter: forever}, stopAfter: time.Second, failure: forwarder.CodeStopping, took: time.Second},
+		{name: "UntilRejected", first: pacedReplica{headAfter: time.Second, failure: notRun}, failure: forwarder.CodeSideClosed, took: time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got, l, took := paced{
+				kind: filbertstile.CallNonIdempotent, replicas: withFirst(c.first, otherReplicas["Sound"]), closeSideAfter: closeSideAfter, stopAfter: c.stopAfter,
+			}.serve(t)
+			is.Equal(took, c.took)
+			is.Equal(l.sent, []string{"first"})
+			is.True(!got.aborted)
+			if c.failure == "" {
+				is.True(got.whole(filbertstile.CallNonIdempotent))
+				is.Equal(len(l.ended), 0)
+				return
+			}
+			is.Equal(got.failure.Code, c.failure)
+		})
+	}
+}
+
+// TestRepeatableRequestEndsWithItsCallersSide guards against replicas that work on for a caller that
+// may have left, and against a connection that ends without an answer if it waits.
+func TestRepeatableRequestEndsWithItsCallersSide(t *testing.T) {
+	const closeSideAfter = 2 * time.Second
+	for _, c := range []struct {
+		name   string
+		kind   filbertstile.CallKind
+		first  pacedReplica
+		others map[string]pacedReplica
+		begun  bool
+	}{
+		{name: "BeforeHead", kind: filbertstile.CallIdempotent, first: pacedReplica{headAfter: forever}},
+		{name: "BeforeHead", kind: filbertstile.CallStream, first: pacedReplica{headAfter: forever}},
+		{name: "WithinBody", kind: filbertstile.CallIdempotent, first: pacedReplica{silence: forever}},
+		{name: "BackupToo", kind: filbertstile.CallIdempotent, first: pacedReplica{headAfter: forever}, others: otherReplicas["SilentForever"]},
+		{name: "BackupToo", kind: filbertstile.CallStream, first: pacedReplica{headAfter: forever}, others: otherReplicas["SilentForever"]},
+		{name: "WithinStream", kind: filbertstile.CallStream, first: pacedReplica{silence: forever, silentBefore: 3}, begun: true},
+	} {
+		t.Run(fmt.Sprintf("%s/%s", c.kind, c.name), func(t *testing.T) {
+			is := is.New(t)
+			got, l, took := paced{kind: c.kind, replicas: withFirst(c.first, c.others), closeSideAfter: closeSideAfter}.serve(t)
+			is.Equal(took, closeSideAfter)
+			is.Equal(len(l.ended), len(l.sent))
+			is.Equal(got.aborted, c.begun)
+			if !c.begun {
+				is.True(got.failedWith(filbertstile.Unknown))
+				is.Equal(got.failure.Code, forwarder.CodeSideClosed)
+			}
+		})
+	}
+}
+
+// TestQueuedRequestEndsWithItsCallersSide guards against a request that is sent although its caller may
+// have left before.
+func TestQueuedRequestEndsWithItsCallersSide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := placer.New(placer.Config{Region: "a"})
+		p.SetFleet(time.Now(), placer.Fleet{
+			Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "first", Service: "s", Address: "first", Slots: 1}),
+			Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
+		})
+		link := &pacedLink{replicas: withFirst(pacedReplica{headAfter: 200 * time.Millisecond}, nil)}
+		f := forwarder.New(forwarder.Config{
+			Placer: p, Link: link, Log: reporter.New(reporter.Config{Logger: discardLog()}),
+			VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
+		})
+		sending, closeSide := context.WithCancel(t.Context())
+		var callers [2]caller
+		var wg sync.WaitGroup
+		now := time.Now()
+		for i := range callers {
+			wg.Go(func() {
+				call := &forwarder.Call{ID: fmt.Sprint(i), Route: route(filbertstile.CallNonIdempotent), Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second), Sending: sending}
+				f.Serve(t.Context(), call, &callers[i])
+			})
+			synctest.Wait()
+		}
+		time.Sleep(50 * time.Millisecond)
+		closeSide()
+		wg.Wait()
+		is.True(callers[0].whole(filbertstile.CallNonIdempotent))
+		is.True(callers[1].failedWith(filbertstile.NotRun))
+		is.Equal(callers[1].failure.Code, forwarder.CodeSideClosed)
+		is.Equal(len(link.sent), 1)
+	})
+}
--- a/shells/forwarder/silence_test.go
+++ b/shells/forwarder/silence_test.go
@@ -151,6 +151,8 @@
 	budget forwarder.RetryBudgetConfig
 	// leaveAfter is the time after which the caller leaves; 0 means never.
 	leaveAfter time.Duration
+	// closeSideAfter is the time after which the caller closes its side; 0 means never.
+	closeSideAfter time.Duration
 	// stopAfter is the time after which the forwarder stops; 0 means never.
 	stopAfter time.Duration
 }
@@ -184,6 +186,10 @@
 		if q.leaveAfter > 0 {
 			time.AfterFunc(q.leaveAfter, leave)
 		}
+		sending, closeSide := context.WithCancel(t.Context())
+		if q.closeSideAfter > 0 {
+			time.AfterFunc(q.closeSideAfter, closeSide)
+		}
 		if q.stopAfter > 0 {
 			time.AfterFunc(q.stopAfter, f.Stop)
 		}
@@ -192,9 +198,10 @@
 			r.MaxAttempts = 1
 		}
 		now := time.Now()
-		f.Serve(ctx, &forwarder.Call{ID: "1", Route: r, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}, c)
+		f.Serve(ctx, &forwarder.Call{ID: "1", Route: r, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second), Sending: sending}, c)
 		took = time.Since(now)
 		leave()
+		closeSide()
 		time.Sleep(time.Second) // what goes on after the end of the request would be seen
 	})
 	return c, l, took
