forwarder: a caller may close its side right after its request

What callers saw: a caller that closed its sending side together with its request, on a route whose requests must not be repeated, got 503 although a replica was free, as the FIN is read before the request is sent.

Cause: what has not been sent ended with the FIN, in the same moment.

Ruled out: letting requests that may be repeated go on for a part of the half second that the users allow. It would hold slots for callers that have left, and serve short requests only; not measured.

Evidence: SideClosed, SideClosedChunked and OldHTTPSideClosed of TestRequestsWithConnectionEndsAreAnswered got 503 before. TestQueuedRequestEndsWithItsCallersSide fails without the change: a request that waits for a replica that is free 150 ms after the FIN is refused.

Why it works: such a request is still sent within 250 ms after the FIN, half of the time in which the users allow requests of callers that have left to reach replicas; then it ends with 503.

--- a/shells/forwarder/sideclosed.go
+++ b/shells/forwarder/sideclosed.go
@@ -4,14 +4,20 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/sleeper"
 )
 
 // errSideClosed is the cause with which a request ends whose caller has closed its side of the
 // connection.
 var errSideClosed = errors.New("the caller has closed its side of the connection")
 
+// closedSideTimeout is how much longer a request that must not be repeated may still be sent after its
+// caller has closed its side, as a caller may do right after the request.
+const closedSideTimeout = 250 * time.Millisecond
+
 // callerSide ends a request whose caller has closed its side of the connection, and may have left,
 // unless it is one that must not be repeated and a replica has it: breaking that off gains nothing.
 type callerSide struct {
@@ -19,7 +25,7 @@
 	end context.CancelCauseFunc
 
 	mu sync.Mutex
-	// closed is true once the caller has closed its side.
+	// closed is true once the caller has closed its side, and the time to send the request is over.
 	closed bool
 	// handedOver is true while a replica has a request that must not be repeated.
 	handedOver bool
@@ -33,7 +39,13 @@
 	if c.Sending == nil {
 		return ctx, s, func() { cancel(nil) }
 	}
-	stop := context.AfterFunc(c.Sending, s.close)
+	stop := context.AfterFunc(c.Sending, func() {
+		if c.Route.Kind == filbertstile.CallNonIdempotent {
+			// It only ends the wait.
+			_ = sleeper.Sleep(ctx, closedSideTimeout)
+		}
+		s.close()
+	})
 	return ctx, s, func() {
 		stop()
 		cancel(nil)
