--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -42,6 +42,9 @@
 	CodeRequest = "RequestBlocked"
 	// CodeStopping means that the entry stopped before the response was complete.
 	CodeStopping = "Stopping"
+	// CodeSideClosed means that the caller closed its side of the connection before the response
+	// was complete.
+	CodeSideClosed = "SideClosed"
 )
 
 // Call is a caller's request to forward.
@@ -68,6 +71,9 @@
 	LatestDeadline func() time.Time
 	// ReplicaDeadline is the time until which replicas may work; zero means Limit.
 	ReplicaDeadline time.Time
+	// Sending ends once the caller has closed its side of the connection: it may have left, or
+	// wait for the response. It is nil if that is not known.
+	Sending context.Context
 	// LastEventID is the ID of the last stream event that the caller has; 0 if it has
 	// none.
 	LastEventID int64
@@ -237,6 +243,7 @@
 	// keys is what may be suspected of crashing replicas.
 	keys   []uint64
 	writer ResponseWriter
+	side   *callerSide
 	// tried lists the IDs of the replicas of all attempts.
 	tried []string
 	// sends is the number of sends.
@@ -267,10 +274,12 @@
 // Serve forwards the request. It returns after the caller has received a response or
 // an error, or has disconnected.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, w ResponseWriter) {
+	ctx, side, unwatch := watchCallerSide(ctx, c)
+	defer unwatch()
 	ctx, cancel := f.requestContext(ctx, c)
 	defer cancel()
 	f.retryBudget.requestArrived(c.Service, c.Arrived)
-	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, lastEventID: c.LastEventID}
+	x := &requestState{forwarder: f, ctx: ctx, call: c, keys: keysOf(c), writer: w, side: side, lastEventID: c.LastEventID}
 	for x.nextAttempt() {
 	}
 }
@@ -281,6 +290,10 @@
 		x.failStopped()
 		return false
 	}
+	if x.sideClosed() {
+		x.callerDisconnected("")
+		return false
+	}
 	trial, ok := x.admit()
 	if !ok {
 		return false
