forwarder: one replica alone doesn't end a stream that another has begun

Callers got the first events of a stream and its end, as if it were whole: its replica broke off, and the next one answered the resumption with an empty stream whose end is marked.

Cause: such an answer was taken for the word that nothing is left, which is right if the first replica broke off after its last event only. One faulty replica is enough to make a short stream look whole. Ruled out: empty answers that end with their connection, and repeats of earlier events, ended the attempt before, too.

An empty continuation now counts once a second replica gives the same answer for the same event; until then, its attempt ends like one that failed, without a cooldown for the replica. If there is no attempt left, the stream is broken off, and its caller may resume it. The price: on routes with two attempts a stream whose replica breaks off after the last event and before the end is broken off although it is whole.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -57,7 +57,7 @@
 	// events reads the response if it is a stream.
 	events *eventReader
 	// mustContinue is true until the attempt has gone on with a stream that had begun before it.
-	// Nothing is left of the stream if its response is empty and the end of that is marked.
+	// If its response is empty, emptyContinuation decides.
 	mustContinue bool
 	// repeated is true if the response has something that is no continuation.
 	repeated bool
@@ -324,6 +324,8 @@
 		outcome, logged = placer.NotRun, "NotRun"
 	case errors.Is(err, errReplicaFailed) || errors.Is(err, errNotContinued) && a.response.Verdict == Failed:
 		outcome, logged = placer.Failed, "Failed"
+	case errors.Is(err, errUnconfirmedEnd):
+		outcome, logged = placer.Abandoned, "Unconfirmed"
 	case errors.Is(cause, errVersionDue):
 		// The replica has not failed.
 		outcome, logged, err = placer.Abandoned, "Withdrawn", cause
--- a/shells/forwarder/backup.go
+++ b/shells/forwarder/backup.go
@@ -135,6 +135,9 @@
 	x.crashes += b.x.crashes - b.before.crashes
 	x.queueTime += b.x.queueTime - b.before.queueTime
 	x.tried = append(x.tried, b.x.tried[len(b.before.tried):]...)
+	if b.x.endClaim != b.before.endClaim {
+		x.endClaim = b.x.endClaim
+	}
 }
 
 // abandon ends a backup that is no longer needed. What it has sent counts as run unless it is
--- a/shells/forwarder/continuation_test.go
+++ b/shells/forwarder/continuation_test.go
@@ -29,6 +29,7 @@
 	"Redirect":           answerWith(302, "", false),
 	"OtherType":          answerWith(200, "{}", false),
 	"NoContent":          answerWith(204, "", false),
+	"EndedStream":        answerWith(200, "", true),
 	"EmptyStream":        {verdict: forwarder.Ran, status: 200, stream: true, unframed: true},
 	"OnlyEarlierEvents":  events(1, 2, nil),
 	"OnlyComments":       answerWith(200, ": wait\n\n", true),
@@ -53,12 +54,28 @@
 }
 
 // TestNothingIsLeftOfBegunStream guards against a stream that seems torn although its replica broke
-// off after the last event, as the next one says.
+// off after the last event, as two others say.
 func TestNothingIsLeftOfBegunStream(t *testing.T) {
 	is := is.New(t)
-	c, _, _ := serve(t, filbertstile.CallStream, events(1, 2, io.ErrUnexpectedEOF), answerWith(200, "", true))
+	r := route(filbertstile.CallStream)
+	r.MaxAttempts = 3
+	nothing := answerWith(200, "", true)
+	c, s, _ := serveRoute(t, r, events(1, 2, io.ErrUnexpectedEOF), nothing, nothing, events(3, 6, nil))
 	is.Equal(c.body.String(), events(1, 2, nil).body)
 	is.True(!c.aborted)
+	is.Equal(len(s.sent), 3)
+}
+
+// TestEndOfEarlierPartConfirmsNothing guards against a stream that ends as complete after two
+// replicas that speak of different events.
+func TestEndOfEarlierPartConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	r := route(filbertstile.CallStream)
+	r.MaxAttempts = 4
+	nothing := answerWith(200, "", true)
+	c, _, _ := serveRoute(t, r, events(1, 2, io.ErrUnexpectedEOF), nothing, events(3, 4, io.ErrUnexpectedEOF), nothing)
+	is.Equal(c.body.String(), events(1, 4, nil).body)
+	is.True(c.aborted)
 }
 
 // TestBegunStreamIsContinuedByThirdReplica guards against a stream that is given up although a
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -235,6 +235,8 @@
 	// if it has events without IDs, after which the stream cannot be resumed.
 	lastEventID int64
 	unnumbered  bool
+	// endClaim is the last replica's word that nothing is left of the stream.
+	endClaim endClaim
 	// queueTime is the total time in the placer's queue.
 	queueTime time.Duration
 	// writeDelay is the time between the placement of the last attempt and the write of
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -14,8 +14,31 @@
 var (
 	errEventGap     = errors.New("a stream event is missing")
 	errNotContinued = errors.New("the response does not continue the stream")
+	// errUnconfirmedEnd means that one replica only has said that nothing is left of the stream.
+	errUnconfirmedEnd = errors.New("no other replica has confirmed that nothing is left of the stream")
 )
 
+// endClaim is a replica's word that nothing is left of a stream after an event.
+type endClaim struct {
+	replica string
+	eventID int64
+}
+
+// emptyContinuation returns what an empty response means that should go on with a stream:
+// io.EOF if nothing is left. A faulty replica may answer so in the middle of a stream, so that
+// two must.
+func (a *attemptState) emptyContinuation() error {
+	x, claim := a.x, endClaim{replica: a.grant.Replica.ID, eventID: a.x.lastEventID}
+	switch {
+	case a.repeated || a.response.EndsWithConnection:
+		return errNotContinued
+	case x.endClaim.replica != "" && x.endClaim.replica != claim.replica && x.endClaim.eventID == claim.eventID:
+		return io.EOF
+	}
+	x.endClaim = claim
+	return errUnconfirmedEnd
+}
+
 // nextEvent returns the next event that the caller does not have, or the end of the stream.
 // A missing event is an error.
 func (a *attemptState) nextEvent() (piece, error) {
@@ -36,8 +59,8 @@
 		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && a.x.brokeOff(a, a.x.answer.begun()) {
 			err = io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, io.EOF) && a.mustContinue && (a.repeated || a.response.EndsWithConnection) {
-			err = errNotContinued
+		if errors.Is(err, io.EOF) && a.mustContinue {
+			err = a.emptyContinuation()
 		}
 		if errors.Is(err, io.EOF) {
 			return piece{end: true}, nil
