--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -74,7 +74,7 @@
 // callerDisconnected ends a request whose caller has disconnected, or has closed its side. The replica is empty
 // if no attempt was in flight.
 func (x *requestState) callerDisconnected(replica string) {
-	x.forwarder.config.Log.Event(reporter.CallerLeft, x.addFields(reporter.Fields{"Peer": replica, "Begun": x.responseStarted}))
+	x.forwarder.config.Log.Event(reporter.CallerLeft, x.addFields(reporter.Fields{"Peer": replica, "Begun": x.responseStarted, "SideClosed": x.sideClosed()}))
 	x.forwarder.config.OnRequestEnd(x.call, "CallerLeft", time.Since(x.call.Arrived))
 	if x.sideClosed() && !x.responseStarted {
 		x.failSideClosed()
