edgerunner, forwarder: send in a planned stop only what ends within it

Callers saw requests that arrived late in a planned stop of an entry, were passed on, and ended at its end with 504 or, for streams, without an end, among them requests that must not be repeated.

The entry admitted calls until 2.5 s before the time to stop, and streams for its first 3 s or 3/8, whatever their limits and however long the answers of their routes take; with a time to stop of 2 s it refused all calls at once. The times counted on the time of day. A request was judged on arrival only, not when it was sent.

Now a request is sent if it will end in time by its own limit, or by what requests of its route and service have taken lately, with time in hand for a silent replica. It is judged on arrival, before and while it waits in the queue, and right before it is written. What is refused has not run, and its connection closes, also if the request arrived before the stop. The stop counts on the clock that goes on in suspensions and can't be set.

Ruled out: net/http and the cut at the end (Forwarder.Stop) do what they should; the requests had too little time.

--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -32,14 +32,6 @@
 	// leavingRetryAfter is the retry delay while the entry stops. It is short, as other
 	// entries can serve the request.
 	leavingRetryAfter = 50 * time.Millisecond
-	// drainStreamWindow is the maximum time after the start of a planned stop for which
-	// streams are still admitted, and drainStreamWindowShare limits it to a share of
-	// Bounds.StopTimeout: streams that begin later may not end before the process does.
-	drainStreamWindow      = 3 * time.Second
-	drainStreamWindowShare = 3.0 / 8
-	// drainCallMargin is the time before the end of Bounds.StopTimeout from which calls
-	// that are not streams are rejected. Such calls take one or two seconds at most.
-	drainCallMargin = 2500 * time.Millisecond
 	// defaultTimeout is the maximum timeout of a request whose route sets none.
 	defaultTimeout = 30 * time.Second
 	// timeoutMargin is subtracted from the route's timeout for the transmission of the
@@ -95,9 +87,6 @@
 	if !ok {
 		return reject(CodeNoRoute, "no matching route", 0)
 	}
-	if e.stopsTooSoon(route.Kind) {
-		return reject(CodeLeaving, "the entry is stopping, and may exit before the response is complete", leavingRetryAfter)
-	}
 	call := &forwarder.Call{
 		ID: req.ID, Route: route, Priority: route.Priority, Regions: route.Regions, Arrived: req.Arrived,
 		LastEventID: req.LastEventID, PromptTokens: req.PromptTokens, PromptParts: req.PromptParts, ConfigVersion: m.Routing().Version, ConfigAge: age,
@@ -123,20 +112,10 @@
 	}
 	call.Service = matcher.ChooseService(route, req.ID)
 	call.Deadline = deadline(req, route)
-	return call, nil
-}
-
-// stopsTooSoon reports whether the entry may exit before the response to a request that
-// arrives now is complete.
-func (e *Edge) stopsTooSoon(kind filbertstile.CallKind) bool {
-	if !e.leaving.Load() {
-		return false
-	}
-	elapsed := time.Duration(time.Now().UnixNano() - e.leavingSince.Load())
-	if kind == filbertstile.CallStream {
-		return elapsed > min(drainStreamWindow, time.Duration(float64(e.config.Bounds.StopTimeout)*drainStreamWindowShare))
+	if !e.forwarder.EndsInTime(call) {
+		return reject(CodeLeaving, "the entry is stopping, and may exit before the response is complete", leavingRetryAfter)
 	}
-	return elapsed > e.config.Bounds.StopTimeout-drainCallMargin
+	return call, nil
 }
 
 // deadline returns the earlier of the route's and the caller's deadline. defaultTimeout
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -101,8 +101,8 @@
 	// Messages connects to the other entries, so that a few of them read the store for all.
 	// If it is nil, the entry always reads the store itself.
 	Messages *messenger.Client
-	// Clock is the clock of the sources: it keeps running while the host is suspended. If it
-	// is nil, the runtime's clock is used, which does not.
+	// Clock is the clock of the sources and of planned stops: it keeps running while the host
+	// is suspended, and cannot be set. If it is nil, the runtime's clock is used, which does not.
 	Clock func() time.Duration
 	// CloseExpiredConns closes the connections to replicas that have been idle for too
 	// long. It is called periodically.
@@ -127,7 +127,7 @@
 	routingMu sync.Mutex
 	// leaving is true after a planned stop has begun.
 	leaving atomic.Bool
-	// leavingSince is the time at which the planned stop began, in Unix nanoseconds.
+	// leavingSince is the time at which the planned stop began, on Config.Clock.
 	leavingSince atomic.Int64
 	// inFlight is the number of calls in flight.
 	inFlight atomic.Int64
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -49,6 +49,8 @@
 	startedAt  time.Time
 	// heardAt is the time at which the replica was last heard, or at which the attempt began.
 	heardAt time.Time
+	// runsBefore is requestState.runs at the start of the attempt. A backup may change that later.
+	runsBefore int
 	// watch is told when the attempt waits for its replica; nil if nothing watches it.
 	watch *silenceWatch
 	// response is valid if responded is true.
@@ -68,7 +70,7 @@
 // newAttempt returns an attempt at the replica of the grant, of which nothing has been sent.
 func (x *requestState) newAttempt(g *placer.Grant) *attemptState {
 	now := time.Now()
-	a := &attemptState{x: x, grant: g, progress: &attemptProgress{}, startedAt: now, heardAt: now, mustContinue: x.responseStarted}
+	a := &attemptState{x: x, grant: g, progress: &attemptProgress{}, startedAt: now, heardAt: now, mustContinue: x.responseStarted, runsBefore: x.runs}
 	a.ctx, a.cancel = x.attemptContext(a)
 	if !g.StartBy.IsZero() {
 		// The end of the replica's version does not depend on an estimate: most replicas drop a
@@ -77,6 +79,9 @@
 	}
 	x.tried = append(x.tried, g.Replica.ID)
 	x.sends++
+	if x.firstSentAt.IsZero() {
+		x.firstSentAt = now
+	}
 	x.answer, x.writeDelay = answer{}, 0
 	return a
 }
--- a/shells/forwarder/backup.go
+++ b/shells/forwarder/backup.go
@@ -53,7 +53,7 @@
 		b.refused("the request is suspected of crashing replicas")
 		return
 	}
-	g, err := config.Placer.Acquire(x.ctx, x.placerRequest())
+	g, err := x.acquire()
 	if err != nil {
 		b.refused(err.Error())
 		return
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"filbertstile.example/filbertstile"
@@ -194,6 +196,12 @@
 	retryBudget *retryBudget
 	buffers     *buffers
 	crashes     *crashChecks
+	durations   durations
+	// plannedStop is the planned stop; nil if none has begun. stopBegun ends as it begins, by
+	// stopBegins.
+	plannedStop atomic.Pointer[PlannedStop]
+	stopBegun   context.Context
+	stopBegins  context.CancelFunc
 	// stopped ends when Stop is called, by stop.
 	stopped context.Context
 	stop    context.CancelCauseFunc
@@ -208,6 +216,7 @@
 		c.OnNews = func() {}
 	}
 	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes), crashes: newCrashChecks(c)}
+	f.stopBegun, f.stopBegins = context.WithCancel(context.Background())
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
 	return f
 }
@@ -227,6 +236,8 @@
 	tried []string
 	// sends is the number of sends.
 	sends int
+	// firstSentAt is the time at which the first attempt began.
+	firstSentAt time.Time
 	// runs is the number of sends after which the request may have run.
 	runs int
 	// responseStarted is true if the caller may have received a part of the response.
@@ -267,12 +278,20 @@
 		x.failStopped()
 		return false
 	}
+	if !x.endsInTime() {
+		x.failStopping(errEndsTooLate.Error())
+		return false
+	}
 	trial, ok := x.admit()
 	if !ok {
 		return false
 	}
 	defer x.endTrial(trial, x.sends)
-	g, err := x.forwarder.config.Placer.Acquire(x.ctx, x.placerRequest())
+	g, err := x.acquire()
+	if errors.Is(err, errEndsTooLate) {
+		x.failStopping(err.Error())
+		return false
+	}
 	if err != nil {
 		x.placementFailed(err)
 		return false
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -55,6 +55,9 @@
 		"Code": code, "Run": e.Run, "Detail": detail, "RetryAfter": retryAfter.String(), "Queue": queueLength, "Begun": x.responseStarted,
 	}))
 	x.forwarder.config.OnRequestEnd(x.call, code, time.Since(x.call.Arrived))
+	if code == CodeDeadline {
+		x.recordDuration(false)
+	}
 	if x.responseStarted {
 		x.writer.Abort()
 		return
@@ -76,6 +79,7 @@
 func (x *requestState) callerDisconnected(replica string) {
 	x.forwarder.config.Log.Event(reporter.CallerLeft, x.addFields(reporter.Fields{"Peer": replica, "Begun": x.responseStarted}))
 	x.forwarder.config.OnRequestEnd(x.call, "CallerLeft", time.Since(x.call.Arrived))
+	x.recordDuration(false)
 	x.writer.Abort()
 }
 
@@ -83,6 +87,18 @@
 func (x *requestState) done(a *attemptState) {
 	x.forwarder.config.Log.Event(reporter.RequestDone, x.addAttemptFields(a.grant, reporter.Fields{"Status": a.response.Status}))
 	x.forwarder.config.OnRequestEnd(x.call, "Done", time.Since(x.call.Arrived))
+	if a.response.Verdict == Ran {
+		x.recordDuration(true)
+	}
+}
+
+// recordDuration records how long a request has taken that was sent.
+func (x *requestState) recordDuration(complete bool) {
+	if x.firstSentAt.IsZero() {
+		return
+	}
+	now := time.Now()
+	x.forwarder.durations.record(now, durationClass{route: x.call.Route.Name, service: x.call.Service}, now.Sub(x.firstSentAt), complete)
 }
 
 // logAttempt logs an attempt that ended without a complete response.
--- a/shells/forwarder/sending.go
+++ b/shells/forwarder/sending.go
@@ -48,6 +48,9 @@
 	if err := x.ctx.Err(); err != nil {
 		return err
 	}
+	if !a.endsInTime() {
+		return errEndsTooLate
+	}
 	if late := time.Since(g.SendBy); !g.SendBy.IsZero() && late > 0 {
 		return ErrTooLate{Step: "send request", Peer: g.Replica.Address, Late: late}
 	}
@@ -66,7 +69,7 @@
 func notSentOutcome(ctx context.Context, err error) placer.Outcome {
 	var tooLate ErrTooLate
 	var blocked ErrBlocked
-	if errors.Is(err, ErrDeclined) || errors.As(err, &tooLate) || errors.As(err, &blocked) || errors.Is(context.Cause(ctx), errVersionDue) || errors.Is(context.Cause(ctx), errNotNeeded) {
+	if errors.Is(err, ErrDeclined) || errors.Is(err, errEndsTooLate) || errors.As(err, &tooLate) || errors.As(err, &blocked) || errors.Is(context.Cause(ctx), errVersionDue) || errors.Is(context.Cause(ctx), errNotNeeded) {
 		return placer.Abandoned
 	}
 	return placer.Unreachable
