sharer, platform: processes that start read a short list of entries

Each process that started listed all processes of the system, to find an entry that it can follow.

Entries now also register under a kind of their failure domain. A process that starts reads this list only (29 objects instead of 3,300), follows one of its entries, and gets the list of all processes from it, compressed, with the other copies. One entry of the domain lists all processes; if it is turned away or ends, others take over in the usual order, which they know because contacts exchange heartbeats before the members are listed. Where no entry is a contact (a new system, or entries of the build before) the members are listed as before. Hosts that get nothing from their contacts list the members spread over 4 s, and read the configuration in the same order, so that each knows its place by then.

Ruled out: the first page of the list (500 objects, still 95 times), and turns without knowledge of the others (66 lists of 0.15 s each take 10 s).

--- a/decisions/selector/selector.go
+++ b/decisions/selector/selector.go
@@ -84,7 +84,8 @@
 	Age time.Duration
 	// Empty is true if the process has no copies yet.
 	Empty bool
-	// PeersKnown is true if Peers are all registered processes of the failure domain.
+	// PeersKnown is true if Peers are all registered processes of the failure domain, or
+	// enough of them to follow one.
 	PeersKnown bool
 	// Answered is true if the process that is followed has sent what copies it has.
 	Answered bool
@@ -244,6 +245,13 @@
 	return best, best != ""
 }
 
+// Turn returns when the process's turn comes among processes that do not know each other: a
+// time within the spread that depends on its name.
+func Turn(name string, spread time.Duration) time.Duration {
+	const places = 1 << 16
+	return spread * time.Duration(xxhash.Sum64String(name)%places) / places
+}
+
 // bestReader returns the reader that comes first in the domain's order.
 func bestReader(now time.Time, s State) (string, bool) {
 	readers := slices.DeleteFunc(slices.Clone(s.Peers), func(p Peer) bool { return !p.Heard || !p.Reader || p.failed(now) })
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -66,6 +66,9 @@
 	Marks    *tracker.Tracker[filbertstile.Mark]
 	Weights  *tracker.Tracker[filbertstile.WeightsVersion]
 	Members  *tracker.Tracker[filbertstile.Member]
+	// Contacts, if not nil, are the entries of this one's failure domain. They are read only
+	// until the members are listed, most often by another entry.
+	Contacts *tracker.Tracker[filbertstile.Member]
 }
 
 // Bounds are time limits that operators set.
@@ -205,6 +208,9 @@
 	wg.Go(func() { e.sources.Marks.Run(ctx) })
 	wg.Go(func() { e.sources.Weights.Run(ctx) })
 	wg.Go(func() { e.sources.Members.Run(ctx) })
+	if e.sources.Contacts != nil {
+		wg.Go(func() { e.sources.Contacts.Run(ctx) })
+	}
 	wg.Go(func() { e.pulser.Run(ctx) })
 	wg.Go(func() { e.sendLoads(ctx) })
 	wg.Go(func() { e.shareNews(ctx) })
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -59,8 +59,12 @@
 
 // compose returns the heartbeats to other entries and to hosts. Hosts send their
 // heartbeats to the entries whose heartbeats they receive, so that an entry receives those
-// of its group's hosts.
+// of its group's hosts. Before the members are listed, the contacts get heartbeats, so that
+// each knows its place in the order in which they read the store.
 func (e *Edge) compose() []pulser.Message {
+	if !e.sources.Members.View().Listed {
+		return []pulser.Message{{Pulse: e.newPulse(), To: e.contacts()}}
+	}
 	d := e.division.Load()
 	weights, evidence, limits, direct := e.weightsToSend(), e.evidence(), e.limits(), e.directHosts()
 	newPulse := func(heard []string) *wire.Pulse {
@@ -93,6 +97,15 @@
 	return out
 }
 
+// contacts returns the contacts without this entry.
+func (e *Edge) contacts() []filbertstile.Member {
+	if e.sources.Contacts == nil {
+		return nil
+	}
+	isSelf := func(m filbertstile.Member) bool { return m.Name == e.config.Self.Name }
+	return slices.DeleteFunc(slices.Clone(e.sources.Contacts.View().Rows.All()), isSelf)
+}
+
 // newPulse returns a message with the state of this entry.
 func (e *Edge) newPulse() *wire.Pulse {
 	return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Serving: e.placer.Serving(), TakesRelayed: true}
--- a/shells/edgerunner/sharing.go
+++ b/shells/edgerunner/sharing.go
@@ -33,8 +33,12 @@
 	if e.config.Messages == nil {
 		return nil
 	}
+	var contacts sharer.Copy
+	if e.sources.Contacts != nil {
+		contacts = e.sources.Contacts
+	}
 	return sharer.New(sharer.Config{
-		Self: e.config.Self, Choose: selector.Choose, Peers: e.domainPeers, Clock: e.config.Clock, Client: e.config.Messages, Log: e.config.Log,
+		Self: e.config.Self, Contacts: contacts, Choose: selector.Choose, Peers: e.domainPeers, Clock: e.config.Clock, Client: e.config.Messages, Log: e.config.Log,
 		OnReaderChange: e.readerChanged, StartTimeout: copiesTimeout,
 		Copies: []sharer.SharedCopy{
 			{Copy: e.sources.Routing, MaxAge: maxRoutingAge},
@@ -50,7 +54,7 @@
 func (e *Edge) domainPeers() []sharer.Peer {
 	live := e.pulser.Peers()
 	var out []sharer.Peer
-	for _, m := range e.sources.Members.View().Rows.All() {
+	for _, m := range e.knownMembers() {
 		if m.Role != filbertstile.RoleEntry || m.Domain != e.config.Self.Domain || m.Name == e.config.Self.Name {
 			continue
 		}
@@ -60,6 +64,14 @@
 	return out
 }
 
+// knownMembers returns the members or, before they are listed, the contacts.
+func (e *Edge) knownMembers() []filbertstile.Member {
+	if v := e.sources.Members.View(); v.Listed || e.sources.Contacts == nil {
+		return v.Rows.All()
+	}
+	return e.sources.Contacts.View().Rows.All()
+}
+
 // readerChanged tells the other entries at once that this one reads the store, or no
 // longer does.
 func (e *Edge) readerChanged() {
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -60,6 +60,9 @@
 	// Weights are the versions of weights that operators have chosen.
 	Weights *tracker.Tracker[filbertstile.WeightsVersion]
 	Members *tracker.Tracker[filbertstile.Member]
+	// Contacts are the entries of the host's failure domain. They are read only until the
+	// members are listed, most often by an entry.
+	Contacts *tracker.Tracker[filbertstile.Member]
 	// Routing reads the configuration from the store once.
 	Routing func(ctx context.Context) (filbertstile.Routing, error)
 	// NewRoutingCopy returns an empty copy of the configuration, which entries fill.
@@ -158,6 +161,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.sources.Weights.Run(ctx) })
 	wg.Go(func() { p.sources.Members.Run(ctx) })
+	wg.Go(func() { p.sources.Contacts.Run(ctx) })
 	wg.Go(func() { p.pulser.Run(ctx) })
 	wg.Go(func() { p.sharer.Run(ctx) })
 	wg.Go(func() { p.installer.Run(ctx) })
--- a/shells/peerrunner/routing.go
+++ b/shells/peerrunner/routing.go
@@ -1,6 +1,7 @@
 package peerrunner
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/decisions/selector"
 )
 
 const (
@@ -108,9 +110,14 @@
 }
 
 // routingReadDelay returns how long this host waits until it reads the configuration from the
-// store.
+// store. Without the members it does not know its place among the hosts, and waits until each
+// of them has had its turn to list them.
 func (p *Peer) routingReadDelay() time.Duration {
-	members := p.sources.Members.View().Rows
+	view := p.sources.Members.View()
+	if !view.Listed {
+		return routingReadDelay + listSpread + selector.Turn(p.config.Self.Name, listSpread)
+	}
+	members := view.Rows
 	rank := hostsBefore(members.All(), p.config.Self)
 	delay := routingReadDelay
 	if _, registered := members.Get(p.config.Self.Key()); registered && len(p.domainEntries()) == 0 {
@@ -119,10 +126,14 @@
 	return delay + time.Duration(rank)*routingReadStep
 }
 
-// hostsBefore returns the number of hosts of the member's failure domain that come before it.
+// hostsBefore returns the number of hosts of the member's failure domain whose turn comes before
+// its own. It is the order in which they list the members, so that each has its place by then.
 func hostsBefore(members []filbertstile.Member, self filbertstile.Member) int {
+	order := func(a, b filbertstile.Member) int {
+		return cmp.Or(cmp.Compare(selector.Turn(a.Name, listSpread), selector.Turn(b.Name, listSpread)), cmp.Compare(a.Name, b.Name))
+	}
 	before := slices.DeleteFunc(slices.Clone(members), func(m filbertstile.Member) bool {
-		return m.Role != filbertstile.RoleHost || m.Domain != self.Domain || m.Name >= self.Name
+		return m.Role != filbertstile.RoleHost || m.Domain != self.Domain || order(m, self) >= 0
 	})
 	return len(before)
 }
--- a/shells/sharer/sharer.go
+++ b/shells/sharer/sharer.go
@@ -53,7 +53,7 @@
 	Copy
 	MaxAge time.Duration
 	// Bootstrap is true if the copy names the processes that may be followed: a process that
-	// has just started reads it itself until it has all copies.
+	// has just started, and has no contacts, reads it itself until it has all copies.
 	Bootstrap bool
 }
 
@@ -65,7 +65,12 @@
 	Copies []SharedCopy
 	// Choose decides what this process does: selector.Choose or selector.ChooseAny.
 	Choose func(now time.Time, s selector.State) selector.Choice
-	// Peers returns the processes that may be followed.
+	// Contacts, if not nil, is a small copy that names processes that may be followed. It is
+	// read until the Bootstrap copies, which may be large, are listed; most processes get
+	// these from a contact.
+	Contacts Copy
+	// Peers returns the processes that may be followed: those that the Bootstrap copies name
+	// or, before these are listed, the contacts.
 	Peers func() []Peer
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock  func() time.Duration
@@ -74,6 +79,9 @@
 	// StartTimeout is how long a process that has just started waits for the copies of
 	// others before it reads the store itself.
 	StartTimeout time.Duration
+	// TurnSpread is the time over which processes that have got no copies from their contacts
+	// list the Bootstrap copies one after another. It is 0 if Choose spreads them.
+	TurnSpread time.Duration
 	// OnReaderChange, if not nil, is called after the result of Reader has changed.
 	OnReaderChange func()
 }
@@ -101,6 +109,8 @@
 	retryDelay    time.Duration
 	// reader is the last result of Reader.
 	reader bool
+	// alone is true if this process knows nobody that it may follow.
+	alone bool
 	// receiving is true while a large response of the store is arriving, and awaiting while
 	// newer copies are arriving, from the store or from the process that is followed.
 	// receivingChanged is closed and replaced when awaiting changes.
@@ -121,9 +131,11 @@
 	until time.Time
 }
 
-// New returns a sharer, whose process reads only the bootstrap copies until Run decides.
+// New returns a sharer, whose process reads only the contacts until Run decides, or the
+// Bootstrap copies if there are none.
 func New(c Config) *Sharer {
 	s := &Sharer{config: c, started: time.Now(), failures: make(map[string]failure), receivingChanged: make(chan struct{}), compressor: newCompressor()}
+	s.alone = c.Contacts == nil
 	s.applyReading()
 	return s
 }
@@ -155,17 +167,42 @@
 	return s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }) == neverConfirmed
 }
 
-// peersKnown reports whether the copies are listed that name the processes that may be
-// followed.
-func (s *Sharer) peersKnown() bool {
+// bootstrapListed reports whether all Bootstrap copies are listed.
+func (s *Sharer) bootstrapListed() bool {
 	for _, c := range s.config.Copies {
-		if p, _ := c.Position(); c.Bootstrap && !p.Listed {
+		if c.Bootstrap && !isListed(c) {
 			return false
 		}
 	}
 	return true
 }
 
+// contactsListed reports whether the contacts are listed. Without any, the Bootstrap copies
+// are read at once.
+func (s *Sharer) contactsListed() bool {
+	return s.config.Contacts == nil || isListed(s.config.Contacts)
+}
+
+func isListed(c Copy) bool {
+	p, _ := c.Position()
+	return p.Listed
+}
+
+// peersKnown reports whether the peers are all processes that may be followed, or enough of
+// them to follow one.
+func (s *Sharer) peersKnown(peers []Peer) bool {
+	return s.bootstrapListed() || s.config.Contacts != nil && s.contactsListed() && len(peers) > 0
+}
+
+// turnHasCome reports whether this process may list the Bootstrap copies because it has got
+// none from its contacts.
+func (s *Sharer) turnHasCome() bool {
+	if s.config.TurnSpread == 0 {
+		return true
+	}
+	return time.Since(s.started) >= s.config.StartTimeout+selector.Turn(s.config.Self.Name, s.config.TurnSpread)
+}
+
 // Reader reports whether this process reads the store itself and its copies are up to date,
 // so that others may follow it.
 func (s *Sharer) Reader() bool {
@@ -202,6 +239,7 @@
 	peers := s.config.Peers()
 	s.mu.Lock()
 	s.updateReceiving(now)
+	s.alone = s.contactsListed() && (s.config.Contacts == nil || len(peers) == 0)
 	choice := s.config.Choose(now, s.state(now, peers))
 	if choice.GiveUp && s.following != nil {
 		s.giveUp(now, "its copies are too old")
@@ -249,7 +287,7 @@
 func (s *Sharer) state(now time.Time, peers []Peer) selector.State {
 	out := selector.State{
 		Self: s.config.Self.Name, Domain: s.config.Self.Domain, Reading: s.reading, FollowedAge: neverConfirmed, MaxAge: maxAge, Receiving: s.awaiting, ReceivedUntil: s.awaitedUntil,
-		PeersKnown: s.peersKnown(), ReadAge: s.age(func(p tracker.Position) time.Duration { return p.ReadAt }),
+		PeersKnown: s.peersKnown(peers), ReadAge: s.age(func(p tracker.Position) time.Duration { return p.ReadAt }),
 		Age: s.age(func(p tracker.Position) time.Duration { return p.ConfirmedAt }),
 	}
 	if out.Age == neverConfirmed {
@@ -317,12 +355,19 @@
 // applyReading sets which copies are read from the store. The first one shows whether the
 // store answers; the others are not read while it does not.
 func (s *Sharer) applyReading() {
-	empty, answers := s.empty(), false
+	empty, listed, answers := s.empty(), s.bootstrapListed(), false
+	if s.config.Contacts != nil {
+		s.config.Contacts.SetReading(!listed, s.retryDelay)
+	}
 	for i, c := range s.config.Copies {
 		if p, _ := c.Position(); i == 0 {
 			answers = p.Listed && c.scaledAge(s.config.Clock()-p.ReadAt) <= s.readLimit()
 		}
-		c.SetReading(s.reading && (i == 0 || answers) || c.Bootstrap && empty, s.retryDelay)
+		reading := s.reading && (i == 0 || answers)
+		if c.Bootstrap && empty {
+			reading = s.alone || reading && (listed || s.turnHasCome())
+		}
+		c.SetReading(reading, s.retryDelay)
 	}
 }
 
