forwarder: a queued request is not sent as the stop ends

A request that waited for a free replica at the end of a planned stop could be sent, cut off at once, and answered as one that may have run.

Stop ends the contexts of the requests one by one. A request that ended first freed its replica, and a request in the queue whose context had not ended yet got it and was sent. Whether a request may be sent now looks at the stop itself, before the queue and right before the write.

--- a/shells/forwarder/stopping.go
+++ b/shells/forwarder/stopping.go
@@ -43,6 +43,9 @@
 // timeToSend returns the time for which the request may still be sent. It is not positive if the
 // request may not end before a planned stop does. After runs sends the request may have run.
 func (f *Forwarder) timeToSend(c *Call, runs int) time.Duration {
+	if f.stopped.Err() != nil {
+		return 0 // the contexts of some requests may not have ended yet
+	}
 	untilDeadline := max(minTimeLeft, time.Until(c.Deadline))
 	s := f.plannedStop.Load()
 	if s == nil {
--- a/shells/forwarder/stopping_test.go
+++ b/shells/forwarder/stopping_test.go
@@ -59,38 +59,40 @@
 // TestStopAnswersQueuedRequests guards against requests that wait for a free replica until the end
 // of a planned stop, and whose connections close although they have not run.
 func TestStopAnswersQueuedRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		p := placer.New(placer.Config{Region: "a"})
-		p.SetFleet(time.Now(), placer.Fleet{
-			Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "first", Service: "s", Address: "first", Slots: 1}),
-			Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
-		})
-		f := forwarder.New(forwarder.Config{
-			Placer: p, Link: &pacedLink{replicas: withFirst(pacedReplica{headAfter: forever}, nil)}, Log: reporter.New(reporter.Config{Logger: log}),
-			VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
-		})
-		var callers [2]caller
-		var wg sync.WaitGroup
-		now := time.Now()
-		for i := range callers {
-			wg.Go(func() {
-				call := &forwarder.Call{ID: fmt.Sprint(i), Route: route(filbertstile.CallNonIdempotent), Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}
-				f.Serve(t.Context(), call, &callers[i])
+	for range 100 { // the replica becomes free as the requests end, in any order
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			p := placer.New(placer.Config{Region: "a"})
+			p.SetFleet(time.Now(), placer.Fleet{
+				Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "first", Service: "s", Address: "first", Slots: 1}),
+				Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
 			})
-			synctest.Wait()
-		}
-		time.Sleep(50 * time.Millisecond)
-		f.Stop()
-		wg.Wait()
-		is.Equal(time.Since(now), 50*time.Millisecond)
-		is.True(callers[0].failedWith(filbertstile.Unknown))
-		is.True(callers[1].failedWith(filbertstile.NotRun))
-		is.Equal(callers[1].failure.Code, forwarder.CodeStopping)
-		is.True(callers[1].failure.RetryAfter > 0)
-	})
+			f := forwarder.New(forwarder.Config{
+				Placer: p, Link: &pacedLink{replicas: withFirst(pacedReplica{headAfter: forever}, nil)}, Log: reporter.New(reporter.Config{Logger: log}),
+				VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
+			})
+			var callers [2]caller
+			var wg sync.WaitGroup
+			now := time.Now()
+			for i := range callers {
+				wg.Go(func() {
+					call := &forwarder.Call{ID: fmt.Sprint(i), Route: route(filbertstile.CallNonIdempotent), Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second)}
+					f.Serve(t.Context(), call, &callers[i])
+				})
+				synctest.Wait()
+			}
+			time.Sleep(50 * time.Millisecond)
+			f.Stop()
+			wg.Wait()
+			is.Equal(time.Since(now), 50*time.Millisecond)
+			is.True(callers[0].failedWith(filbertstile.Unknown))
+			is.True(callers[1].failedWith(filbertstile.NotRun))
+			is.Equal(callers[1].failure.Code, forwarder.CodeStopping)
+			is.True(callers[1].failure.RetryAfter > 0)
+		})
+	}
 }
 
 // TestNothingIsSentAfterStop guards against requests that arrive after the end of a planned stop,
