forwarder: an attempt that sent nothing takes no time

In a planned stop, requests of a route were refused from its start although they end well within it, if earlier ones of the route had waited: for a replica that refused them or that nothing could be sent to, and then in the queue. Their durations counted from the first attempt, run or not.

A duration now begins with the first attempt in which the request may have run. That is what the bound is for: it is looked at again right before each attempt is written. A request that reaches its limit without having run says nothing about how long one takes.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -79,7 +79,7 @@
 	}
 	x.tried = append(x.tried, g.Replica.ID)
 	x.sends++
-	if x.firstSentAt.IsZero() {
+	if x.runs == 0 {
 		x.firstSentAt = now
 	}
 	x.answer, x.writeDelay = answer{}, 0
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -257,7 +257,7 @@
 	tried []string
 	// sends is the number of sends.
 	sends int
-	// firstSentAt is the time at which the first attempt began.
+	// firstSentAt is the start of the first attempt in which the request may have run.
 	firstSentAt time.Time
 	// runs is the number of sends after which the request may have run.
 	runs int
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -95,9 +95,9 @@
 	}
 }
 
-// recordDuration records how long a request has taken that was sent.
+// recordDuration records how long a request has taken that may have run.
 func (x *requestState) recordDuration(complete bool) {
-	if x.firstSentAt.IsZero() {
+	if x.runs == 0 {
 		return
 	}
 	now := time.Now()
--- a/shells/forwarder/plannedstop_test.go
+++ b/shells/forwarder/plannedstop_test.go
@@ -59,16 +59,21 @@
 
 func newStopWorld(slots int) *stopWorld {
 	w := &stopWorld{link: &timedLink{ran: make(map[string]bool)}}
+	w.forwarder = newStopForwarder(slots, w.link)
+	return w
+}
+
+// newStopForwarder returns a forwarder with two replicas.
+func newStopForwarder(slots int, l forwarder.Link) *forwarder.Forwarder {
 	p := placer.New(placer.Config{Region: "a"})
 	p.SetFleet(time.Now(), placer.Fleet{
 		Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "first", Service: "s", Address: "first", Slots: slots}, filbertstile.Replica{ID: "second", Service: "s", Address: "second", Slots: slots}),
 		Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
 	})
-	w.forwarder = forwarder.New(forwarder.Config{
-		Placer: p, Link: w.link, Log: reporter.New(reporter.Config{Logger: discardLog()}), RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000},
+	return forwarder.New(forwarder.Config{
+		Placer: p, Link: l, Log: reporter.New(reporter.Config{Logger: discardLog()}), RetryBudget: forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000},
 		VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
 	})
-	return w
 }
 
 // beginStop begins a stop that ends after the timeout.
