platform: a late body is awaited no longer than its route allows

A request whose body had not arrived was held up to a second past its route's limit if its caller's limit came first, as it does where callers name the route's own: 4.00 s under a limit of 3 s, and 3.50 s with a caller's limit of 2.5 s. Such a request counts as unanswered at its limit.

The second for callers that are still sending began at the caller's limit and did not look at the route's. It now ends there, as it does for callers that name no limit.

--- a/shells/forwarder/limit.go
+++ b/shells/forwarder/limit.go
@@ -32,9 +32,9 @@
 	return errors.Is(context.Cause(x.ctx), context.DeadlineExceeded)
 }
 
-// routeLimit returns the time at which the route ends the call. A change of the configuration
+// RouteLimit returns the time at which the route ends the call. A change of the configuration
 // moves it only to a later time.
-func (c *Call) routeLimit() time.Time {
+func (c *Call) RouteLimit() time.Time {
 	if c.LatestDeadline != nil {
 		if latest := c.LatestDeadline(); latest.After(c.Deadline) {
 			return latest
@@ -49,15 +49,9 @@
 	return limit
 }
 
-// LimitedByCaller reports whether the call ends as its caller stops waiting.
-func (c *Call) LimitedByCaller() bool {
-	_, name := c.limit()
-	return name == limitCaller
-}
-
 // limit returns the time at which the call ends, and the name of the limit.
 func (c *Call) limit() (time.Time, string) {
-	limit := c.routeLimit()
+	limit := c.RouteLimit()
 	if !c.CallerDeadline.IsZero() && !c.CallerDeadline.After(limit) {
 		return c.CallerDeadline, limitCaller
 	}
