forwarder: no error follows a part of a response

If a response that is no stream broke off as it was written, and its caller had closed its side of the connection meanwhile, the request ended with an error behind the part instead of the end of its connection. On a socket the failed write kept the error back, as net/http writes nothing after one; callers saw nothing of it.

Such a request counted as one whose response had not begun. It now counts as begun before the first byte is written, as a stream does; the event CallerLeft says so, too.

TestErrorDoesNotFollowPartOfResponse failed before. The tests of forwarder pass.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -254,6 +254,7 @@
 	}
 	x.release(a.grant, outcome)
 	x.answerCompleted(a.response)
+	x.responseStarted = true
 	if err := x.writer.WriteResponse(a.response, p.body); err != nil {
 		x.callerDisconnected(a.grant.Replica.ID)
 		return false, true
--- a/shells/forwarder/sideclosed_test.go
+++ b/shells/forwarder/sideclosed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -143,3 +144,32 @@
 		})
 	}
 }
+
+// brokenCaller is a caller whose connection breaks within the response. It closes its side first.
+type brokenCaller struct {
+	caller
+	closeSide context.CancelFunc
+}
+
+func (c *brokenCaller) WriteResponse(r forwarder.Response, b []byte) error {
+	c.closeSide()
+	time.Sleep(time.Second)
+	_ = c.caller.WriteResponse(r, b[:1])
+	return errors.New("broken pipe")
+}
+
+// TestErrorDoesNotFollowPartOfResponse guards against an error that is written behind a part of a
+// response, as its caller has closed its side meanwhile.
+func TestErrorDoesNotFollowPartOfResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newStopWorld(1)
+		sending, closeSide := context.WithCancel(t.Context())
+		now, c := time.Now(), &brokenCaller{closeSide: closeSide}
+		w.forwarder.Serve(t.Context(), &forwarder.Call{
+			ID: "1", Route: route(filbertstile.CallIdempotent), Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second), Sending: sending, Message: work{took: time.Second},
+		}, c)
+		is.True(c.failure == nil)
+		is.True(c.aborted)
+	})
+}
