installer: chunks are read back right before the load is ordered, or once more after it

Cause: the installer staged and read back chunk after chunk and then ordered the load, whatever the age of the first reads. A suspended host, or an order that is accepted late or gets no response, does the same with quick reads. Ruled out: chunks that pass with a wrong digest, chunks of another version, a second order.

Now all chunks are staged, then read back with as many calls at once as it takes, and the load is ordered while each read is at most 0.8 s old; the call of the order ends within 2 s, and 3 s are excused. The clock includes suspensions. After a late or missing response the replica gets no requests until all chunks were read again: staged chunks don't recover, so those that are intact now, and not staged since, were loaded intact. If one isn't, the version is loaded again.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -75,6 +75,8 @@
 	LeaseTaken          Event = 504
 	LeaseLost           Event = 505
 	PermitRefused       Event = 506
+	LoadDoubted         Event = 507
+	LoadChecked         Event = 508
 	CommitFailed        Event = 601
 	OutcomeUnknown      Event = 602
 	RequestSealed       Event = 603
@@ -154,6 +156,8 @@
 	{LeaseTaken, "LeaseTaken", "rollout", logrus.InfoLevel, "This entry has acquired the lease and controls rollouts.", noAction},
 	{LeaseLost, "LeaseLost", "rollout", logrus.InfoLevel, "This entry has lost the lease and no longer controls rollouts.", noAction},
 	{PermitRefused, "PermitRefused", "rollout", logrus.WarnLevel, "A host rejected a permit, usually because its epoch is stale.", noAction},
+	{LoadDoubted, "LoadDoubted", "rollout", logrus.WarnLevel, "The engine may have accepted an order to load a version some time after its chunks were read back, ReadAge ago.", "Check the engine and the host if this repeats: calls take too long."},
+	{LoadChecked, "LoadChecked", "rollout", logrus.InfoLevel, "The chunks of a doubted load were read back. If Intact is false, the replica gets no requests until it loads a version again.", "If Intact is false, restart the replica."},
 	{CommitFailed, "CommitFailed", "once", logrus.WarnLevel, "An intent or outcome could not be recorded; calls that depend on it end as NotRun.", "Check the object API."},
 	{OutcomeUnknown, "OutcomeUnknown", "once", logrus.WarnLevel, "A non-idempotent call may or may not have run, and its outcome cannot be determined.", "Look up the call at the backend server before repeating it."},
 	{RequestSealed, "RequestSealed", "once", logrus.InfoLevel, "A host has ensured that a request never runs.", noAction},
--- a/interfaces.go
+++ b/interfaces.go
@@ -147,8 +147,10 @@
 	Staged(ctx context.Context, model string, index int) ([]byte, error)
 	// Load orders the engine to run the staged weights, if the number of orders
 	// that it has started equals expectedOrders. Running requests are cancelled if
-	// cancelRunning is true; otherwise the engine waits for them to finish.
-	Load(ctx context.Context, w WeightsVersion, expectedOrders int64, cancelRunning bool) error
+	// cancelRunning is true; otherwise the engine waits for them to finish. The
+	// result is false if the engine has not started the order, because it has
+	// loaded the version already. After an error it may have started it.
+	Load(ctx context.Context, w WeightsVersion, expectedOrders int64, cancelRunning bool) (accepted bool, err error)
 }
 
 // Origin serves the manifests and chunks of versions of weights.
--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"filbertstile.example/filbertstile"
@@ -46,9 +45,6 @@
 	maxSkipOutage    = 1500 * time.Millisecond
 	// retryDelay is the delay before a failed step is retried.
 	retryDelay = 300 * time.Millisecond
-	// openOrderTime is how long after an order without a response no chunks of another version
-	// are staged: the engine may still accept it, and loads what is staged then.
-	openOrderTime = time.Second
 )
 
 // EntryMargin is how long before a version must run everywhere entries stop sending
@@ -76,6 +72,8 @@
 type Config struct {
 	Engine filbertstile.Engine
 	Log    *reporter.Log
+	// Clock returns a time that includes the time that the host was suspended.
+	Clock func() time.Duration
 	// Wanted returns the versions that the engine may run, newest first.
 	Wanted func() []Wanted
 	// Chunks returns the manifest and all chunks of a version. The result is false
@@ -91,9 +89,11 @@
 
 // Installer controls the weights of an engine.
 type Installer struct {
-	config Config
-	// staged is the version whose chunks are all staged at the engine.
-	staged filbertstile.WeightsVersion
+	config  Config
+	staging *staging
+	// doubt is an order whose load may contain chunks that were corrupt when it was accepted;
+	// nil if there is none.
+	doubt *doubt
 	// heldSince is when all chunks of a version were first held.
 	heldSince map[filbertstile.WeightsVersion]time.Time
 	// draining is the version for which the replica is being drained, since
@@ -103,11 +103,6 @@
 	engineUnreachable bool
 	// loading is true if the engine was loading weights as of its last report.
 	loading bool
-	// openOrder is the version of the last order that got no response, which was given after
-	// openOrders orders; zero if there is none. It may be accepted until openOrderUntil.
-	openOrder      filbertstile.WeightsVersion
-	openOrders     int64
-	openOrderUntil time.Time
 }
 
 // New returns an installer. It does nothing before Run is called.
@@ -134,7 +129,7 @@
 // switching reports whether the replica serves no requests, or is about to, until a step that
 // must not be late: the replica drains, or its engine loads weights or has to be found.
 func (i *Installer) switching() bool {
-	return i.draining != (filbertstile.WeightsVersion{}) || i.loading || i.engineUnreachable
+	return i.draining != (filbertstile.WeightsVersion{}) || i.loading || i.engineUnreachable || i.doubt != nil
 }
 
 // step reads the engine's report and takes the next step of a switch, if one is due.
@@ -149,10 +144,18 @@
 		i.engineUnreachable = false
 		i.config.Log.Event(reporter.HostFound, reporter.Fields{"Peer": "engine", "Born": r.Born.UnixMilli()})
 	}
+	if resolved, err := i.resolveDoubt(ctx, r); !resolved {
+		i.config.OnReport(r, true)
+		return err
+	}
+	rejected := i.doubt != nil && i.doubt.rejected
+	if rejected {
+		r.Version = 0
+	}
 	w, m, chunks, due := i.versionToLoad(time.Now(), r)
 	if !due {
 		i.draining = filbertstile.WeightsVersion{}
-		i.config.OnReport(r, false)
+		i.config.OnReport(r, rejected)
 		return nil
 	}
 	i.config.OnReport(r, true)
@@ -257,55 +260,3 @@
 	window := min(maxSwitchWindow, w.LearnedAt.Add(w.RolloutTimeout-switchDuration).Sub(heldSince))
 	return now.Sub(heldSince) >= time.Duration(w.Rank*float64(max(0, window)))
 }
-
-// install stages the chunks that are missing or corrupt at the engine, and orders it to
-// load the version.
-func (i *Installer) install(ctx context.Context, r filbertstile.EngineReport, w Wanted, m filbertstile.Manifest, chunks [][]byte) error {
-	if i.openOrder != w.Weights && i.openOrders == r.Orders && time.Now().Before(i.openOrderUntil) {
-		return nil
-	}
-	for n, ref := range m.Chunks {
-		if err := i.ensureStaged(ctx, w.Weights, n, ref, chunks[n]); err != nil {
-			return err
-		}
-	}
-	i.staged = w.Weights
-	i.config.Log.Event(reporter.SwitchStarted, reporter.Fields{
-		"Model": w.Weights.Model, "Version": w.Weights.Version, "From": r.Version, "Named": time.Since(w.LearnedAt).String(),
-		"Running": r.Running, "Waiting": r.Waiting, "Orders": r.Orders,
-	})
-	err := i.config.Engine.Load(ctx, w.Weights, r.Orders, r.Version > 0 && i.config.MayCancelRunning())
-	if err != nil {
-		i.openOrder, i.openOrders, i.openOrderUntil = w.Weights, r.Orders, time.Now().Add(openOrderTime)
-	}
-	return err
-}
-
-// ensureStaged ensures that a chunk is staged intact at the engine.
-func (i *Installer) ensureStaged(ctx context.Context, w filbertstile.WeightsVersion, n int, ref filbertstile.ChunkRef, data []byte) error {
-	if i.staged != w {
-		if err := i.config.Engine.Stage(ctx, w.Model, n, data); err != nil {
-			return err
-		}
-	}
-	for range maxStageAttempts {
-		staged, err := i.config.Engine.Staged(ctx, w.Model, n)
-		var missing filbertstile.ErrNotFound
-		if err != nil && !errors.As(err, &missing) {
-			return err
-		}
-		if err == nil && filbertstile.DigestOf(staged) == ref.Digest {
-			return nil
-		}
-		if err == nil {
-			i.config.Log.Event(reporter.ChunkRestaged, reporter.Fields{"Model": w.Model, "Version": w.Version, "Chunk": n})
-		}
-		if err := i.config.Engine.Stage(ctx, w.Model, n, data); err != nil {
-			return err
-		}
-	}
-	return filbertstile.ErrDigest{Step: "stage chunk", Peer: "engine", Want: ref.Digest}
-}
-
-// maxStageAttempts is the maximum number of times that a staged chunk is read back.
-const maxStageAttempts = 3
--- a/shells/installer/installer_test.go
+++ b/shells/installer/installer_test.go
@@ -45,6 +45,31 @@
 	corruptOnce map[int]bool
 	// loseResponse makes the next Load start the order but return an error.
 	loseResponse bool
+	// rotAt is when a chunk turned corrupt after it was staged, and spoilt contains those of the
+	// last load that had been corrupt for more than 3 s.
+	rotAt  map[int]time.Time
+	spoilt []int
+	// servedSpoilt is true if requests may have been sent to the engine while it ran such a load.
+	servedSpoilt bool
+	// served is the last version that requests may be sent to.
+	served int64
+}
+
+// rot corrupts a staged chunk.
+func (e *fakeEngine) rot(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[n], e.rotAt[n] = []byte("rotten"), time.Now()
+}
+
+// onReport records whether requests may be sent to the engine.
+func (e *fakeEngine) onReport(r filbertstile.EngineReport, draining bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !draining {
+		e.served = r.Version
+		e.servedSpoilt = e.servedSpoilt || r.Version > 0 && len(e.spoilt) > 0
+	}
 }
 
 func (e *fakeEngine) Report(context.Context) (filbertstile.EngineReport, error) {
@@ -57,6 +82,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.staged[n] = data
+	delete(e.rotAt, n)
 	if e.corruptOnce[n] {
 		delete(e.corruptOnce, n)
 		e.staged[n] = []byte("corrupt")
@@ -73,11 +99,17 @@
 	return nil, filbertstile.ErrNotFound{}
 }
 
-func (e *fakeEngine) Load(_ context.Context, w filbertstile.WeightsVersion, orders int64, cancelRunning bool) error {
+func (e *fakeEngine) Load(_ context.Context, w filbertstile.WeightsVersion, orders int64, cancelRunning bool) (bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if orders != e.orders {
-		return filbertstile.ErrConflict{}
+		return false, filbertstile.ErrConflict{}
+	}
+	e.spoilt = nil
+	for n, at := range e.rotAt {
+		if time.Since(at) > 3*time.Second {
+			e.spoilt = append(e.spoilt, n)
+		}
 	}
 	e.orders++
 	e.version, e.cancelled, e.running = w.Version, cancelRunning, 0
@@ -87,9 +119,9 @@
 	}
 	if e.loseResponse {
 		e.loseResponse = false
-		return context.DeadlineExceeded
+		return false, context.DeadlineExceeded
 	}
-	return nil
+	return true, nil
 }
 
 // withInstaller runs an installer in virtual time, with the versions that the engine
@@ -112,7 +144,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		e.staged = make(map[int][]byte)
+		e.staged, e.rotAt = make(map[int][]byte), make(map[int]time.Time)
+		started := time.Now()
 		i := installer.New(installer.Config{
 			Engine: engine, Log: reporter.New(reporter.Config{Logger: log}), Wanted: wanted,
 			Chunks: func(w filbertstile.WeightsVersion) (filbertstile.Manifest, [][]byte, bool) {
@@ -122,7 +155,7 @@
 				}
 				return manifest(w.Version), data, held(w.Version)
 			},
-			OnReport: func(filbertstile.EngineReport, bool) {}, MayCancelRunning: func() bool { return true },
+			Clock: func() time.Duration { return time.Since(started) }, OnReport: e.onReport, MayCancelRunning: func() bool { return true },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/shells/installer/loading_test.go
+++ b/shells/installer/loading_test.go
@@ -30,12 +30,12 @@
 	return r, err
 }
 
-func (e *loadingEngine) Load(ctx context.Context, w filbertstile.WeightsVersion, orders int64, cancelRunning bool) error {
-	err := e.fakeEngine.Load(ctx, w, orders, cancelRunning)
+func (e *loadingEngine) Load(ctx context.Context, w filbertstile.WeightsVersion, orders int64, cancelRunning bool) (bool, error) {
+	accepted, err := e.fakeEngine.Load(ctx, w, orders, cancelRunning)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.loadedAt = time.Now().Add(e.loadTime)
-	return err
+	return accepted, err
 }
 
 // TestEndOfLoadIsSeenSoon guards against replicas that have loaded their weights and get no
--- a/shells/installer/silence_test.go
+++ b/shells/installer/silence_test.go
@@ -28,16 +28,16 @@
 	return e.fakeEngine.Stage(ctx, model, n, data)
 }
 
-func (e *silentEngine) Load(ctx context.Context, w filbertstile.WeightsVersion, orders int64, cancelRunning bool) error {
+func (e *silentEngine) Load(ctx context.Context, w filbertstile.WeightsVersion, orders int64, cancelRunning bool) (bool, error) {
 	if !e.ordered.CompareAndSwap(false, true) {
 		return e.fakeEngine.Load(ctx, w, orders, cancelRunning)
 	}
-	time.AfterFunc(e.acceptedAfter, func() { _ = e.fakeEngine.Load(ctx, w, orders, cancelRunning) })
+	time.AfterFunc(e.acceptedAfter, func() { _, _ = e.fakeEngine.Load(ctx, w, orders, cancelRunning) })
 	time.Sleep(min(e.orderTimeout, e.acceptedAfter+time.Millisecond))
 	if e.acceptedAfter < e.orderTimeout {
-		return nil
+		return true, nil
 	}
-	return context.DeadlineExceeded
+	return false, context.DeadlineExceeded
 }
 
 // TestSilentEngineLoadsWholeVersion guards against weights that are mixed of two versions, or
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -137,7 +137,7 @@
 		learnedAt: make(map[filbertstile.WeightsVersion]time.Duration), roster: roster{lastListed: make(map[string]time.Time)},
 		syncRequested: make(chan struct{}, 1),
 	}
-	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning.Load})
+	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Clock: c.Clock, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning.Load})
 	return p
 }
 
