platform: an empty list of client accounts lets nobody in

Cause: keys were required if the table of accounts had rows, and the decoder didn't keep whether the manifest contains a list. Ruled out: an older manifest in use, a copy from another entry.

--- a/decisions/matcher/matcher.go
+++ b/decisions/matcher/matcher.go
@@ -64,10 +64,10 @@
 }
 
 // Account returns the access of the account with the API key, and whether there is
-// one.
+// one. A request without a key belongs to no account, even if one lists an empty key.
 func (m *Matcher) Account(key string) (filbertstile.AccountAccess, bool) {
 	a, ok := m.accountsByKey[key]
-	return a, ok
+	return a, ok && key != ""
 }
 
 // ChooseService returns the service that the route sends the request to, or "" if no
--- a/fleet.go
+++ b/fleet.go
@@ -126,6 +126,9 @@
 	Routes   Table[Route]
 	Pools    Table[PoolSpec]
 	Accounts Table[AccountAccess]
+	// AccountsListed is true if the configuration has a list of client accounts, which may be
+	// empty. Without a list requests need no keys.
+	AccountsListed bool
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int
 }
@@ -134,8 +137,8 @@
 func (r Routing) Key() string { return "Routing" }
 
 // RequiresKeys reports whether requests must carry the API key of a client
-// account.
-func (r Routing) RequiresKeys() bool { return r.Accounts.Len() > 0 }
+// account. An empty list of accounts grants nothing to anybody.
+func (r Routing) RequiresKeys() bool { return r.AccountsListed || r.Accounts.Len() > 0 }
 
 // Replica is a backend server as the platform lists it.
 type Replica struct {
