forwarder: responses without end leave memory to the others

Here no process ended, but the answers of sound replicas did: bodies share a sixth of the memory, bodies without end took all of it, and callers of other services got 502 within half a second, also where the request had run.

Cause: any response could take what was left. Now the first 16 KiB of a body are not counted, and a response may hold at most twice what it leaves free, growing by a quarter.

--- a/shells/forwarder/body.go
+++ b/shells/forwarder/body.go
@@ -15,8 +15,13 @@
 	maxNotRunBodyBytes = 4 << 10
 	// defaultBufferBytes is the default of Config.BufferBytes.
 	defaultBufferBytes = 64 << 20
-	// bodyStepBytes is the size in which buffers for bodies are reserved.
+	// bodyStepBytes is the smallest step in which the buffer of a body grows; larger ones grow by
+	// a quarter. The first step of a body is not counted, so that short responses don't depend on
+	// the others.
 	bodyStepBytes = 16 << 10
+	// maxFreeMultiple limits the memory of one response to this multiple of what it leaves free,
+	// so that many responses without end can't take it all.
+	maxFreeMultiple = 2
 )
 
 // ErrTooLong reports a response of which no more is read.
@@ -46,11 +51,12 @@
 	return &buffers{limit: limit}
 }
 
-// reserve takes n bytes, and returns false if fewer are left.
-func (b *buffers) reserve(n int64) bool {
+// reserve takes n more bytes for a response that holds some, and returns false if fewer are left,
+// or if the response would hold too much of the memory.
+func (b *buffers) reserve(held, n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.used+n > b.limit {
+	if free := b.limit - b.used - n; held+n > maxFreeMultiple*free {
 		return false
 	}
 	b.used += n
@@ -68,10 +74,11 @@
 func (b *buffers) read(body io.Reader) (data []byte, done func(), err error) {
 	reserved := int64(0)
 	done = func() { b.release(reserved) }
+	data = make([]byte, 0, bodyStepBytes)
 	for {
 		if len(data) == cap(data) {
-			step := max(bodyStepBytes, int64(cap(data)))
-			if !b.reserve(step) {
+			step := max(bodyStepBytes, int64(cap(data)/4))
+			if !b.reserve(reserved, step) {
 				return nil, done, ErrTooLong{Limit: "the memory that is left for responses", LimitBytes: b.limit}
 			}
 			reserved += step
--- a/shells/forwarder/body_test.go
+++ b/shells/forwarder/body_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -48,6 +52,51 @@
 	is.Equal(b.used, int64(0))
 }
 
+// paced is a body of which each read takes a millisecond.
+type paced struct{ io.Reader }
+
+func (p paced) Read(b []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return p.Reader.Read(b)
+}
+
+// TestEndlessBodiesLeaveMemoryToOthers guards against many bodies without end that take all of the
+// memory, so that the responses of sound replicas fail, short ones as well.
+func TestEndlessBodiesLeaveMemoryToOthers(t *testing.T) {
+	for _, c := range []struct{ bodies, longest int }{{1, 1 << 20}, {10, 256 << 10}, {60, 32 << 10}, {600, bodyStepBytes}} {
+		t.Run(fmt.Sprint(c.bodies), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBuffers(0)
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				for range c.bodies {
+					wg.Go(func() {
+						for ctx.Err() == nil {
+							_, done, err := b.read(paced{&endless{}})
+							var tooLong ErrTooLong
+							is.True(errors.As(err, &tooLong))
+							done()
+						}
+					})
+				}
+				for range 15 {
+					time.Sleep(7 * time.Millisecond)
+					for _, n := range []int{1, bodyStepBytes - 1, c.longest - 1} {
+						data, done, err := b.read(paced{bytes.NewReader(make([]byte, n))})
+						is.NoErr(err)
+						is.Equal(len(data), n)
+						done()
+					}
+				}
+				cancel()
+				wg.Wait()
+				is.Equal(b.used, int64(0))
+			})
+		})
+	}
+}
+
 // TestEndlessEventEnds guards against an event without end, and against one that grows by a
 // byte now and then: both fail at the same size.
 func TestEndlessEventEnds(t *testing.T) {
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -53,7 +53,7 @@
 		return true
 	}
 	missing = max(missing, bodyStepBytes)
-	if !r.buffers.reserve(missing) {
+	if !r.buffers.reserve(r.reserved, missing) {
 		return false
 	}
 	r.reserved += missing
