peerrunner, installer: a switch cancels running streams by the latest configuration

Callers' connections closed.

Cause: hosts read the configuration once and kept whether all routes can go on elsewhere. As a switch begins they now ask the entry that they follow, or the store if their failure domain has no entry; without an answer within 0.5 s nothing is cancelled.

--- a/shells/installer/installer.go
+++ b/shells/installer/installer.go
@@ -43,6 +43,8 @@
 	// not serve in between.
 	transferDuration = 4500 * time.Millisecond
 	maxSkipOutage    = 1500 * time.Millisecond
+	// maxMayCancelAge is how long the answer of Config.MayCancelRunning is used.
+	maxMayCancelAge = 2 * time.Second
 	// retryDelay is the delay before a failed step is retried.
 	retryDelay = 300 * time.Millisecond
 )
@@ -83,8 +85,8 @@
 	// replica must get no more requests.
 	OnReport func(r filbertstile.EngineReport, draining bool)
 	// MayCancelRunning reports whether running requests may be cancelled because they
-	// can continue at other replicas.
-	MayCancelRunning func() bool
+	// can continue at other replicas. It is asked as a switch begins, and may take some time.
+	MayCancelRunning func(ctx context.Context) bool
 }
 
 // Installer controls the weights of an engine.
@@ -98,8 +100,11 @@
 	heldSince map[filbertstile.WeightsVersion]time.Time
 	// draining is the version for which the replica is being drained, since
 	// drainStartedAt; zero if it is not being drained.
-	draining          filbertstile.WeightsVersion
-	drainStartedAt    time.Time
+	draining       filbertstile.WeightsVersion
+	drainStartedAt time.Time
+	// mayCancel is what Config.MayCancelRunning said at mayCancelAskedAt.
+	mayCancel         bool
+	mayCancelAskedAt  time.Time
 	engineUnreachable bool
 	// loading is true if the engine was loading weights as of its last report.
 	loading bool
@@ -159,7 +164,7 @@
 		return nil
 	}
 	i.config.OnReport(r, true)
-	if !i.drained(r, w.Weights) {
+	if !i.drained(ctx, r, w.Weights) {
 		return nil
 	}
 	return i.install(ctx, r, w, m, chunks)
@@ -217,11 +222,18 @@
 // drained reports whether the load may be ordered. The replica's requests must have
 // ended except for a few, or drainTimeout must have passed. If its requests must not
 // be cancelled, the load is ordered at once, and the engine waits for them to finish.
-func (i *Installer) drained(r filbertstile.EngineReport, w filbertstile.WeightsVersion) bool {
-	if i.draining != w {
+func (i *Installer) drained(ctx context.Context, r filbertstile.EngineReport, w filbertstile.WeightsVersion) bool {
+	begins := i.draining != w
+	if begins {
 		i.draining, i.drainStartedAt = w, time.Now()
 	}
-	if r.Version == 0 || !i.config.MayCancelRunning() {
+	if r.Version == 0 {
+		return true
+	}
+	if begins || time.Since(i.mayCancelAskedAt) > maxMayCancelAge {
+		i.mayCancel, i.mayCancelAskedAt = i.config.MayCancelRunning(ctx), time.Now()
+	}
+	if !i.mayCancel {
 		return true
 	}
 	return r.Running+r.Waiting <= earlyCancelLimit || time.Since(i.drainStartedAt) >= drainTimeout
--- a/shells/installer/installer_test.go
+++ b/shells/installer/installer_test.go
@@ -155,7 +155,7 @@
 				}
 				return manifest(w.Version), data, held(w.Version)
 			},
-			Clock: func() time.Duration { return time.Since(started) }, OnReport: e.onReport, MayCancelRunning: func() bool { return true },
+			Clock: func() time.Duration { return time.Since(started) }, OnReport: e.onReport, MayCancelRunning: func(context.Context) bool { return true },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/shells/installer/loading.go
+++ b/shells/installer/loading.go
@@ -60,7 +60,7 @@
 		"Running": r.Running, "Waiting": r.Waiting, "Orders": r.Orders, "ReadAge": i.staging.age(i.config.Clock()).String(),
 	})
 	writes := i.staging.writeCount()
-	accepted, err := i.config.Engine.Load(ctx, w.Weights, r.Orders, r.Version > 0 && i.config.MayCancelRunning())
+	accepted, err := i.config.Engine.Load(ctx, w.Weights, r.Orders, r.Version > 0 && i.mayCancel)
 	age := i.staging.age(i.config.Clock())
 	if accepted && err == nil && age <= maxLoadAge {
 		i.doubt = nil
--- a/shells/peerrunner/farstore_test.go
+++ b/shells/peerrunner/farstore_test.go
@@ -102,6 +102,8 @@
 	mu sync.Mutex
 	// turnsAway reports whether calls of a process fail; nil if none do.
 	turnsAway func(m filbertstile.Member) bool
+	// changedRouting replaces the configuration; nil if it has not changed.
+	changedRouting *filbertstile.Object
 	// reading and mostReading are the number of responses with the configuration that are on
 	// the way, and its maximum; reads counts all of them.
 	reading, mostReading, reads int
@@ -124,6 +126,26 @@
 	s.turnsAway = f
 }
 
+// changedRoutingRevision is the revision at which the configuration changes.
+const changedRoutingRevision = 10
+
+// changeRouting replaces the configuration.
+func (s *farStore) changeRouting(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changedRouting = &filbertstile.Object{Key: routingPrefix + "main", Version: changedRoutingRevision, Value: []byte(value)}
+}
+
+// routingChange returns the change of the configuration after a revision; nil if there is none.
+func (s *farStore) routingChange(prefix string, after uint64) *filbertstile.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if prefix != routingPrefix || after >= changedRoutingRevision {
+		return nil
+	}
+	return s.changedRouting
+}
+
 // listsBegun returns the number of lists of all processes that have begun.
 func (s *farStore) listsBegun() int {
 	s.mu.Lock()
@@ -180,6 +202,9 @@
 	if isRegistry(prefix) && time.Now().Before(c.registeredAt) {
 		return filbertstile.Batch{Era: 1, Revision: 1}, c.link.receive(ctx, 1)
 	}
+	if o := c.routingChange(prefix, 0); o != nil {
+		return filbertstile.Batch{Era: 1, Revision: changedRoutingRevision, Objects: []filbertstile.Object{*o}}, c.link.receive(ctx, len(o.Value))
+	}
 	return filbertstile.Batch{Era: 1, Revision: 9, Objects: c.objects[prefix]}, c.link.receive(ctx, c.sizeOf(prefix))
 }
 
@@ -211,6 +236,9 @@
 		}
 		return filbertstile.Batch{Era: 1, Revision: 9, Objects: c.objects[prefix]}, c.link.receive(ctx, size)
 	}
+	if o := c.routingChange(prefix, after); o != nil {
+		return filbertstile.Batch{Era: 1, Revision: changedRoutingRevision, Objects: []filbertstile.Object{*o}}, c.link.receive(ctx, len(o.Value))
+	}
 	return filbertstile.Batch{Era: 1, Revision: after}, c.link.receive(ctx, 1)
 }
 
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -112,10 +112,7 @@
 	fetcher       atomic.Pointer[fetcher.Fetcher]
 	report        atomic.Pointer[filbertstile.EngineReport]
 	draining      atomic.Bool
-	// mayCancelRunning is true if running requests may be cancelled because they can
-	// continue at other replicas; see allRoutesRetryable.
-	mayCancelRunning atomic.Bool
-	started          time.Time
+	started       time.Time
 
 	mu    sync.Mutex
 	model string
@@ -137,7 +134,7 @@
 		learnedAt: make(map[filbertstile.WeightsVersion]time.Duration), roster: roster{lastListed: make(map[string]time.Time)},
 		syncRequested: make(chan struct{}, 1),
 	}
-	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Clock: c.Clock, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning.Load})
+	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Clock: c.Clock, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning})
 	return p
 }
 
@@ -255,7 +252,6 @@
 	p.mu.Lock()
 	p.model, p.originRegion = spec.Engine.Model, region
 	p.mu.Unlock()
-	p.mayCancelRunning.Store(allRoutesRetryable(r, p.config.Self.Service))
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.weightSource, Log: p.config.Log, Metrics: p.config.Metrics,
 		Core: distributor.Config{
--- a/shells/peerrunner/routing.go
+++ b/shells/peerrunner/routing.go
@@ -26,6 +26,9 @@
 	routingReadStep = 250 * time.Millisecond
 	// routingPollInterval is the time between two checks whether a host may read the store.
 	routingPollInterval = 100 * time.Millisecond
+	// routingCheckTimeout is how long a host waits for the latest configuration as its replica
+	// is about to switch.
+	routingCheckTimeout = 500 * time.Millisecond
 	// minRoutingRetryDelay and maxRoutingRetryDelay bound the delay after a read that failed.
 	minRoutingRetryDelay = 250 * time.Millisecond
 	maxRoutingRetryDelay = 4 * time.Second
@@ -48,7 +51,11 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	wg.Go(func() { p.obtainRouting(ctx, found) })
+	wg.Go(func() {
+		if o, err := p.obtainRouting(ctx); err == nil {
+			found <- o
+		}
+	})
 	wg.Go(func() { p.readRouting(ctx, found) })
 	select {
 	case o := <-found:
@@ -62,7 +69,7 @@
 }
 
 // obtainRouting gets the configuration from the entry that this host follows.
-func (p *Peer) obtainRouting(ctx context.Context, found chan<- obtained) {
+func (p *Peer) obtainRouting(ctx context.Context) (obtained, error) {
 	c := p.sources.NewRoutingCopy()
 	var r filbertstile.Routing
 	enough := func() bool {
@@ -72,9 +79,31 @@
 		}
 		return ok && p.hasEngine(row)
 	}
-	if peer, err := p.sharer.Obtain(ctx, c, enough); err == nil {
-		found <- obtained{routing: r, peer: peer}
+	peer, err := p.sharer.Obtain(ctx, c, enough)
+	return obtained{routing: r, peer: peer}, err
+}
+
+// mayCancelRunning reports whether running requests may be cancelled, because they can continue
+// at other replicas by the latest configuration. If that can't be had, they may not.
+func (p *Peer) mayCancelRunning(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, routingCheckTimeout)
+	defer cancel()
+	r, err := p.latestRouting(ctx)
+	if err != nil {
+		p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "read configuration before a switch", "Error": err})
+		return false
+	}
+	return allRoutesRetryable(r, p.config.Self.Service)
+}
+
+// latestRouting returns the configuration of an entry of the failure domain or, if there is none,
+// that of the store.
+func (p *Peer) latestRouting(ctx context.Context) (filbertstile.Routing, error) {
+	if len(p.domainEntries()) == 0 {
+		return p.sources.Routing(ctx)
 	}
+	o, err := p.obtainRouting(ctx)
+	return o.routing, err
 }
 
 // hasEngine reports whether the configuration describes the engine of this host's service.
--- a/shells/peerrunner/routing_test.go
+++ b/shells/peerrunner/routing_test.go
@@ -129,10 +129,21 @@
 	return m, json.Unmarshal(o.Value, &m)
 }
 
-func decodeTestRouting(filbertstile.Object) (filbertstile.Routing, error) {
-	return filbertstile.Routing{
+// finalRouting is a configuration with a route whose streams can't be resumed.
+const finalRouting = "final"
+
+// decodeTestRouting returns a configuration with a route whose streams can be resumed, and others
+// that can't if the object is finalRouting.
+func decodeTestRouting(o filbertstile.Object) (filbertstile.Routing, error) {
+	targets := []filbertstile.Target{{Service: testService, Weight: 1}}
+	r := filbertstile.Routing{
 		Version: 1, Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: testService, Engine: &filbertstile.EngineSpec{Model: "m"}}),
-	}, nil
+		Routes: filbertstile.NewTable(filbertstile.Route{Name: "resumable", Kind: filbertstile.CallStream, Resumable: true, Targets: targets}),
+	}
+	if string(o.Value) == finalRouting {
+		r.Version, r.Routes = 2, r.Routes.With(filbertstile.Route{Name: "final", Kind: filbertstile.CallStream, Targets: targets})
+	}
+	return r, nil
 }
 
 func decodeTestWeights(filbertstile.Object) (filbertstile.WeightsVersion, error) {
@@ -307,6 +318,47 @@
 	}
 }
 
+// TestNewRoutesProtectRunningRequests guards against hosts that cancel running streams which can't
+// be resumed, as their route was added after the host had started.
+func TestNewRoutesProtectRunningRequests(t *testing.T) {
+	for _, entries := range []int{0, 3} {
+		t.Run(fmt.Sprintf("%dEntries", entries), func(t *testing.T) {
+			withDomain(t, entries, 2, testLargeBytes, nil, func(d *domain) {
+				is := is.New(d.t)
+				is.True(d.awaitRoutings(30*time.Second) < 30*time.Second)
+				time.Sleep(5 * time.Second)
+				for _, p := range d.hosts {
+					is.True(p.mayCancelRunning(d.ctx))
+				}
+				d.store.changeRouting(finalRouting)
+				time.Sleep(2 * time.Second)
+				for _, p := range d.hosts {
+					is.True(!p.mayCancelRunning(d.ctx))
+				}
+			})
+		})
+	}
+}
+
+// TestNothingIsCancelledWithoutConfiguration guards against running requests that are cancelled
+// although it is not known whether they can be resumed.
+func TestNothingIsCancelledWithoutConfiguration(t *testing.T) {
+	withDomain(t, 2, 1, testLargeBytes, nil, func(d *domain) {
+		is := is.New(d.t)
+		is.True(d.awaitRoutings(30*time.Second) < 30*time.Second)
+		for _, stop := range d.stop {
+			stop()
+		}
+		time.Sleep(5 * time.Second)
+		asked := time.Now()
+		is.True(!d.hosts[0].mayCancelRunning(d.ctx))
+		is.True(time.Since(asked) <= routingCheckTimeout+obtainSlack)
+	})
+}
+
+// obtainSlack is the time that a copy takes to end after its context.
+const obtainSlack = 200 * time.Millisecond
+
 // silentEngine is an engine that does not answer.
 type silentEngine struct{ filbertstile.Engine }
 
