collector, platform: bodies of requests share a part of the memory

Cause: bodies were read into memory without a limit together. The memory that responses share is now a package of its own (collector), and bodies of requests have one of three eighths of the process's memory. What finds none is refused with 503 and Retry-After, and read on, so that its caller is not reset while it sends.

Tests of the shared memory moved from forwarder to collector, with the same checks.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"filbertstile.example/filbertstile/base/collector"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/outside/exchanger"
 )
@@ -189,7 +190,7 @@
 func (a *attemptState) readBody() (piece, error) {
 	var body []byte
 	err := a.await(func() (err error) {
-		body, a.freeBody, err = a.x.forwarder.buffers.read(a.response.Body)
+		body, a.freeBody, err = a.x.forwarder.buffers.Read(collector.Body{Reader: a.response.Body, MaxBytes: maxResponseBytes, Limit: "the limit for a response"})
 		return err
 	})
 	if err == nil && a.response.EndsWithConnection && a.x.brokeOff(a, len(body) > 0) {
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"strconv"
+
+	"filbertstile.example/filbertstile/base/collector"
 )
 
 const (
@@ -16,7 +18,7 @@
 // eventReader splits a text/event-stream into events.
 type eventReader struct {
 	source  io.Reader
-	buffers *buffers
+	buffers *collector.Memory
 	// reserved is the number of bytes that were taken from buffers.
 	reserved int64
 	// buf holds data that was read and not yet returned.
@@ -28,13 +30,13 @@
 }
 
 // newEventReader returns a reader that holds long events in memory of the buffers.
-func newEventReader(source io.Reader, b *buffers) *eventReader {
+func newEventReader(source io.Reader, b *collector.Memory) *eventReader {
 	return &eventReader{source: source, buffers: b, readBuf: make([]byte, 4<<10)}
 }
 
 // close frees the memory of the buffers. The reader must not be used afterwards.
 func (r *eventReader) close() {
-	r.buffers.release(r.reserved)
+	r.buffers.Release(r.reserved)
 	r.reserved = 0
 }
 
@@ -46,18 +48,18 @@
 	}
 }
 
-// reserve takes memory of the buffers for n more bytes, and returns false if there is none.
-func (r *eventReader) reserve(n int) bool {
+// reserve takes memory of the buffers for n more bytes.
+func (r *eventReader) reserve(n int) error {
 	missing := int64(len(r.buf)+n) - smallEventBytes - r.reserved
 	if missing <= 0 {
-		return true
+		return nil
 	}
-	missing = max(missing, bodyStepBytes)
-	if !r.buffers.reserve(r.reserved, missing) {
-		return false
+	missing = max(missing, collector.StepBytes)
+	if err := r.buffers.Reserve(r.reserved, missing); err != nil {
+		return err
 	}
 	r.reserved += missing
-	return true
+	return nil
 }
 
 // next returns the next event, including the empty line at its end. It returns io.EOF if
@@ -76,8 +78,8 @@
 			return nil, ErrTooLong{Limit: "the limit for an event", LimitBytes: maxEventBytes}
 		}
 		n, err := r.source.Read(r.readBuf)
-		if !r.reserve(n) {
-			return nil, ErrTooLong{Limit: "the memory that is left for responses", LimitBytes: r.buffers.limit}
+		if err := r.reserve(n); err != nil {
+			return nil, err
 		}
 		r.buf = append(r.buf, r.readBuf[:n]...)
 		if n > 0 {
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/collector"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/decisions/suspector"
@@ -211,7 +212,7 @@
 type Forwarder struct {
 	config      Config
 	retryBudget *retryBudget
-	buffers     *buffers
+	buffers     *collector.Memory
 	crashes     *crashChecks
 	durations   durations
 	// plannedStop is the planned stop; nil if none has begun. stopBegun ends as it begins, by
