--- a/base/collector/collector.go
+++ b/base/collector/collector.go
@@ -109,16 +109,24 @@
 }
 
 // Read returns the complete body, and a function that must be called once the body is no longer
-// used.
+// used. After an error nothing is held.
 func (m *Memory) Read(b Body) (data []byte, done func(), err error) {
-	reserved := int64(0)
-	done = func() { m.Release(reserved) }
+	data, reserved, err := m.read(b)
+	if err != nil {
+		m.Release(reserved)
+		return nil, func() {}, err
+	}
+	return data, func() { m.Release(reserved) }, nil
+}
+
+// read returns the body, or the error that ended it, and how much memory it holds.
+func (m *Memory) read(b Body) (data []byte, reserved int64, err error) {
 	data = make([]byte, 0, StepBytes)
 	for {
 		if len(data) == cap(data) {
 			step := growth(int64(len(data)), b.Length)
 			if err := m.Reserve(reserved, step); err != nil {
-				return nil, done, err
+				return nil, reserved, err
 			}
 			reserved += step
 			data = append(make([]byte, 0, int64(cap(data))+step), data...)
@@ -127,11 +135,11 @@
 		data = data[:len(data)+n]
 		switch {
 		case int64(len(data)) > b.MaxBytes:
-			return nil, done, ErrTooLong{Limit: b.Limit, LimitBytes: b.MaxBytes}
+			return nil, reserved, ErrTooLong{Limit: b.Limit, LimitBytes: b.MaxBytes}
 		case err == io.EOF:
-			return data, done, nil
+			return data, reserved, nil
 		case err != nil:
-			return nil, done, err
+			return nil, reserved, err
 		}
 	}
 }
--- a/base/collector/collector_test.go
+++ b/base/collector/collector_test.go
@@ -138,6 +138,7 @@
 		var tooLong collector.ErrTooLong
 		is.True(errors.As(err, &tooLong))
 		is.Equal(tooLong.LimitBytes, int64(1<<20))
+		is.Equal(m.Used(), int64(0)) // also before done is called
 		done()
 		is.Equal(m.Used(), int64(0))
 	}
