installer: a load that is ordered again, and accepted late, is checked again

A replica whose load was rejected got no requests any more if the next order was accepted late as well: the doubt about the first order stayed, and the new load was never checked.

Failed before: TestRottenChunksAreNotServed/SuspendedBeforeTwoOrders.

--- a/shells/installer/loading.go
+++ b/shells/installer/loading.go
@@ -67,7 +67,8 @@
 		return nil
 	}
 	i.config.Log.Event(reporter.LoadDoubted, reporter.Fields{"Model": w.Weights.Model, "Version": w.Weights.Version, "ReadAge": age.String(), "Accepted": accepted})
-	if i.doubt == nil || i.doubt.weights != w.Weights {
+	if accepted || i.doubt == nil || i.doubt.weights != w.Weights {
+		// The engine accepts only one order after the same number of orders: no earlier one.
 		i.doubt = &doubt{weights: w.Weights, staging: i.staging, writes: writes}
 	}
 	i.doubt.born, i.doubt.orders, i.doubt.openUntil, i.doubt.reloadAt = r.Born, r.Orders, time.Now().Add(openOrderTime), time.Now().Add(reloadDelay)
--- a/shells/installer/readback_test.go
+++ b/shells/installer/readback_test.go
@@ -82,6 +82,18 @@
 			}
 			return e
 		},
+		"SuspendedBeforeTwoOrders": func() *delayedEngine {
+			e := &delayedEngine{}
+			e.onLoad = func(orders int) {
+				if orders == 0 {
+					e.rot(0)
+				}
+				if orders <= 1 {
+					time.Sleep(4 * time.Second)
+				}
+			}
+			return e
+		},
 		"LateOrderWithoutResponse": func() *delayedEngine {
 			e := &delayedEngine{}
 			e.loseResponse = true
