peerrunner, wire: hosts tell entries the pace that engines report

An engine's report says how much slower than its specification it works. On a deployment with 65 entries and 45 engines, 76 of 83 late responses of the first four seconds ran on the 9 engines that reported 2.5. Hosts send the pace in their heartbeats now, at once when it changes. Entries keep it; nothing uses it yet.

--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -76,6 +76,9 @@
 	Version int64
 	// Loading is true while the replica loads weights.
 	Loading bool
+	// Pace is how much slower than its specification the engine works, as it reports; 0 if it
+	// does not say.
+	Pace float64
 }
 
 // Outcome is how a request at a replica ended.
--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,9 @@
 package filbertstile
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // CallKind says whether a request may run more than once and whether its
 // response is streamed.
@@ -187,4 +190,19 @@
 	Loading bool
 	// Orders is the number of load orders that the engine has started.
 	Orders int64
+	// Pace is how much slower than its specification the engine works, from 1 to MaxPace; 0
+	// if it does not say.
+	Pace float64
+}
+
+// MaxPace is the largest pace that counts. An engine that is so slow is of no use to callers.
+const MaxPace = 20
+
+// ValidPace returns the pace that an engine reports within its limits; 0 if the engine reports
+// none that it may have.
+func ValidPace(pace float64) float64 {
+	if math.IsNaN(pace) || pace <= 0 {
+		return 0
+	}
+	return min(max(pace, 1), MaxPace)
 }
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -267,7 +267,7 @@
 	if r := p.GetReplica(); r != nil {
 		e.placer.SetReplicaLoad(time.Now(), r.GetAddress(), placer.ReplicaLoad{
 			Born: time.UnixMilli(r.GetBorn()), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
-			Version: r.GetVersion(), Loading: r.GetLoading(),
+			Version: r.GetVersion(), Loading: r.GetLoading(), Pace: filbertstile.ValidPace(float64(r.GetPacePercent()) / 100),
 		})
 	}
 }
--- a/shells/peerrunner/heartbeats.go
+++ b/shells/peerrunner/heartbeats.go
@@ -1,6 +1,7 @@
 package peerrunner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -31,7 +32,7 @@
 	if r := p.report.Load(); r != nil {
 		out.Replica = &wire.ReplicaLoad{
 			Address: p.config.EngineAddress, Born: r.Born.UnixMilli(), Running: int32(r.Running), Waiting: int32(r.Waiting),
-			Version: r.Version, Loading: r.Loading || p.draining.Load(),
+			Version: r.Version, Loading: r.Loading || p.draining.Load(), PacePercent: pacePercent(r.Pace),
 		}
 	}
 	for w, digest := range p.weightSource.addedWithin(digestAnnouncePeriod) {
@@ -40,6 +41,9 @@
 	return []pulser.Message{{Pulse: out, To: p.heartbeatTargets()}}
 }
 
+// pacePercent returns the pace in hundredths.
+func pacePercent(pace float64) int32 { return int32(math.Round(pace * 100)) }
+
 // heartbeatTargets returns the entries to send heartbeats to: those whose heartbeats
 // arrive, as only they send requests to this replica, or all if they form only one
 // group.
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -362,10 +362,10 @@
 }
 
 // handleReport records the engine's report, and sends a heartbeat immediately if the
-// version, the loading state or draining has changed.
+// version, the loading state, the pace or draining has changed.
 func (p *Peer) handleReport(r filbertstile.EngineReport, draining bool) {
 	old := p.report.Swap(&r)
-	if p.draining.Swap(draining) != draining || old == nil || old.Loading != r.Loading || old.Version != r.Version {
+	if p.draining.Swap(draining) != draining || old == nil || old.Loading != r.Loading || old.Version != r.Version || pacePercent(old.Pace) != pacePercent(r.Pace) {
 		if old != nil && old.Version != r.Version && r.Version > 0 {
 			p.config.Log.Event(reporter.SwitchDone, reporter.Fields{"Version": r.Version, "From": old.Version, "Born": r.Born.UnixMilli()})
 		}
