edgerunner, sharer: an outage of the store puts off the end of older weights

What callers saw: a version was chosen while the store was away for 8 s. Entries learned of it when the store was back, and counted its time from before the outage, so that no older version might run 2 s later, while the first host had the new one after 5 s: 591 of 636 requests that were owed were refused in two seconds, and most of the next six were refused or late.

The time in which a version must be in use counts only while the store is stable. Entries that read the store say in heartbeats that it does not answer them; when entries of more than half of the domains say so, and the views of more than half of all have expired, the time begins anew. A version that was due before stays due. Entries that are cut off alone, have just started, or have lost their reader do not show an outage.

--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -136,6 +136,9 @@
 	inFlight atomic.Int64
 	// startedAt is the time of New, on the sources' clock.
 	startedAt time.Duration
+	// outageSeenAt is the time, on the sources' clock, at which the store was last seen to be
+	// unavailable to most entries; 0 if it never was.
+	outageSeenAt atomic.Int64
 
 	// division is the division of the system into groups, as of the last refresh.
 	division atomic.Pointer[grouper.Division]
@@ -222,6 +225,7 @@
 	for sleeper.Sleep(ctx, maintenanceInterval) == nil {
 		pauses.check()
 		e.placer.Tick()
+		e.checkOutage()
 		if now := e.placer.Serving(); now != serving {
 			serving = now
 			e.Refresh()
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -108,7 +108,7 @@
 
 // newPulse returns a message with the state of this entry.
 func (e *Edge) newPulse() *wire.Pulse {
-	return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Serving: e.placer.Serving(), TakesRelayed: true}
+	return &wire.Pulse{Leaving: e.leaving.Load(), Current: e.current(), Reader: e.isReader(), Serving: e.placer.Serving(), TakesRelayed: true, StoreSilent: e.storeSilent()}
 }
 
 // splitByRegion splits hosts into those in this entry's region and all others.
--- a/shells/edgerunner/relaying.go
+++ b/shells/edgerunner/relaying.go
@@ -32,7 +32,7 @@
 		}
 		out = append(out, &wire.Pulse{
 			Name: m.Name, Incarnation: p.Pulse.GetIncarnation(), Sequence: p.Pulse.GetSequence(), Leaving: p.Pulse.GetLeaving(), Current: p.Pulse.GetCurrent(),
-			Reader: p.Pulse.GetReader(), Serving: p.Pulse.GetServing(), TakesRelayed: p.Pulse.GetTakesRelayed(), AgeMilliseconds: now.Sub(p.ReceivedAt).Milliseconds(),
+			Reader: p.Pulse.GetReader(), Serving: p.Pulse.GetServing(), TakesRelayed: p.Pulse.GetTakesRelayed(), StoreSilent: p.Pulse.GetStoreSilent(), AgeMilliseconds: now.Sub(p.ReceivedAt).Milliseconds(),
 		})
 	}
 	return out
--- a/shells/edgerunner/versions.go
+++ b/shells/edgerunner/versions.go
@@ -20,6 +20,8 @@
 	chosenAfter time.Duration
 	// reported is true if only other processes have named the version so far.
 	reported bool
+	// due is true once requests must run only on the version or a later one.
+	due bool
 }
 
 // startDelay is the time that a process takes from its start until New.
@@ -158,10 +160,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var out placer.VersionFloor
-	for _, v := range e.chosenVersions[spec.Engine.Model] {
+	for i, v := range e.chosenVersions[spec.Engine.Model] {
 		dueIn := e.dueIn(v)
 		if dueIn <= installer.EntryMargin {
 			out.Version = v.version
+			e.chosenVersions[spec.Engine.Model][i].due = true
 		} else {
 			out.Next = append(out.Next, placer.DueVersion{Version: v.version, At: now.Add(dueIn)})
 		}
@@ -169,9 +172,29 @@
 	return out
 }
 
-// dueIn returns the time until requests must run only on the version or a later one.
+// dueIn returns the time until requests must run only on the version or a later one. The time
+// begins anew after an outage of the store, in which hosts hear of no version and get no weights; a
+// version that was due before stays due.
 func (e *Edge) dueIn(v chosenVersion) time.Duration {
-	return v.chosenAfter + e.config.Bounds.RolloutTimeout - e.config.Clock()
+	if v.due {
+		return 0
+	}
+	from := v.chosenAfter
+	if outage := time.Duration(e.outageSeenAt.Load()); outage != 0 {
+		from = max(from, outage)
+	}
+	return from + e.config.Bounds.RolloutTimeout - e.config.Clock()
+}
+
+// keepDue records which versions are due, so that an outage of the store does not put them off.
+func (e *Edge) keepDue() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, list := range e.chosenVersions {
+		for i, v := range list {
+			list[i].due = e.dueIn(v) <= installer.EntryMargin
+		}
+	}
 }
 
 // learnManifests records the digests of manifests, and reports whether one is new. A new
--- a/shells/sharer/sharer.go
+++ b/shells/sharer/sharer.go
@@ -106,7 +106,9 @@
 	// noReaderSince is since when no peer has been a reader.
 	noReaderSince time.Time
 	reading       bool
-	retryDelay    time.Duration
+	// readingSince is when this process last began to read the store.
+	readingSince time.Time
+	retryDelay   time.Duration
 	// reader is the last result of Reader.
 	reader bool
 	// alone is true if this process knows nobody that it may follow.
@@ -175,6 +177,18 @@
 	return s.reader
 }
 
+// StoreSilent reports whether the store has answered none of this process's calls for the
+// time, although the process reads it and has had answers before.
+func (s *Sharer) StoreSilent(d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.reading || s.receiving || time.Since(s.readingSince) < d {
+		return false
+	}
+	p, _ := s.config.Copies[0].Position()
+	return p.Listed && s.config.Clock()-p.ReadAt >= d
+}
+
 // decide makes one decision and acts on it.
 func (s *Sharer) decide(ctx context.Context, wg *sync.WaitGroup) {
 	now := time.Now()
@@ -282,7 +296,7 @@
 // result of Reader has changed. The caller holds s.mu.
 func (s *Sharer) setReading(reading bool) bool {
 	if reading != s.reading {
-		s.reading = reading
+		s.reading, s.readingSince = reading, time.Now()
 		s.logSource("")
 	}
 	s.applyReading()
