placer, edgerunner: entries use what others leave of the limit of a replica

What callers saw: with 65 entries and 45 engines, late and refused responses beside idle engines. The limit for cold replicas holds at all times, as replicas become cold without warning, and was divided equally among the entries of a group: 1.6 requests a second for each of 7 entries at each of 5 engines. An entry that many callers had chosen used it up, and then had to take whichever engine it had a share left of, or to refuse.

Entries of a group tell one another how many requests they have placed at each replica. One that has used up its share may go on as long as all together, and one more request of each entry, stay within the limit. New replicas, replicas that name a limit, and entries that do not hear the counts of all others keep to equal parts, and so does a system with one group.

--- a/decisions/placer/cold.go
+++ b/decisions/placer/cold.go
@@ -77,7 +77,14 @@
 	entries := float64(n)
 	rate := min(spec.ColdRequestsPerSecond, limit/2) / entries
 	r.refillColdTokens(now, rate, max(1, limit/entries-rate))
-	return r.coldTokens >= 1
+	if !p.sharesColdLimit(now, r) {
+		return r.coldTokens >= 1
+	}
+	unknown := n // one request of each entry, as this one has used up its own share
+	if r.coldTokens >= 1 {
+		unknown = min(n, 2)
+	}
+	return p.withinSharedColdLimit(now, r, limit, unknown)
 }
 
 // senderRank returns the rank of this entry for the replica.
--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -85,6 +85,11 @@
 			delete(p.peerLoads, name)
 		}
 	}
+	for name := range p.peerCounts {
+		if p.peerLoads[name] == nil {
+			delete(p.peerCounts, name)
+		}
+	}
 	p.sumPeerLoads()
 	p.serveQueue(now)
 }
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -76,6 +76,8 @@
 	// peerLoads are the latest loads reported by the other entries, by entry name and
 	// replica hash.
 	peerLoads map[string]map[uint32]EntryLoad
+	// peerCounts are the latest counts of placements by the other entries, by entry name.
+	peerCounts map[string]*peerCounts
 	// placementRates are moving averages of the placements per second, by service.
 	placementRates map[string]float64
 	// placements are the numbers of placements since ratesUpdatedAt, by service.
@@ -94,7 +96,7 @@
 func New(c Config) *Placer {
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), byID: make(map[string]*replicaState), byAddress: make(map[string]*replicaState),
-		byHash: make(map[uint32]*replicaState), placementRates: make(map[string]float64), placements: make(map[string]int), peerLoads: make(map[string]map[uint32]EntryLoad),
+		byHash: make(map[uint32]*replicaState), placementRates: make(map[string]float64), placements: make(map[string]int), peerLoads: make(map[string]map[uint32]EntryLoad), peerCounts: make(map[string]*peerCounts),
 		announced: make(map[string]*announced),
 	}
 }
@@ -197,7 +199,10 @@
 	}
 	r.localRequests++
 	r.localTokens += req.PromptTokens
-	r.coldTokens--
+	if r.coldTokens >= 1 { // a request beyond the entry's share uses none of it
+		r.coldTokens--
+	}
+	r.countPlaced(now)
 	p.takeLimitToken(now, &g)
 	p.countPlacement(now, req.Service)
 	return g
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -138,6 +138,12 @@
 	// coldRefilledAt.
 	coldTokens     float64
 	coldRefilledAt time.Time
+	// placed is this entry's number of placements, and lastPlaced what LocalCounts last returned.
+	placed     uint32
+	lastPlaced uint32
+	// ownPlaced and peerPlaced count the latest placements by this and by the other entries.
+	ownPlaced  rateWindow
+	peerPlaced rateWindow
 	// newUntil is the time until which the replica counts as new.
 	newUntil time.Time
 	// senderRank is the rank of this entry for the replica among Fleet.Senders; negative if it
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -268,6 +268,13 @@
 		}
 		e.placer.SetPeerLoads(time.Now(), p.GetName(), loads, p.GetAllLoads())
 	}
+	if p.GetAllPlaced() || len(p.GetPlaced()) > 0 {
+		placed := make(map[uint32]uint32, len(p.GetPlaced()))
+		for _, c := range p.GetPlaced() {
+			placed[c.GetReplica()] = c.GetCount()
+		}
+		e.placer.SetPeerCounts(time.Now(), p.GetName(), placed, p.GetAllPlaced())
+	}
 	if r := p.GetReplica(); r != nil {
 		e.placer.SetReplicaLoad(time.Now(), r.GetAddress(), placer.ReplicaLoad{
 			Born: time.UnixMilli(r.GetBorn()), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
@@ -299,7 +306,14 @@
 		for id, l := range loads {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens)})
 		}
-		e.pulser.Send(pulser.Message{Pulse: p, To: e.division.Load().LiveGroupPeers})
+		d := e.division.Load()
+		if d.Groups > 1 {
+			p.AllPlaced = all
+			for id, n := range e.placer.LocalCounts(all) {
+				p.Placed = append(p.Placed, &wire.PlacementCount{Replica: placer.HashOf(id), Count: n})
+			}
+		}
+		e.pulser.Send(pulser.Message{Pulse: p, To: d.LiveGroupPeers})
 	}
 }
 
