estimator: pace of an engine from its report and from observations

An engine may be slower than it reports, or be reported by an older build. The new package keeps the latest 16 ratios between what something took at an engine and what the specification explains. A low quantile of those of the last 0.8 s counts from 1.5 on, as gaps between events contain prompts of other requests.

--- /dev/null
+++ b/decisions/estimator/pace.go
@@ -0,0 +1,109 @@
+// Package estimator estimates, from what an entry observes, how fast model engines work and how
+// much work requests are. It holds no clock and does no I/O; its values are not safe for
+// concurrent use.
+package estimator
+
+import (
+	"math"
+	"time"
+
+	"filbertstile.example/filbertstile"
+)
+
+const (
+	// paceSamples is the number of latest observations of an engine that count.
+	paceSamples = 16
+	// paceWindow is the age from which an observation no longer counts, so that an engine
+	// counts as slow or as recovered within about a second.
+	paceWindow = 800 * time.Millisecond
+	// minPaceSamples is the number of observations from which they count. A stream of an
+	// engine that works at a third of its specified pace has as many events in a second.
+	minPaceSamples = 6
+	// paceQuantile is the quantile of the observations that is taken as the pace. It is low,
+	// as the prompts of other requests are read between events; at full load most gaps contain
+	// one.
+	paceQuantile = 0.15
+	// minObservedPace is the pace from which observations count: a busy host makes events late
+	// by a part of their interval.
+	minObservedPace = 1.5
+	// observedPaceTimeout is how long an observed pace counts after the latest observation.
+	observedPaceTimeout = 1500 * time.Millisecond
+	// hugePace is the figure above which a report is taken for an error.
+	hugePace = 1000
+	// minGapRatio is the lowest ratio that counts as an observation: events that were
+	// delayed on the way arrive in quick succession.
+	minGapRatio = 0.5
+)
+
+// paceSample is one observation: how much longer something took than the specification explains.
+type paceSample struct {
+	at    time.Time
+	ratio float32
+}
+
+// Pace estimates how much slower than its specification an engine works, from observations and
+// from the engine's report. The zero value and nil have no observations.
+type Pace struct {
+	samples [paceSamples]paceSample
+	next    int
+	// seen is the pace by the observations up to seenAt; 0 if there are too few.
+	seen   float64
+	seenAt time.Time
+}
+
+// Observe records that something took the given time for which the specification explains the
+// expected one. Figures that make no sense are ignored.
+func (p *Pace) Observe(now time.Time, took, expected time.Duration) {
+	if expected <= 0 || took <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(expected)
+	if ratio < minGapRatio {
+		return
+	}
+	p.samples[p.next] = paceSample{at: now, ratio: float32(min(ratio, filbertstile.MaxPace))}
+	p.next = (p.next + 1) % paceSamples
+	p.update(now)
+}
+
+// update works out the pace by the observations within paceWindow.
+func (p *Pace) update(now time.Time) {
+	var sorted [paceSamples]float32
+	n := 0
+	for _, s := range p.samples {
+		if s.at.IsZero() || now.Sub(s.at) > paceWindow {
+			continue
+		}
+		i := n
+		for ; i > 0 && sorted[i-1] > s.ratio; i-- {
+			sorted[i] = sorted[i-1]
+		}
+		sorted[i] = s.ratio
+		n++
+	}
+	if n >= minPaceSamples {
+		p.seen, p.seenAt = float64(sorted[int(paceQuantile*float64(n))]), now
+	}
+}
+
+// Seen returns the pace by the observations; 0 if there are too few recent ones.
+func (p *Pace) Seen(now time.Time) float64 {
+	if p == nil || p.seen == 0 || now.Sub(p.seenAt) > observedPaceTimeout {
+		return 0
+	}
+	return p.seen
+}
+
+// Used returns the pace that counts, from 1 to filbertstile.MaxPace, given the latest report of
+// the engine, which is 0 if there is none. An engine is never faster than it says, and not much
+// faster than it is seen to be.
+func (p *Pace) Used(now time.Time, reported float64) float64 {
+	if math.IsNaN(reported) || reported < 1 || reported > hugePace {
+		reported = 1
+	}
+	out := min(reported, filbertstile.MaxPace)
+	if seen := p.Seen(now); seen >= minObservedPace {
+		out = max(out, seen)
+	}
+	return out
+}
