placer, edgerunner, forwarder: admission by priority for services with different priorities

The placer now asks the admitter for services whose routes have more than one priority, and places, queues and refuses all other requests as before.

The wait in the queue follows from the target latency and the expected time to the first event. Late responses were requests that queued in engines, as all entries used a slot that became free; so an entry beyond its share of a replica's slots leaves some free to the others.

--- /dev/null
+++ b/decisions/placer/admission.go
@@ -0,0 +1,258 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"filbertstile.example/filbertstile/decisions/admitter"
+)
+
+const (
+	// noRoomShare is the share of the arrivals of a class below which no room for it is in
+	// sight.
+	noRoomShare = 0.05
+	// slotsLeftToOthers is the number of free slots of a replica that an entry beyond its quota
+	// leaves to the others, and slotsLeftByUrgent that for the most urgent requests. In the
+	// model, with one slot fewer twice as many responses are late, as requests queue in the
+	// engine.
+	slotsLeftToOthers = 3
+	slotsLeftByUrgent = 2
+	// urgentRank is the rank of the most urgent requests, and of those that the floor of their
+	// route admits.
+	urgentRank = 0
+	// maxRetryWindow bounds the time over which retries are spread.
+	maxRetryWindow = 20 * time.Second
+)
+
+// admission is the admission by priority to one service.
+type admission struct {
+	admitter *admitter.Admitter
+	// view is the view of the engines at viewedAt, less the slots that were taken since.
+	view admitter.View
+}
+
+// ticket is the admission of one request.
+type ticket struct {
+	class admitter.Class
+	// byCredit is true if the floor of the route admits the request.
+	byCredit bool
+	// settled is true after the outcome has been recorded.
+	settled bool
+}
+
+// rank returns the place of the request in the order of the queue; a lower one is served
+// first.
+func (req Request) rank() int {
+	switch {
+	case req.ticket == nil:
+		return admitter.Class{Priority: req.Priority}.Rank()
+	case req.ticket.byCredit:
+		return urgentRank
+	}
+	return req.ticket.class.Rank()
+}
+
+// setAdmissions starts the admission by priority to the services that need it, and ends it for
+// the others. The caller must hold p.mu.
+func (p *Placer) setAdmissions(f Fleet) {
+	for service, priorities := range f.Priorities {
+		spec, _ := f.Pools.Get(service)
+		if len(priorities) < 2 || spec.Engine == nil {
+			delete(p.admissions, service)
+		} else if p.admissions[service] == nil {
+			p.admissions[service] = &admission{admitter: admitter.New()}
+		}
+	}
+	for service := range p.admissions {
+		if _, ok := f.Priorities[service]; !ok {
+			delete(p.admissions, service)
+		}
+	}
+}
+
+// arrive records the arrival of the request if its service has admission by priority, and
+// gives it a ticket. A request that is sent again has been admitted before: it is neither
+// counted nor held back.
+func (p *Placer) arrive(now time.Time, req *Request) {
+	a := p.admissions[req.Service]
+	if a == nil || len(req.Tried) > 0 {
+		return
+	}
+	req.ticket = &ticket{class: a.admitter.Arrived(now, req.Route, req.Priority, req.Waited > req.TargetLatency)}
+	p.updateView(now, *req)
+}
+
+// updateView brings the view for the request up to date.
+func (p *Placer) updateView(now time.Time, req Request) {
+	if a := p.admissions[req.Service]; a != nil && req.ticket != nil {
+		a.view = p.viewOf(now, req)
+	}
+}
+
+// viewOf returns the view of the engines that may run the request.
+func (p *Placer) viewOf(now time.Time, req Request) admitter.View {
+	out := admitter.View{Entries: max(1, p.fleet.Entries)}
+	if p.fleet.GroupReplicas != nil {
+		out.Entries = max(1, p.fleet.GroupEntries)
+	}
+	for r := range p.ofGroups(req.Service, false) {
+		if !p.eligible(now, req, r) {
+			continue
+		}
+		slots, inFlight := max(1, r.replica.Slots), r.inFlight(now)
+		out.Slots += slots
+		out.InFlight += inFlight
+		if !now.Before(r.cooldownUntil) {
+			out.Free += max(0, slots-inFlight)
+		}
+	}
+	return out
+}
+
+// admits reports whether the request may use a free slot now. The view must be up to date.
+func (p *Placer) admits(now time.Time, req Request) bool {
+	a := p.admissions[req.Service]
+	if a == nil || req.ticket == nil || req.ticket.byCredit || a.view.Slots == 0 {
+		return true
+	}
+	return a.admitter.Admits(now, req.ticket.class, a.view)
+}
+
+// chooseAdmitted is like choose, unless slots are held for more urgent requests. What is held
+// back may be admitted by the floor of its route.
+func (p *Placer) chooseAdmitted(now time.Time, req Request, maxLatency time.Duration) (best *replicaState, anyEligible bool) {
+	if !p.admits(now, req) && !p.takeCredit(req) {
+		return nil, true
+	}
+	if best, anyEligible = p.choose(now, req, maxLatency); best == nil && anyEligible {
+		p.takeCredit(req)
+	}
+	return best, anyEligible
+}
+
+func (p *Placer) takeCredit(req Request) bool {
+	a := p.admissions[req.Service]
+	if a == nil || req.ticket == nil || req.ticket.settled {
+		return false
+	}
+	if !req.ticket.byCredit {
+		req.ticket.byCredit = a.admitter.TakeCredit(req.ticket.class, req.Route)
+	}
+	return req.ticket.byCredit
+}
+
+// admitted records that the request got a slot.
+func (p *Placer) admitted(req Request) {
+	a := p.admissions[req.Service]
+	if a == nil {
+		return
+	}
+	a.view.Free--
+	a.view.InFlight++
+	if t := req.ticket; t != nil && !t.settled {
+		t.settled = true
+		a.admitter.Placed(t.class, req.Route, t.byCredit)
+	}
+}
+
+// notAdmitted records that the request got no slot.
+func (p *Placer) notAdmitted(req Request) {
+	a, t := p.admissions[req.Service], req.ticket
+	if a == nil || t == nil || t.settled {
+		return
+	}
+	t.settled = true
+	a.admitter.Refused(t.class, req.Route, t.byCredit)
+}
+
+// updateViews brings the views up to date for the queued requests.
+func (p *Placer) updateViews(now time.Time) {
+	if len(p.admissions) == 0 {
+		return
+	}
+	var done []string
+	for _, w := range p.queue {
+		if a := p.admissions[w.request.Service]; a != nil && !slices.Contains(done, w.request.Service) {
+			req := w.request
+			req.Tried = nil
+			a.view = p.viewOf(now, req)
+			done = append(done, w.request.Service)
+		}
+	}
+}
+
+// checkRoom returns an error if the reserve holds the request back and the slots that become
+// free are not enough to admit it before its queue timeout.
+func (p *Placer) checkRoom(now time.Time, req Request) error {
+	a, t := p.admissions[req.Service], req.ticket
+	if a == nil || t == nil || t.byCredit {
+		return nil
+	}
+	reserve := a.admitter.Reserve(now, t.class, a.view)
+	left := req.Arrived.Add(p.queueTimeout(now, req)).Sub(now).Seconds()
+	if ahead := p.queuedAhead(req); reserve > 0 && a.admitter.RoomRate(now, t.class, a.view)*left < float64(ahead+1) {
+		return p.rejection(now, req, fmt.Sprintf("held for more urgent requests: free %d, reserve %d", a.view.Free, reserve), true)
+	}
+	return nil
+}
+
+// admissionDelay returns the retry delay of a request that was refused: spread over the time
+// in which room for its class is expected, or the longest that callers may wait if none is in
+// sight.
+func (p *Placer) admissionDelay(now time.Time, req Request) (time.Duration, bool) {
+	a, t := p.admissions[req.Service], req.ticket
+	if a == nil || t == nil {
+		return 0, false
+	}
+	share := a.admitter.RoomShare(now, t.class, a.view)
+	if share < noRoomShare {
+		return maxRetryWindow, true
+	}
+	window := min(maxRetryWindow, time.Duration(float64(maxRetryAfter-minRetryAfter)/share))
+	return minRetryAfter + time.Duration(p.rng.Int64N(int64(window))), true
+}
+
+// expectedStart returns the expected time to the first event of the request at the engine that
+// is about to begin it: it has one slot free.
+func (p *Placer) expectedStart(now time.Time, req Request) time.Duration {
+	spec := p.engine(req.Service)
+	out := time.Duration(-1)
+	for r := range p.ofGroups(req.Service, false) {
+		if spec == nil || !p.eligible(now, req, r) {
+			continue
+		}
+		if d := r.timeToFirstEvent(*spec, max(1, r.replica.Slots)-1, req.PromptTokens); out < 0 || d < out {
+			out = d
+		}
+	}
+	return max(0, out)
+}
+
+// quota returns the number of the replica's slots that belong to this entry: the slots are
+// divided among the entries of the group, in the order of a hash that all compute alike.
+func (p *Placer) quota(r *replicaState) int {
+	slots, entries := max(1, r.replica.Slots), len(p.peerNames)+1
+	out := slots / entries
+	if p.rankAmong(p.peerNames, r.replica.ID) < slots%entries {
+		out++
+	}
+	return out
+}
+
+// mayUseSlot reports whether the request may use a free slot of the replica although other
+// entries may be about to. With admission by priority, replicas are full for long while all
+// entries have requests in the queue, and each slot that becomes free would get a request from
+// every entry that sees it. So an entry that has used up its quota leaves some free slots to
+// the others.
+func (p *Placer) mayUseSlot(req Request, r *replicaState, inFlight int) bool {
+	a := p.admissions[req.Service]
+	if a == nil {
+		return true
+	}
+	slots, left := max(1, r.replica.Slots), slotsLeftToOthers
+	if req.rank() <= urgentRank {
+		left = slotsLeftByUrgent
+	}
+	return slots-inFlight > min(left, slots/4) || r.localRequests < p.quota(r)
+}
--- /dev/null
+++ b/decisions/placer/admission_test.go
@@ -0,0 +1,101 @@
+package placer_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile/decisions/placer"
+)
+
+// prioritized returns a request of the route, with a target latency that leaves time to queue.
+func prioritized(route string, priority int) placer.Request {
+	req := request(100)
+	req.Route, req.Priority, req.TargetLatency = route, priority, time.Second
+	return req
+}
+
+// withPrioritized is like withPlacer, with 14 engines for routes of the priorities.
+func withPrioritized(t *testing.T, priorities []int, f func(ctx context.Context, is *is.I, p *placer.Placer)) {
+	t.Helper()
+	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		x := fleet(14, 12, 1, 0)
+		x.Priorities = map[string][]int{model: priorities}
+		p.SetFleet(time.Now(), x)
+		f(ctx, is, p)
+	})
+}
+
+// fill places requests of the route until n slots are free.
+func fill(ctx context.Context, is *is.I, p *placer.Placer, route string, priority, n int) {
+	is.Helper()
+	for range 14*12 - n {
+		_, err := p.Acquire(ctx, prioritized(route, priority))
+		is.NoErr(err)
+	}
+}
+
+// If the free slots are fewer than urgent requests are expected to need, others must be refused
+// at once, with the figures, but for the floor of their route. Urgent requests must get the slots.
+func TestSlotsAreHeldForUrgentRequests(t *testing.T) {
+	withPrioritized(t, []int{0, 2}, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		fill(ctx, is, p, "urgent", 0, 10)
+		started, admitted := time.Now(), 0
+		for range 10 {
+			req := prioritized("batch", 2)
+			req.TargetLatency = 400 * time.Millisecond
+			_, err := p.Acquire(ctx, req)
+			var rejected placer.ErrRejected
+			if err == nil {
+				admitted++
+				continue
+			}
+			is.True(errors.As(err, &rejected))
+			is.True(strings.HasPrefix(rejected.Reason, "held for more urgent requests: free "))
+			is.True(rejected.AnyEligible)
+			is.True(rejected.RetryAfter > 0 && rejected.RetryAfter <= 2*time.Second) // a third of the time left
+		}
+		is.Equal(time.Since(started), time.Duration(0))
+		is.True(admitted >= 3 && admitted <= 4) // the floor's share
+		for range 10 - admitted {
+			_, err := p.Acquire(ctx, prioritized("urgent", 0))
+			is.NoErr(err)
+		}
+		is.Equal(p.Admissions(time.Now())[0].View.Free, 0)
+	})
+}
+
+// Without routes of different priorities, requests must be placed in any free slot.
+func TestNothingIsHeldForOnePriority(t *testing.T) {
+	withPrioritized(t, []int{1}, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		fill(ctx, is, p, "urgent", 0, 10)
+		for range 10 {
+			_, err := p.Acquire(ctx, prioritized("batch", 2))
+			is.NoErr(err)
+		}
+		is.Equal(len(p.Admissions(time.Now())), 0)
+	})
+}
+
+// A queued request must leave the queue when its response can no longer begin in time, not after
+// a share of its target latency, which lets a long target outlast an urgent one.
+func TestQueueTimeoutFollowsFromTarget(t *testing.T) {
+	withPrioritized(t, []int{0, 2}, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		fill(ctx, is, p, "urgent", 0, 0)
+		started := time.Now()
+		_, err := p.Acquire(ctx, prioritized("urgent", 0))
+		is.True(err != nil)
+		waited := time.Since(started)
+		is.True(waited > 600*time.Millisecond && waited < 800*time.Millisecond) // some 250 ms before the target
+		started = time.Now()
+		req := prioritized("urgent", 0)
+		req.TargetLatency = 200 * time.Millisecond
+		_, err = p.Acquire(ctx, req)
+		is.True(err != nil)
+		is.Equal(time.Since(started), time.Duration(0)) // nothing that ends could start it in time
+	})
+}
--- a/decisions/placer/dump.go
+++ b/decisions/placer/dump.go
@@ -1,9 +1,12 @@
 package placer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/decisions/admitter"
 )
 
 // State is the state of a replica in a dump.
@@ -31,6 +34,27 @@
 	Limit Limit
 }
 
+// AdmissionState is the state of the admission by priority to a service in a dump.
+type AdmissionState struct {
+	Service string
+	// View is what the entry knows of the engines of its group.
+	View admitter.View
+	// Classes are the figures of the classes of requests, in order of urgency.
+	Classes []admitter.Stats
+}
+
+// Admissions returns the states of the admissions by priority, in order of the service.
+func (p *Placer) Admissions(now time.Time) []AdmissionState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []AdmissionState
+	for _, service := range slices.Sorted(maps.Keys(p.admissions)) {
+		v := p.viewOf(now, Request{Service: service})
+		out = append(out, AdmissionState{Service: service, View: v, Classes: p.admissions[service].admitter.Stats(now, v)})
+	}
+	return out
+}
+
 // Dump returns the states of all replicas and the length of the queue.
 func (p *Placer) Dump(now time.Time) ([]State, int) {
 	p.mu.Lock()
--- a/decisions/placer/fleet.go
+++ b/decisions/placer/fleet.go
@@ -22,6 +22,9 @@
 	GroupReplicas map[string]bool
 	// GroupEntries is the number of entries in the group, including this one.
 	GroupEntries int
+	// Priorities lists the priorities of the routes to a service, without repeats. Admission by
+	// priority is active for model engines with more than one.
+	Priorities map[string][]int
 	// Senders are the names of the entries that share the limits that replicas name, this one
 	// included unless it stops; empty means only this one.
 	Senders []string
--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -80,6 +80,10 @@
 func (p *Placer) RetainPeers(now time.Time, entries []filbertstile.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.peerNames = p.peerNames[:0]
+	for _, m := range entries {
+		p.peerNames = append(p.peerNames, m.Name)
+	}
 	for name := range p.peerLoads {
 		if !slices.ContainsFunc(entries, func(m filbertstile.Member) bool { return m.Name == name }) {
 			delete(p.peerLoads, name)
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -56,7 +56,9 @@
 type queuedRequest struct {
 	request  Request
 	queuedAt time.Time
-	grant    chan Grant
+	// leaveAt is the time at which it leaves the queue.
+	leaveAt time.Time
+	grant   chan Grant
 	// hopeless receives a value if no replica is eligible any more.
 	hopeless chan struct{}
 }
@@ -76,6 +78,8 @@
 	// peerLoads are the latest loads reported by the other entries, by entry name and
 	// replica hash.
 	peerLoads map[string]map[uint32]EntryLoad
+	// peerNames are the names of the live entries that report their loads.
+	peerNames []string
 	// placementRates are moving averages of the placements per second, by service.
 	placementRates map[string]float64
 	// placements are the numbers of placements since ratesUpdatedAt, by service.
@@ -86,6 +90,8 @@
 	// tokenDueAt is the time at which the queue is served for a limited replica; zero if no
 	// such time is set.
 	tokenDueAt time.Time
+	// admissions are the admissions by priority, by service.
+	admissions map[string]*admission
 	// requestedAt is the time of the latest request.
 	requestedAt time.Time
 }
@@ -95,7 +101,7 @@
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), byID: make(map[string]*replicaState), byAddress: make(map[string]*replicaState),
 		byHash: make(map[uint32]*replicaState), placementRates: make(map[string]float64), placements: make(map[string]int), peerLoads: make(map[string]map[uint32]EntryLoad),
-		announced: make(map[string]*announced),
+		announced: make(map[string]*announced), admissions: make(map[string]*admission),
 	}
 }
 
@@ -131,6 +137,7 @@
 		byService[x.Service].add(r)
 	}
 	p.fleet, p.byID, p.byAddress, p.byHash, p.byService = f, byID, byAddress, byHash, byService
+	p.setAdmissions(f)
 	p.retainAnnouncements(now)
 	p.divideLimits(now)
 	p.sumPeerLoads()
@@ -157,7 +164,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	p.requestedAt = now
-	best, anyEligible := p.choose(now, req, latencyBudget(now, req))
+	p.arrive(now, &req)
+	best, anyEligible := p.chooseAdmitted(now, req, latencyBudget(now, req))
 	if best != nil {
 		g := p.place(now, best, req)
 		p.mu.Unlock()
@@ -167,11 +175,12 @@
 		p.mu.Unlock()
 		return Grant{}, err
 	}
-	w := &queuedRequest{request: req, queuedAt: now, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
+	leaveAt := req.Arrived.Add(p.queueTimeout(now, req))
+	w := &queuedRequest{request: req, queuedAt: now, leaveAt: leaveAt, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
 	p.enqueue(w)
 	p.serveQueueAtToken(now)
 	p.mu.Unlock()
-	timer := time.NewTimer(req.Arrived.Add(queueTimeout(req)).Sub(now))
+	timer := time.NewTimer(leaveAt.Sub(now))
 	defer timer.Stop()
 	select {
 	case g := <-w.grant:
@@ -184,7 +193,7 @@
 }
 
 func (p *Placer) place(now time.Time, r *replicaState, req Request) Grant {
-	g := Grant{Replica: r.replica, InFlight: r.inFlight(now), PendingTokens: r.pendingTokens(), promptTokens: req.PromptTokens}
+	g := Grant{Replica: r.replica, InFlight: r.inFlight(now), PendingTokens: r.pendingTokens(), promptTokens: req.PromptTokens, placedAt: now}
 	if req.VersionFloor.Version > 0 && !r.hasFreshLoad(now) {
 		g.ExpectedVersion = r.replica.Version
 	}
@@ -200,6 +209,7 @@
 	r.coldTokens--
 	p.takeLimitToken(now, &g)
 	p.countPlacement(now, req.Service)
+	p.admitted(req)
 	return g
 }
 
@@ -276,6 +286,9 @@
 		return time.Time{}
 	}
 	p.promptRead(g)
+	if a := p.admissions[g.Replica.Service]; a != nil && o == Completed {
+		a.admitter.Ended(now.Sub(g.placedAt))
+	}
 	if o == Abandoned && g.sent && !g.answered {
 		r.unanswered++
 	}
@@ -287,9 +300,13 @@
 // serveQueue places queued requests in order. A request for which no replica is free
 // does not block later ones, as these may be for other services or regions.
 func (p *Placer) serveQueue(now time.Time) {
+	p.updateViews(now)
 	kept := p.queue[:0]
 	for _, w := range p.queue {
-		best, _ := p.choose(now, w.request, latencyBudget(now, w.request))
+		var best *replicaState
+		if p.admits(now, w.request) {
+			best, _ = p.choose(now, w.request, latencyBudget(now, w.request))
+		}
 		if best == nil {
 			kept = append(kept, w)
 			continue
--- a/decisions/placer/queue.go
+++ b/decisions/placer/queue.go
@@ -6,9 +6,14 @@
 )
 
 // queueTimeout returns how long after its arrival the request may leave the queue and
-// still get its response in time.
-func queueTimeout(req Request) time.Duration {
+// still get its response in time. With admission by priority, routes with a long target latency
+// must not outlast more urgent ones with a short one only because of it, so that the time
+// follows from the expected time to the first event.
+func (p *Placer) queueTimeout(now time.Time, req Request) time.Duration {
 	out := time.Duration(float64(req.TargetLatency) * queueTimeoutShare)
+	if req.ticket != nil {
+		out = max(0, req.TargetLatency-networkMargin-p.expectedStart(now, req))
+	}
 	if half := req.Deadline.Sub(req.Arrived) / 2; half < out {
 		return half
 	}
@@ -43,32 +48,37 @@
 	default:
 	}
 	if ctx.Err() != nil {
+		p.notAdmitted(w.request)
 		return Grant{}, ctx.Err()
 	}
 	now := time.Now()
-	best, anyEligible := p.choose(now, w.request, 0)
+	p.updateView(now, w.request)
+	best, anyEligible := p.chooseAdmitted(now, w.request, 0)
 	if best != nil {
 		g := p.place(now, best, w.request)
 		g.Waited = now.Sub(w.queuedAt)
 		return g, nil
 	}
-	return Grant{}, p.rejection(w.request, "queue timeout exceeded", anyEligible)
+	return Grant{}, p.rejection(now, w.request, "queue timeout exceeded", anyEligible)
 }
 
 // checkQueueable returns an error if the request should not be queued: if its queue
 // timeout has passed, if no replica is eligible, or if the requests ahead of it take
 // longer to place than its queue timeout.
 func (p *Placer) checkQueueable(now time.Time, req Request, anyEligible bool) error {
-	if !now.Before(req.Arrived.Add(queueTimeout(req))) {
-		return p.rejection(req, "no free replica, and queue timeout exceeded", anyEligible)
+	if err := p.checkRoom(now, req); err != nil {
+		return err
+	}
+	if !now.Before(req.Arrived.Add(p.queueTimeout(now, req))) {
+		return p.rejection(now, req, "no free replica, and queue timeout exceeded", anyEligible)
 	}
 	if !anyEligible && !p.limitsServe(now, req, p.queuedAhead(req)+1) {
-		return p.rejection(req, "no eligible replica", anyEligible)
+		return p.rejection(now, req, "no eligible replica", anyEligible)
 	}
 	rate := p.placementRates[req.Service]
 	ahead := p.queuedAhead(req)
-	if ahead > 0 && rate > 0 && float64(ahead)/rate > (queueTimeout(req)-now.Sub(req.Arrived)).Seconds() {
-		return p.rejection(req, "queue too long for the queue timeout", anyEligible)
+	if ahead > 0 && rate > 0 && float64(ahead)/rate > (p.queueTimeout(now, req)-now.Sub(req.Arrived)).Seconds() {
+		return p.rejection(now, req, "queue too long for the queue timeout", anyEligible)
 	}
 	return nil
 }
@@ -76,7 +86,7 @@
 func (p *Placer) queuedAhead(req Request) int {
 	n := 0
 	for _, w := range p.queue {
-		if w.request.Service == req.Service && w.request.Priority <= req.Priority {
+		if w.request.Service == req.Service && w.request.rank() <= req.rank() {
 			n++
 		}
 	}
@@ -85,9 +95,13 @@
 
 // rejection returns an ErrRejected with a random retry delay, so that the retries of
 // callers spread over the time in which slots become free.
-func (p *Placer) rejection(req Request, reason string, anyEligible bool) error {
+func (p *Placer) rejection(now time.Time, req Request, reason string, anyEligible bool) error {
 	after := minRetryAfter + time.Duration(p.rng.Int64N(int64(maxRetryAfter-minRetryAfter)))
-	if now := time.Now(); !anyEligible {
+	if delay, ok := p.admissionDelay(now, req); ok {
+		after = delay
+	}
+	p.notAdmitted(req)
+	if !anyEligible {
 		if end := p.pauseEnd(now, req); !end.IsZero() {
 			reason, anyEligible = "all eligible replicas have asked for a pause", true
 			after = end.Sub(now) + time.Duration(p.rng.Int64N(int64(pauseEndSpread)))
@@ -103,10 +117,10 @@
 	return ErrRejected{Step: "place request", Reason: reason, RetryAfter: max(0, after), QueueLength: len(p.queue), AnyEligible: anyEligible}
 }
 
-// enqueue keeps the queue ordered by priority, then by arrival.
+// enqueue keeps the queue ordered by rank, then by arrival.
 func (p *Placer) enqueue(w *queuedRequest) {
 	i := len(p.queue)
-	for i > 0 && p.queue[i-1].request.Priority > w.request.Priority {
+	for i > 0 && p.queue[i-1].request.rank() > w.request.rank() {
 		i--
 	}
 	p.queue = append(p.queue, nil)
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -11,6 +11,12 @@
 	Service string
 	// Regions lists the regions that may serve the request; empty means all.
 	Regions []string
+	// Route is the name of the route, for the share of its requests that is served whatever
+	// their priority.
+	Route string
+	// Waited is the time for which the caller had waited before the request arrived, in earlier
+	// requests that were refused.
+	Waited time.Duration
 	// Priority orders requests; 0 is the highest priority.
 	Priority int
 	// VersionFloor is the minimum version of the weights.
@@ -30,6 +36,9 @@
 	// PreferIdle asks for the replica with the fewest requests in flight, as the request may
 	// crash it.
 	PreferIdle bool
+
+	// ticket is the admission of the request; nil if its service has no admission by priority.
+	ticket *ticket
 }
 
 // Grant is the permission to send a request to a replica. The holder must call
@@ -63,6 +72,8 @@
 	answered bool
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
+	// placedAt is the time at which the request was placed.
+	placedAt time.Time
 }
 
 // ErrRejected reports that a request gets no replica.
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -285,6 +285,9 @@
 		if inFlight >= max(1, r.replica.Slots) || !p.withinColdLimit(now, r) {
 			continue
 		}
+		if !p.mayUseSlot(req, r, inFlight) {
+			continue
+		}
 		if maxLatency == 0 && inFlight > r.replica.Slots/2 {
 			continue
 		}
--- a/shells/edgerunner/dump.go
+++ b/shells/edgerunner/dump.go
@@ -43,6 +43,8 @@
 	// Waiting is the number of queued requests.
 	Waiting  int
 	Replicas []placer.State
+	// Admissions are the admissions by priority to services.
+	Admissions []placer.AdmissionState
 	// Suspects are the parts of prompts and the requests that are suspected of crashing
 	// replicas.
 	Suspects []Suspect
@@ -81,6 +83,7 @@
 		d.Config = m.Routing().Version
 	}
 	d.Replicas, d.Waiting = e.placer.Dump(time.Now())
+	d.Admissions = e.placer.Admissions(time.Now())
 	for _, x := range e.suspector.Dump(time.Now()) {
 		suspect := Suspect{State: x.State, Crashes: x.Crashes, Age: x.Age.String(), InTrial: x.InTrial}
 		if suspector.IsRequest(x.Key) {
--- a/shells/edgerunner/refreshing.go
+++ b/shells/edgerunner/refreshing.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/decisions/placer"
@@ -69,6 +71,7 @@
 	e.placer.SetFleet(now, placer.Fleet{
 		Replicas: replicas.Rows, Pools: routing.Pools, OutOfService: outOfService, Regions: e.config.Regions, Entries: entries,
 		GroupReplicas: d.GroupReplicas, GroupEntries: groupEntries, Senders: e.senderNames(d),
+		Priorities: prioritiesOf(routing),
 	})
 	e.replicasKnown.Store(replicas.Listed)
 	e.forwarder.SetEntryCount(entries)
@@ -78,3 +81,16 @@
 		"Groups": d.Groups, "Group": d.Group, "Near": len(d.LiveGroupPeers), "Own": len(d.GroupReplicas),
 	}
 }
+
+// prioritiesOf returns the priorities of the routes to each service, without repeats.
+func prioritiesOf(routing filbertstile.Routing) map[string][]int {
+	out := make(map[string][]int)
+	for _, r := range routing.Routes.All() {
+		for _, t := range r.Targets {
+			if !slices.Contains(out[t.Service], r.Priority) {
+				out[t.Service] = append(out[t.Service], r.Priority)
+			}
+		}
+	}
+	return out
+}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -349,7 +349,7 @@
 		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, Tried: x.tried,
 		Arrived: x.call.Arrived, TargetLatency: x.call.Route.TargetLatency, Deadline: x.call.Limit(), PromptTokens: x.call.PromptTokens,
 		VersionFloor: x.forwarder.config.VersionFloor(x.call.Service), PreferIdle: x.onTrial || x.crashes > 0,
-		Repeatable: x.call.Route.Retryable(),
+		Repeatable: x.call.Route.Retryable(), Route: x.call.Route.Name, Waited: x.call.waited(),
 	}
 	if x.sends > 0 {
 		// The target latency of a retry starts anew, as the request may have used it up
--- a/shells/forwarder/limit.go
+++ b/shells/forwarder/limit.go
@@ -58,6 +58,15 @@
 	return limit, limitRoute
 }
 
+// waited returns how long the caller had waited before the request arrived, by the time that it
+// has left of what the route allows; 0 if it resumes a stream, which had begun.
+func (c *Call) waited() time.Duration {
+	if c.CallerDeadline.IsZero() || c.Route.Timeout <= 0 || c.LastEventID > 0 {
+		return 0
+	}
+	return max(0, c.Route.Timeout-c.CallerDeadline.Sub(c.Arrived))
+}
+
 // replicaDeadline returns the time until which replicas may work.
 func (c *Call) replicaDeadline() time.Time {
 	if !c.ReplicaDeadline.IsZero() {
