placer, admitter: urgent requests use slots of other entries while several are free

Of the most urgent requests, 1 in 12 was refused at the limit of the engines, although slots were free: those belonged to the quotas of other entries. If every other replica has a free slot, few entries choose the same one, so that an entry may then use it whose turn it is by the order of the replica.

The reserve covers only requests of other entries: those of the own entry wait in the same queue, and go first. An entry that is alone has no reserve.

--- a/decisions/admitter/admitter.go
+++ b/decisions/admitter/admitter.go
@@ -65,6 +65,8 @@
 
 // View is what the entry knows of the engines of its group that are eligible.
 type View struct {
+	// Replicas is the number of engines.
+	Replicas int
 	// Slots is the number of slots, and Free the number of those that can be used now.
 	Slots int
 	Free  int
@@ -169,15 +171,19 @@
 // flight and the time for which each holds its slot.
 func (a *Admitter) endRate(v View) float64 { return float64(v.InFlight) / a.holdTime }
 
-// Reserve returns the number of free slots that the class must leave to more urgent ones: what
-// they need beyond the slots that become free meanwhile, and a margin for its variation.
+// Reserve returns the number of free slots that the class must leave to more urgent ones of
+// other entries: what they need beyond the slots that become free meanwhile, and a margin for its
+// variation.
 func (a *Admitter) Reserve(now time.Time, c Class, v View) int {
-	urgent := a.urgentRate(now, c) * float64(max(1, v.Entries))
-	if urgent == 0 {
+	own := a.urgentRate(now, c)
+	urgent := own * float64(max(1, v.Entries))
+	// Requests of this entry do not need slots that are free in advance: they wait in the same
+	// queue, and go first.
+	others := (urgent - own) * reserveHorizon.Seconds()
+	if others == 0 {
 		return 0
 	}
-	horizon := reserveHorizon.Seconds()
-	out := max(0, (urgent-a.endRate(v))*horizon) + reserveMargin*math.Sqrt(urgent*horizon)
+	out := max(0, (urgent-a.endRate(v))*reserveHorizon.Seconds()) + reserveMargin*math.Sqrt(others)
 	return int(min(math.Ceil(out), maxReserveShare*float64(v.Slots)))
 }
 
--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -13,11 +13,14 @@
 	// sight.
 	noRoomShare = 0.05
 	// slotsLeftToOthers is the number of free slots of a replica that an entry beyond its quota
-	// leaves to the others, and slotsLeftByUrgent that for the most urgent requests. In the
-	// model, with one slot fewer twice as many responses are late, as requests queue in the
-	// engine.
+	// leaves to the others. In the model, with one slot fewer twice as many responses are late,
+	// as requests queue in the engine.
 	slotsLeftToOthers = 3
+	// slotsLeftByUrgent is that number for the most urgent requests, and slotsLeftInTurn that
+	// for the half of the entries whose turn it is at the replica, while there is a free slot
+	// for every other replica: then few choose the same one.
 	slotsLeftByUrgent = 2
+	slotsLeftInTurn   = 1
 	// urgentRank is the rank of the most urgent requests, and of those that the floor of their
 	// route admits.
 	urgentRank = 0
@@ -101,6 +104,7 @@
 			continue
 		}
 		slots, inFlight := max(1, r.replica.Slots), r.inFlight(now)
+		out.Replicas++
 		out.Slots += slots
 		out.InFlight += inFlight
 		if !now.Before(r.cooldownUntil) {
@@ -229,15 +233,19 @@
 	return max(0, out)
 }
 
-// quota returns the number of the replica's slots that belong to this entry: the slots are
-// divided among the entries of the group, in the order of a hash that all compute alike.
-func (p *Placer) quota(r *replicaState) int {
-	slots, entries := max(1, r.replica.Slots), len(p.peerNames)+1
-	out := slots / entries
-	if p.rankAmong(p.peerNames, r.replica.ID) < slots%entries {
-		out++
+// setQuotas works out this entry's quota of the slots of each replica: the slots are divided among
+// the entries of the group, in the order of a hash that all compute alike. The caller must hold
+// p.mu.
+func (p *Placer) setQuotas() {
+	for service := range p.admissions {
+		for r := range p.all(service) {
+			slots, entries := max(1, r.replica.Slots), len(p.peerNames)+1
+			r.quota, r.turn = slots/entries, p.rankAmong(p.peerNames, r.replica.ID)
+			if r.turn < slots%entries {
+				r.quota++
+			}
+		}
 	}
-	return out
 }
 
 // mayUseSlot reports whether the request may use a free slot of the replica although other
@@ -251,8 +259,11 @@
 		return true
 	}
 	slots, left := max(1, r.replica.Slots), slotsLeftToOthers
-	if req.rank() <= urgentRank {
+	if req.rank() <= urgentRank && 2*a.view.Free >= a.view.Replicas {
 		left = slotsLeftByUrgent
+		if 2*r.turn <= len(p.peerNames) {
+			left = slotsLeftInTurn
+		}
 	}
-	return slots-inFlight > min(left, slots/4) || r.localRequests < p.quota(r)
+	return slots-inFlight > min(left, slots/4) || r.localRequests < r.quota
 }
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -143,6 +143,10 @@
 	// senderRank is the rank of this entry for the replica among Fleet.Senders; negative if it
 	// has not been worked out.
 	senderRank int
+	// quota is the number of its slots that belong to this entry, and turn the number of entries
+	// of the group that come before this one; see setQuotas.
+	quota int
+	turn  int
 }
 
 func (r *replicaState) hasFreshLoad(now time.Time) bool { return now.Sub(r.loadAt) < maxLoadAge }
