--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -56,7 +56,9 @@
 type queuedRequest struct {
 	request  Request
 	queuedAt time.Time
-	grant    chan Grant
+	// leaveAt is the time at which it leaves the queue.
+	leaveAt time.Time
+	grant   chan Grant
 	// hopeless receives a value if no replica is eligible any more.
 	hopeless chan struct{}
 }
@@ -78,6 +80,8 @@
 	peerLoads map[string]map[uint32]EntryLoad
 	// peerCounts are the latest counts of placements by the other entries, by entry name.
 	peerCounts map[string]*peerCounts
+	// peerNames are the names of the live entries that report their loads.
+	peerNames []string
 	// placementRates are moving averages of the placements per second, by service.
 	placementRates map[string]float64
 	// placements are the numbers of placements since ratesUpdatedAt, by service.
@@ -90,6 +94,8 @@
 	// tokenDueAt is the time at which the queue is served for a limited replica; zero if no
 	// such time is set.
 	tokenDueAt time.Time
+	// admissions are the admissions by priority, by service.
+	admissions map[string]*admission
 	// requestedAt is the time of the latest request.
 	requestedAt time.Time
 }
@@ -99,7 +105,7 @@
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), byID: make(map[string]*replicaState), byAddress: make(map[string]*replicaState),
 		byHash: make(map[uint32]*replicaState), placementRates: make(map[string]float64), placements: make(map[string]int), peerLoads: make(map[string]map[uint32]EntryLoad), peerCounts: make(map[string]*peerCounts),
-		announced: make(map[string]*announced), paced: make(map[string]bool),
+		announced: make(map[string]*announced), paced: make(map[string]bool), admissions: make(map[string]*admission),
 	}
 }
 
@@ -135,6 +141,8 @@
 		byService[x.Service].add(r)
 	}
 	p.fleet, p.byID, p.byAddress, p.byHash, p.byService = f, byID, byAddress, byHash, byService
+	p.setAdmissions(f)
+	p.setQuotas()
 	p.retainAnnouncements(now)
 	p.divideLimits(now)
 	p.sumPeerLoads()
@@ -162,7 +170,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	p.requestedAt = now
-	best, anyEligible := p.choose(now, req, latencyBudget(now, req))
+	p.arrive(now, &req)
+	best, anyEligible := p.chooseAdmitted(now, req, latencyBudget(now, req))
 	if best != nil {
 		g := p.place(now, best, req)
 		p.mu.Unlock()
@@ -172,11 +181,12 @@
 		p.mu.Unlock()
 		return Grant{}, err
 	}
-	w := &queuedRequest{request: req, queuedAt: now, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
+	leaveAt := req.Arrived.Add(p.queueTimeout(now, req))
+	w := &queuedRequest{request: req, queuedAt: now, leaveAt: leaveAt, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
 	p.enqueue(w)
 	p.serveQueueAtToken(now)
 	p.mu.Unlock()
-	timer := time.NewTimer(req.Arrived.Add(queueTimeout(req)).Sub(now))
+	timer := time.NewTimer(leaveAt.Sub(now))
 	defer timer.Stop()
 	select {
 	case g := <-w.grant:
@@ -189,7 +199,7 @@
 }
 
 func (p *Placer) place(now time.Time, r *replicaState, req Request) Grant {
-	g := Grant{Replica: r.replica, InFlight: r.inFlight(now), PendingTokens: r.pendingTokens(), promptTokens: req.PromptTokens, timedFrom: now}
+	g := Grant{Replica: r.replica, InFlight: r.inFlight(now), PendingTokens: r.pendingTokens(), promptTokens: req.PromptTokens, placedAt: now, timedFrom: now}
 	if req.VersionFloor.Version > 0 && !r.hasFreshLoad(now) {
 		g.ExpectedVersion = r.replica.Version
 	}
@@ -208,6 +218,7 @@
 	r.countPlaced(now)
 	p.takeLimitToken(now, &g)
 	p.countPlacement(now, req.Service)
+	p.admitted(req)
 	return g
 }
 
@@ -285,6 +296,9 @@
 		return time.Time{}
 	}
 	p.promptRead(g)
+	if a := p.admissions[g.Replica.Service]; a != nil && o == Completed {
+		a.admitter.Ended(now.Sub(g.placedAt))
+	}
 	if o == Abandoned && g.sent && !g.answered {
 		r.unanswered++
 	}
@@ -296,9 +310,13 @@
 // serveQueue places queued requests in order. A request for which no replica is free
 // does not block later ones, as these may be for other services or regions.
 func (p *Placer) serveQueue(now time.Time) {
+	p.updateViews(now)
 	kept := p.queue[:0]
 	for _, w := range p.queue {
-		best, _ := p.choose(now, w.request, latencyBudget(now, w.request))
+		var best *replicaState
+		if p.admits(now, w.request) {
+			best, _ = p.choose(now, w.request, latencyBudget(now, w.request))
+		}
 		if best == nil {
 			kept = append(kept, w)
 			continue
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -154,6 +154,10 @@
 	// senderRank is the rank of this entry for the replica among Fleet.Senders; negative if it
 	// has not been worked out.
 	senderRank int
+	// quota is the number of its slots that belong to this entry, and turn the number of entries
+	// of the group that come before this one; see setQuotas.
+	quota int
+	turn  int
 }
 
 func (r *replicaState) hasFreshLoad(now time.Time) bool { return now.Sub(r.loadAt) < maxLoadAge }
@@ -301,6 +305,9 @@
 		if inFlight >= max(1, r.replica.Slots) || !p.withinColdLimit(now, r) {
 			continue
 		}
+		if !p.mayUseSlot(req, r, inFlight) {
+			continue
+		}
 		if maxLatency == 0 && (inFlight > r.replica.Slots/2 || r.delaysStreams(spec, req, inFlight)) {
 			continue
 		}
