placer: output still to come, by replica

Entries know how much prompt a replica has yet to read, but not how much output is still to come. Callers state a maximum (second number of X-Token-Usage) and may state an expected length (X-Length-Hint), both in tokens; an event has as many tokens as there are steps between events. The placer now keeps the expected rest for each request of a service whose engines report paces, and entries tell one another the sum in the messages that they send anyway: an event alone causes no message. The dump shows it with the pace of each engine as reported, seen and used, and metrics show expected and real output and time.

A slow engine no longer gets a request whose response is expected to end after its deadline, and a full replica of which much output is to come is expected to free slots later than in 1.5 s.

--- a/decisions/placer/dump.go
+++ b/decisions/placer/dump.go
@@ -23,6 +23,13 @@
 	Rate float64
 	// Held is the remaining cooldown.
 	Held time.Duration
+	// SeenPace is how much slower than its specification the engine works by observation, 0 if
+	// that is not known, and UsedPace the pace that counts.
+	SeenPace float64
+	UsedPace float64
+	// Output is the time that the output still to come of all requests takes at an engine that
+	// works as specified, summed over them.
+	Output time.Duration
 	// Leaving is true if the replica has announced in a response that it leaves.
 	Leaving bool
 	// Paused is the rest of the pause that the replica has asked for in a response.
@@ -38,11 +45,33 @@
 	var out []State
 	for _, x := range p.fleet.Replicas.All() {
 		r := p.byID[x.ID]
+		r.usePace(now)
 		leaving, paused, limit := p.announced[x.ID].state(now)
 		out = append(out, State{
 			Replica: x, Own: r.localRequests, Others: r.peerLoad.Requests, Load: r.load, LoadAge: now.Sub(r.loadAt), Failures: r.failures, Rate: r.failureRate,
 			Held: max(0, r.cooldownUntil.Sub(now)), Leaving: leaving, Paused: paused, Limit: limit,
+			SeenPace: r.observed.Seen(now), UsedPace: r.pace(), Output: r.localOutput + r.peerLoad.Output,
 		})
 	}
 	return out, len(p.queue)
 }
+
+// Costs are sums over the complete responses of engines whose service reports paces.
+type Costs struct {
+	// Responses is the number of responses.
+	Responses int64
+	// ExpectedTokens and Tokens are the expected and the real output.
+	ExpectedTokens int64
+	Tokens         int64
+	// ExpectedTime and Time are the expected and the real time from the placement to the end,
+	// without what requests that came later cost.
+	ExpectedTime time.Duration
+	Time         time.Duration
+}
+
+// Costs returns the expected and the real cost of the requests so far.
+func (p *Placer) Costs() Costs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.costs
+}
--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -15,6 +15,15 @@
 	Requests int
 	// Tokens is the number of prompt tokens of requests whose response has not begun.
 	Tokens int
+	// Output is the time that the output still to come of these requests takes, summed over
+	// them, at an engine that works as specified.
+	Output time.Duration
+}
+
+// isLike reports whether the loads differ only in the output still to come, which changes with
+// every event and is no reason for a message.
+func (l EntryLoad) isLike(other EntryLoad) bool {
+	return l.Requests == other.Requests && l.Tokens == other.Tokens
 }
 
 // HashOf returns the hash of a replica's ID that identifies the replica in heartbeats
@@ -29,8 +38,8 @@
 	defer p.mu.Unlock()
 	out := make(map[string]EntryLoad)
 	for id, r := range p.byID {
-		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens}
-		if l != r.lastLocalLoad || all && l != (EntryLoad{}) {
+		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens, Output: r.localOutput}
+		if !l.isLike(r.lastLocalLoad) || all && l != (EntryLoad{}) {
 			r.lastLocalLoad = l
 			out[id] = l
 		}
@@ -67,6 +76,7 @@
 	if r := p.byHash[hash]; r != nil {
 		r.peerLoad.Requests += l.Requests - loads[hash].Requests
 		r.peerLoad.Tokens += l.Tokens - loads[hash].Tokens
+		r.peerLoad.Output += l.Output - loads[hash].Output
 	}
 	if l == (EntryLoad{}) {
 		delete(loads, hash)
@@ -98,6 +108,7 @@
 			if r := p.byHash[hash]; r != nil {
 				r.peerLoad.Requests += l.Requests
 				r.peerLoad.Tokens += l.Tokens
+				r.peerLoad.Output += l.Output
 			}
 		}
 	}
--- a/decisions/placer/pace.go
+++ b/decisions/placer/pace.go
@@ -61,6 +61,10 @@
 	now := time.Now()
 	p.observeEvent(now, g)
 	g.timedFrom, g.begun = now, true
+	if g.Buffered {
+		g.timedFrom = time.Time{}
+	}
+	p.outputArrived(g)
 	p.promptRead(g)
 	p.serveQueue(now)
 }
@@ -69,7 +73,7 @@
 // specification of the engine explains. It counts only if engines of the service report a pace.
 func (p *Placer) observeEvent(now time.Time, g *Grant) {
 	r := p.byID[g.Replica.ID]
-	if r == nil || !p.paced[r.replica.Service] || g.timedFrom.IsZero() || !r.replica.Born.Equal(g.Replica.Born) {
+	if r == nil || !p.paced[r.replica.Service] || g.timedFrom.IsZero() || g.Buffered || !r.replica.Born.Equal(g.Replica.Born) {
 		return
 	}
 	spec := p.engine(r.replica.Service)
--- a/decisions/placer/pace_test.go
+++ b/decisions/placer/pace_test.go
@@ -24,6 +24,8 @@
 	// byCount is the placer without the paces.
 	byCount pacedPolicy = "without pace"
 	byPace  pacedPolicy = "with pace"
+	// byHint is the placer with the paces and callers' hints.
+	byHint pacedPolicy = "with hints"
 	// byObservation is the placer whose engines claim to work as specified.
 	byObservation pacedPolicy = "observed pace"
 )
@@ -109,7 +111,7 @@
 			running, queued := e.load()
 			l := placer.ReplicaLoad{Running: running, Waiting: queued, Version: 1}
 			switch policy {
-			case byPace:
+			case byPace, byHint:
 				l.Pace = e.pace
 			case byObservation:
 				l.Pace = 1
@@ -143,7 +145,12 @@
 		g.own[entry][id]++
 		out.mu.Unlock()
 	default:
-		grant, err = p.Acquire(ctx, placer.Request{Service: model, Arrived: now, TargetLatency: w.target, Deadline: now.Add(15 * w.target), PromptTokens: tokens, Repeatable: true})
+		req := placer.Request{Service: model, Arrived: now, TargetLatency: w.target, Deadline: now.Add(15 * w.target), PromptTokens: tokens, Repeatable: true}
+		req.Output.Route, req.Output.Max = "route", w.maxEvents*w.spec.StepsPerEvent
+		if policy == byHint {
+			req.Output.Hint = events * w.spec.StepsPerEvent
+		}
+		grant, err = p.Acquire(ctx, req)
 		id = grant.Replica.ID
 	}
 	out.mu.Lock()
@@ -191,7 +198,7 @@
 // deployment is a system of 65 entries and 45 engines of which a fifth is slow.
 func deployment(load float64) pacedWorkload {
 	return pacedWorkload{
-		entries: 65, engines: 45, slots: 12, target: 400 * time.Millisecond, slowShare: 0.2, slowPace: 2.5, meanTokens: 800, meanEvents: 18, sigma: 1.4, load: load, seconds: 6,
+		entries: 65, engines: 45, slots: 12, target: 400 * time.Millisecond, slowShare: 0.2, slowPace: 2.5, meanTokens: 800, meanEvents: 18, sigma: 1.4, load: load, seconds: 6, maxEvents: 53,
 		spec: filbertstile.EngineSpec{Model: model, PrefillTokensPerSecond: 19100, StepTime: 8870 * time.Microsecond, StepTimePerRequest: 39 * time.Microsecond, StepsPerEvent: 5},
 	}
 }
--- a/decisions/placer/pacemodel_test.go
+++ b/decisions/placer/pacemodel_test.go
@@ -131,6 +131,8 @@
 	// load is the share of the engines' capacity that the requests need.
 	load    float64
 	seconds float64
+	// maxEvents is the maximum number of events.
+	maxEvents int
 }
 
 // capacity returns the number of requests per second that the engines can run.
@@ -144,7 +146,7 @@
 // draw returns the lengths of the prompt and of the output of a request.
 func (w pacedWorkload) draw(rng *rand.Rand) (tokens, events int) {
 	lognormal := func(mean, sigma float64) float64 { return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2) }
-	return 20 + int(min(8000, lognormal(w.meanTokens, 0.8))), max(1, int(min(200, lognormal(w.meanEvents, w.sigma))))
+	return 20 + int(min(8000, lognormal(w.meanTokens, 0.8))), max(1, int(min(float64(w.maxEvents), lognormal(w.meanEvents, w.sigma))))
 }
 
 // pacedResults counts the requests of a simulation.
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"filbertstile.example/filbertstile/decisions/estimator"
 )
 
 const (
@@ -85,6 +87,9 @@
 	announced map[string]*announced
 	// paced holds the services whose engines report a pace.
 	paced map[string]bool
+	// outputs estimates the outputs of requests.
+	outputs *estimator.Outputs
+	costs   Costs
 	// tokenDueAt is the time at which the queue is served for a limited replica; zero if no
 	// such time is set.
 	tokenDueAt time.Time
@@ -97,7 +102,7 @@
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), byID: make(map[string]*replicaState), byAddress: make(map[string]*replicaState),
 		byHash: make(map[uint32]*replicaState), placementRates: make(map[string]float64), placements: make(map[string]int), peerLoads: make(map[string]map[uint32]EntryLoad),
-		announced: make(map[string]*announced), paced: make(map[string]bool),
+		announced: make(map[string]*announced), paced: make(map[string]bool), outputs: estimator.NewOutputs(),
 	}
 }
 
@@ -200,6 +205,7 @@
 	}
 	r.localRequests++
 	r.localTokens += req.PromptTokens
+	p.expectOutput(now, r, &g, req)
 	r.coldTokens--
 	p.takeLimitToken(now, &g)
 	p.countPlacement(now, req.Service)
@@ -280,6 +286,7 @@
 		return time.Time{}
 	}
 	p.promptRead(g)
+	p.outputEnded(now, r, g, o)
 	if o == Abandoned && g.sent && !g.answered {
 		r.unanswered++
 	}
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/decisions/estimator"
 )
 
 // Request describes a request that needs a replica.
@@ -27,6 +28,10 @@
 	PromptTokens int
 	// Repeatable is true if the request may be sent again after it has been withdrawn.
 	Repeatable bool
+	// Output is what is known of the length of the response in advance. Resumed is true if the
+	// caller has the beginning of the response.
+	Output  estimator.OutputRequest
+	Resumed bool
 	// PreferIdle asks for the replica with the fewest requests in flight, as the request may
 	// crash it.
 	PreferIdle bool
@@ -59,6 +64,11 @@
 	// the placement; zero if it is not known. begun is true after the first event.
 	timedFrom time.Time
 	begun     bool
+	// Buffered says that the next event for which Placer.EventArrived is called may have arrived
+	// at any time before. The holder sets it.
+	Buffered bool
+	// output is the output that is expected; nil if it plays no role.
+	output *pendingOutput
 	// hasLimitToken is true if the request counts toward the limit of its replica.
 	hasLimitToken bool
 	// sent is true if the request may have been sent.
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -62,7 +62,8 @@
 	// which a response almost certainly begins.
 	latestStartFactor = 2
 	// maxSlotWait is the time within which a full replica frees slots for all requests
-	// that are queued in it: most streams end within about a second.
+	// that are queued in it, unless more output is known to come: most streams end within about
+	// a second.
 	maxSlotWait = 1500 * time.Millisecond
 )
 
@@ -127,6 +128,9 @@
 	observed *estimator.Pace
 	// usedPace is the pace that counts, as of the last call of usePace.
 	usedPace float64
+	// localOutput is the time that the output still to come of this entry's requests takes at an
+	// engine that works as specified.
+	localOutput time.Duration
 	// lastLocalLoad is the load that LocalLoads last returned.
 	lastLocalLoad EntryLoad
 	// peerLoad is the sum of the loads of the other entries.
@@ -206,7 +210,7 @@
 	}
 	out := latestStartFactor*expected + e.PrefillTime((max(1, r.entries)-1)*req.PromptTokens)
 	if inFlight > maxIdleRequests {
-		out += r.atPace(maxSlotWait)
+		out += r.atPace(r.slotWait(inFlight))
 	}
 	return out
 }
@@ -298,6 +302,9 @@
 		if maxLatency == 0 && (inFlight > r.replica.Slots/2 || r.delaysStreams(spec, req, inFlight)) {
 			continue
 		}
+		if r.pace() > 1 && p.endsTooLate(now, r, spec, req, inFlight) {
+			continue
+		}
 		if maxLatency > 0 && (inFlight > maxIdleRequests || r.pace() > 1) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency {
 			continue
 		}
--- a/shells/edgerunner/gauges.go
+++ b/shells/edgerunner/gauges.go
@@ -8,8 +8,12 @@
 	"filbertstile.example/filbertstile/decisions/placer"
 )
 
-// registerGauges adds the numbers of replicas in each announced state to the metrics.
+// registerGauges adds the numbers of replicas in each announced state and of slow engines, and
+// the expected and the real cost of requests, to the metrics.
 func (e *Edge) registerGauges() {
+	registerCost := func(name string, value func(placer.Costs) int64) {
+		_ = e.config.Metrics.Register(name, metrics.NewFunctionalGauge(func() int64 { return value(e.placer.Costs()) }))
+	}
 	register := func(name string, holds func(placer.State) bool) {
 		// The registry rejects a name that it has, and then keeps the first gauge.
 		_ = e.config.Metrics.Register(name, metrics.NewFunctionalGauge(func() int64 { return e.countReplicas(holds) }))
@@ -17,6 +21,13 @@
 	register("Replicas.Leaving", func(s placer.State) bool { return s.Leaving })
 	register("Replicas.Paused", func(s placer.State) bool { return s.Paused > 0 })
 	register("Replicas.Limited", func(s placer.State) bool { return s.Limit.Named })
+	register("Replicas.SlowReported", func(s placer.State) bool { return s.Load.Pace > 1 })
+	register("Replicas.SlowSeen", func(s placer.State) bool { return s.SeenPace > 1 && s.UsedPace == s.SeenPace })
+	registerCost("Costs.Responses", func(c placer.Costs) int64 { return c.Responses })
+	registerCost("Costs.ExpectedTokens", func(c placer.Costs) int64 { return c.ExpectedTokens })
+	registerCost("Costs.Tokens", func(c placer.Costs) int64 { return c.Tokens })
+	registerCost("Costs.ExpectedMilliseconds", func(c placer.Costs) int64 { return c.ExpectedTime.Milliseconds() })
+	registerCost("Costs.Milliseconds", func(c placer.Costs) int64 { return c.Time.Milliseconds() })
 }
 
 // countReplicas returns the number of replicas for which holds is true.
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/collector"
 	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/estimator"
 	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/decisions/suspector"
 )
@@ -82,6 +83,10 @@
 	LastEventID int64
 	// PromptTokens is the length of the prompt in tokens; 0 for plain services.
 	PromptTokens int
+	// OutputTokens is the maximum length of the output in tokens, and OutputHint the length that
+	// the caller expects; 0 if it is not given.
+	OutputTokens int
+	OutputHint   int
 	// PromptParts identifies the parts of the prompt that other requests may share.
 	PromptParts []uint64
 	// Key identifies the request: a caller who repeats it sends one with the same key, which
@@ -349,7 +354,8 @@
 		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, Tried: x.tried,
 		Arrived: x.call.Arrived, TargetLatency: x.call.Route.TargetLatency, Deadline: x.call.Limit(), PromptTokens: x.call.PromptTokens,
 		VersionFloor: x.forwarder.config.VersionFloor(x.call.Service), PreferIdle: x.onTrial || x.crashes > 0,
-		Repeatable: x.call.Route.Retryable(),
+		Repeatable: x.call.Route.Retryable(), Resumed: x.lastEventID > 0 || x.responseStarted,
+		Output: estimator.OutputRequest{Route: x.call.Route.Name, Account: x.call.Account, Hint: x.call.OutputHint, Max: x.call.OutputTokens},
 	}
 	if x.sends > 0 {
 		// The target latency of a retry starts anew, as the request may have used it up
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -93,14 +93,15 @@
 	}
 }
 
-// recordProgress tells the placer of an event for which the attempt has waited, or of what else it
-// has read, such as a comment.
+// recordProgress tells the placer of an event that the attempt has read after it has waited for
+// the given time, or of what else it has read, such as a comment.
 func (a *attemptState) recordProgress(e []byte, err error, waited time.Duration) {
 	p := a.x.forwarder.config.Placer
-	if err != nil || waited < minEventWait || e[0] == ':' {
+	if err != nil || e[0] == ':' {
 		p.ResponseStarted(a.grant)
 		return
 	}
+	a.grant.Buffered = waited < minEventWait
 	p.EventArrived(a.grant)
 }
 
