--- a/decisions/estimator/pace_test.go
+++ b/decisions/estimator/pace_test.go
@@ -72,3 +72,13 @@
 		}
 	})
 }
+
+// BenchmarkObserve measures an observation, of which each event of a stream is one.
+func BenchmarkObserve(b *testing.B) {
+	var p estimator.Pace
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(interval)
+		p.Observe(now, interval*time.Duration(10+i*7%16)/10, interval)
+	}
+}
--- a/decisions/placer/benchmark_test.go
+++ b/decisions/placer/benchmark_test.go
@@ -34,3 +34,22 @@
 		})
 	}
 }
+
+// BenchmarkEventArrived measures what an event of a stream costs.
+func BenchmarkEventArrived(b *testing.B) {
+	for _, pace := range []float64{0, 1} {
+		b.Run(fmt.Sprintf("pace %v", pace), func(b *testing.B) {
+			p := placer.New(placer.Config{Region: "a", Seed: 1})
+			p.SetFleet(time.Now(), fleet(1, 1<<20, 1, 0))
+			p.SetReplicaLoad(time.Now(), "10.0.0.0:1", placer.ReplicaLoad{Version: 1, Pace: pace})
+			g, err := p.Acquire(context.Background(), request(100))
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.EventArrived(&g)
+			}
+		})
+	}
+}
