--- a/decisions/estimator/pace.go
+++ b/decisions/estimator/pace.go
@@ -19,10 +19,10 @@
 	// minPaceSamples is the number of observations from which they count. A stream of an
 	// engine that works at a third of its specified pace has as many events in a second.
 	minPaceSamples = 6
-	// paceQuantile is the quantile of the observations that is taken as the pace. It is low,
+	// paceQuantilePercent is the quantile of the observations that is taken as the pace. It is low,
 	// as the prompts of other requests are read between events; at full load most gaps contain
 	// one.
-	paceQuantile = 0.15
+	paceQuantilePercent = 15
 	// minObservedPace is the pace from which observations count: a busy host makes events late
 	// by a part of their interval.
 	minObservedPace = 1.5
@@ -35,17 +35,24 @@
 	minGapRatio = 0.5
 )
 
+// lowestSamples is the number of lowest observations among which the quantile is.
+const lowestSamples = paceSamples*paceQuantilePercent/100 + 1
+
 // paceSample is one observation: how much longer something took than the specification explains.
 type paceSample struct {
-	at    time.Time
+	// at is the time since the first observation.
+	at    time.Duration
 	ratio float32
 }
 
 // Pace estimates how much slower than its specification an engine works, from observations and
 // from the engine's report. The zero value and nil have no observations.
 type Pace struct {
+	// samples is a ring of the latest observations, of which count have been made.
 	samples [paceSamples]paceSample
-	next    int
+	count   int
+	// first is the time of the first observation.
+	first time.Time
 	// seen is the pace by the observations up to seenAt; 0 if there are too few.
 	seen   float64
 	seenAt time.Time
@@ -61,29 +68,34 @@
 	if ratio < minGapRatio {
 		return
 	}
-	p.samples[p.next] = paceSample{at: now, ratio: float32(min(ratio, filbertstile.MaxPace))}
-	p.next = (p.next + 1) % paceSamples
-	p.update(now)
+	if p.count == 0 {
+		p.first = now
+	}
+	at := now.Sub(p.first)
+	p.samples[p.count%paceSamples] = paceSample{at: at, ratio: float32(min(ratio, filbertstile.MaxPace))}
+	p.count++
+	if pace, ok := p.quantile(at); ok {
+		p.seen, p.seenAt = pace, now
+	}
 }
 
-// update works out the pace by the observations within paceWindow.
-func (p *Pace) update(now time.Time) {
-	var sorted [paceSamples]float32
+// quantile returns the quantile that counts of the observations within paceWindow, and whether there are
+// enough.
+func (p *Pace) quantile(at time.Duration) (float64, bool) {
+	var lowest [lowestSamples + 1]float32 // ascending, and room for one that is dropped
 	n := 0
-	for _, s := range p.samples {
-		if s.at.IsZero() || now.Sub(s.at) > paceWindow {
+	for _, s := range p.samples[:min(p.count, paceSamples)] {
+		if at-s.at > paceWindow {
 			continue
 		}
-		i := n
-		for ; i > 0 && sorted[i-1] > s.ratio; i-- {
-			sorted[i] = sorted[i-1]
+		i := min(n, lowestSamples)
+		for ; i > 0 && lowest[i-1] > s.ratio; i-- {
+			lowest[i] = lowest[i-1]
 		}
-		sorted[i] = s.ratio
+		lowest[i] = s.ratio
 		n++
 	}
-	if n >= minPaceSamples {
-		p.seen, p.seenAt = float64(sorted[int(paceQuantile*float64(n))]), now
-	}
+	return float64(lowest[n*paceQuantilePercent/100]), n >= minPaceSamples
 }
 
 // Seen returns the pace by the observations; 0 if there are too few recent ones.
