placer, admitter: slots left to other entries follow from what they may have taken unseen

An entry beyond its quota now leaves as many free slots of an engine as others may have taken within 200 ms, by the rate at which slots become free. It is a number of slots no more, as engines have 4 to 64 of them.

--- a/decisions/admitter/admitter.go
+++ b/decisions/admitter/admitter.go
@@ -13,11 +13,11 @@
 	// reserveHorizon is the time for which slots are held for more urgent requests: entries
 	// learn of one another's placements, and of slots that become free, 50 to 150 ms late.
 	reserveHorizon = 100 * time.Millisecond
+	// maxViewAge is the age that the loads of other entries may have; it is mostly less.
+	maxViewAge = 200 * time.Millisecond
 	// reserveMargin is the number of standard deviations of the number of more urgent
-	// requests within reserveHorizon that the reserve covers in addition. In the model, 2
-	// refuses 1 in 8 of the most urgent requests at the limit of the engines, 3 refuses 1 in
-	// 12, and 4 begins to cost throughput.
-	reserveMargin = 3.0
+	// requests within reserveHorizon that the reserve covers in addition.
+	reserveMargin = 4.0
 	// maxReserveShare bounds the reserve, as a share of the slots. More urgent requests that
 	// need more than that keep fewer than that free.
 	maxReserveShare = 0.5
@@ -187,6 +187,14 @@
 	return int(min(math.Ceil(out), maxReserveShare*float64(v.Slots)))
 }
 
+// Unseen returns the number of requests that other entries may have placed at an engine since
+// their latest loads that have arrived: the expected number and its standard deviation.
+func (a *Admitter) Unseen(v View) int {
+	others := 1 - 1/float64(max(1, v.Entries))
+	n := a.endRate(v) / float64(max(1, v.Replicas)) * others * maxViewAge.Seconds()
+	return int(math.Round(n + math.Sqrt(n)))
+}
+
 // Admits reports whether a request of the class may use a free slot.
 func (a *Admitter) Admits(now time.Time, c Class, v View) bool {
 	return v.Free > a.Reserve(now, c, v)
--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -12,15 +12,9 @@
 	// noRoomShare is the share of the arrivals of a class below which no room for it is in
 	// sight.
 	noRoomShare = 0.05
-	// slotsLeftToOthers is the number of free slots of a replica that an entry beyond its quota
-	// leaves to the others. In the model, with one slot fewer twice as many responses are late,
-	// as requests queue in the engine.
-	slotsLeftToOthers = 3
-	// slotsLeftByUrgent is that number for the most urgent requests, and slotsLeftInTurn that
-	// for the half of the entries whose turn it is at the replica, while there is a free slot
-	// for every other replica: then few choose the same one.
-	slotsLeftByUrgent = 2
-	slotsLeftInTurn   = 1
+	// maxSlotsLeftDivisor bounds the free slots of a replica that an entry beyond its quota leaves
+	// to the others, as a share of the slots.
+	maxSlotsLeftDivisor = 4
 	// urgentRank is the rank of the most urgent requests, and of those that the floor of their
 	// route admits.
 	urgentRank = 0
@@ -251,19 +245,21 @@
 // mayUseSlot reports whether the request may use a free slot of the replica although other
 // entries may be about to. With admission by priority, replicas are full for long while all
 // entries have requests in the queue, and each slot that becomes free would get a request from
-// every entry that sees it. So an entry that has used up its quota leaves some free slots to
-// the others.
+// every entry that sees it. So an entry that has used up its quota leaves to the others as many
+// free slots as they may have taken unseen. The most urgent requests leave one fewer, at the
+// half of the entries whose turn it is at the replica and while there is a free slot for every
+// other replica: then few entries choose the same one.
 func (p *Placer) mayUseSlot(req Request, r *replicaState, inFlight int) bool {
 	a := p.admissions[req.Service]
 	if a == nil {
 		return true
 	}
-	slots, left := max(1, r.replica.Slots), slotsLeftToOthers
-	if req.rank() <= urgentRank && 2*a.view.Free >= a.view.Replicas {
-		left = slotsLeftByUrgent
-		if 2*r.turn <= len(p.peerNames) {
-			left = slotsLeftInTurn
-		}
+	if r.localRequests < r.quota {
+		return true
+	}
+	slots, left := max(1, r.replica.Slots), a.admitter.Unseen(a.view)
+	if req.rank() <= urgentRank && 2*a.view.Free >= a.view.Replicas && 2*r.turn <= len(p.peerNames) {
+		left--
 	}
-	return slots-inFlight > min(left, slots/4) || r.localRequests < r.quota
+	return slots-inFlight > min(left, slots/maxSlotsLeftDivisor)
 }
--- a/decisions/placer/admission_test.go
+++ b/decisions/placer/admission_test.go
@@ -19,13 +19,16 @@
 	return req
 }
 
-// withPrioritized is like withPlacer, with 14 engines for routes of the priorities.
+// withPrioritized is like withPlacer, with 14 engines, 8 entries and routes of the priorities.
 func withPrioritized(t *testing.T, priorities []int, f func(ctx context.Context, is *is.I, p *placer.Placer)) {
 	t.Helper()
 	withPlacer(t, func(ctx context.Context, is *is.I, p *placer.Placer) {
-		x := fleet(14, 12, 1, 0)
+		x := fleet(14, 12, 8, 0)
 		x.Priorities = map[string][]int{model: priorities}
 		p.SetFleet(time.Now(), x)
+		for _, r := range x.Replicas.All() {
+			p.SetReplicaLoad(time.Now(), r.Address, placer.ReplicaLoad{Version: 1})
+		}
 		f(ctx, is, p)
 	})
 }
--- a/decisions/placer/admissionmodel_test.go
+++ b/decisions/placer/admissionmodel_test.go
@@ -229,9 +229,10 @@
 	}
 }
 
-// rate returns the requests per second of the route after the time since the start.
+// rate returns the requests per second of the route after the time since the start. It rises
+// within the first second.
 func (x *competitionRun) rate(r competingRoute, since time.Duration) float64 {
-	out := r.perSecond * float64(x.engines) / competingEngines * 0.75 * x.load
+	out := r.perSecond * float64(x.engines) / competingEngines * 0.75 * x.load * min(1, max(0.05, since.Seconds()))
 	if at := since.Seconds() / x.seconds; x.bursts && (r.priority == 2 && at >= 0.2 && at < 0.4) {
 		out *= 2.5
 	} else if x.bursts && r.priority == 0 && at >= 0.6 && at < 0.8 {
