--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -305,23 +305,7 @@
 		}
 		anyEligible = true
 		inFlight := r.inFlight(now)
-		r.usePace(now)
-		if inFlight >= max(1, r.replica.Slots) || !p.withinColdLimit(now, r) {
-			continue
-		}
-		if !p.mayUseSlot(req, r, inFlight) {
-			continue
-		}
-		if maxLatency == 0 && (inFlight > r.replica.Slots/2 || r.delaysStreams(spec, req, inFlight)) {
-			continue
-		}
-		if r.pace() > 1 && p.endsTooLate(now, r, spec, req, inFlight) {
-			continue
-		}
-		if maxLatency > 0 && (inFlight > maxIdleRequests || r.pace() > 1) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency {
-			continue
-		}
-		if spec != nil && r.startsTooLate(now, *spec, req, inFlight) {
+		if p.obstacle(now, req, r, spec, inFlight, maxLatency) != "" {
 			continue
 		}
 		if now.Before(r.cooldownUntil) {
@@ -330,21 +314,7 @@
 			}
 			continue
 		}
-		if req.PreferIdle {
-			inFlight *= idlePreference
-		}
-		score := float64(inFlight) + r.failureRate*failureRateCost + p.rng.Float64()*scoreJitter
-		if spec != nil {
-			score += float64(r.pendingTokens()) * pendingTokenCost
-			score += r.paceCost(score, req)
-		}
-		if p.isLimited(r) {
-			score -= limitPreference
-		}
-		if r.region != p.config.Region {
-			score += otherRegionCost
-		}
-		if best == nil || score < bestScore {
+		if score := p.score(req, r, spec, inFlight, p.rng.Float64()*scoreJitter); best == nil || score < bestScore {
 			best, bestScore = r, score
 		}
 	}
@@ -354,6 +324,61 @@
 	return best, anyEligible
 }
 
+// Obstacle is why a replica is not free for a request; empty if it is.
+type Obstacle string
+
+// Obstacles.
+const (
+	ObstacleFull       Obstacle = "all slots are taken"
+	ObstacleColdLimit  Obstacle = "the limit of requests to a cold replica is used up"
+	ObstacleOthers     Obstacle = "its free slots are left to other entries"
+	ObstacleHalfFull   Obstacle = "the request is late, and the replica is more than half full or would stall"
+	ObstacleSlowEnd    Obstacle = "the engine is slow, and the response would end too late"
+	ObstacleLateStart  Obstacle = "the response would begin after the target latency"
+	ObstacleVersionDue Obstacle = "the response might begin after the version is due to end"
+)
+
+// obstacle returns why the eligible replica is not free for the request.
+func (p *Placer) obstacle(now time.Time, req Request, r *replicaState, spec *filbertstile.EngineSpec, inFlight int, maxLatency time.Duration) Obstacle {
+	r.usePace(now)
+	switch {
+	case inFlight >= max(1, r.replica.Slots):
+		return ObstacleFull
+	case !p.withinColdLimit(now, r):
+		return ObstacleColdLimit
+	case !p.mayUseSlot(req, r, inFlight):
+		return ObstacleOthers
+	case maxLatency == 0 && (inFlight > r.replica.Slots/2 || r.delaysStreams(spec, req, inFlight)):
+		return ObstacleHalfFull
+	case r.pace() > 1 && p.endsTooLate(now, r, spec, req, inFlight):
+		return ObstacleSlowEnd
+	case maxLatency > 0 && (inFlight > maxIdleRequests || r.pace() > 1) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency:
+		return ObstacleLateStart
+	case spec != nil && r.startsTooLate(now, *spec, req, inFlight):
+		return ObstacleVersionDue
+	}
+	return ""
+}
+
+// score returns the score of a free replica, in requests in flight; a lower one is better.
+func (p *Placer) score(req Request, r *replicaState, spec *filbertstile.EngineSpec, inFlight int, jitter float64) float64 {
+	if req.PreferIdle {
+		inFlight *= idlePreference
+	}
+	score := float64(inFlight) + r.failureRate*failureRateCost + jitter
+	if spec != nil {
+		score += float64(r.pendingTokens()) * pendingTokenCost
+		score += r.paceCost(score, req)
+	}
+	if p.isLimited(r) {
+		score -= limitPreference
+	}
+	if r.region != p.config.Region {
+		score += otherRegionCost
+	}
+	return score
+}
+
 // belongsToOtherGroup reports whether only entries of other groups choose the replica as long
 // as others are eligible. The limit of a replica is shared by entries of all groups.
 func (p *Placer) belongsToOtherGroup(r *replicaState) bool {
