collector: bodies that make no progress give way to others

A body that finds no memory now ends those of which 16 KiB have not arrived in 400 ms, the largest first and only as many as are needed, and waits for their memory for up to 200 ms. The memory of a head counts with its body.

TestStalledBodiesGiveWay does not build without Body.GiveWay; without the call of endStalled, its reads end with ErrNoMemory.

--- a/base/collector/collector.go
+++ b/base/collector/collector.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync"
+	"time"
 )
 
 const (
@@ -20,6 +22,11 @@
 	// maxHintMultiple is how many times larger than what has arrived a buffer may be because of
 	// the length that the peer has announced.
 	maxHintMultiple = 4
+	// stallTime is how long a body may take for StepBytes more before it must give way to others
+	// that find no memory. It is far below what callers wait for a response.
+	stallTime = 400 * time.Millisecond
+	// giveWayTimeout is how long a body waits for the memory of those that give way.
+	giveWayTimeout = 200 * time.Millisecond
 )
 
 // ErrTooLong reports a body of which no more is read.
@@ -62,6 +69,22 @@
 
 	mu   sync.Mutex
 	used int64
+	// reading holds the bodies that are being read and can give way.
+	reading map[*reading]struct{}
+	// released is closed when memory is released; nil if nobody waits.
+	released chan struct{}
+}
+
+// reading is a body that is being read. Its memory's lock protects it.
+type reading struct {
+	giveWay func()
+	// held is the memory that the body holds.
+	held int64
+	// at is when the body had marked bytes.
+	at     time.Time
+	marked int
+	// ended is true once the body had to give way.
+	ended bool
 }
 
 // New returns an unused memory.
@@ -69,7 +92,7 @@
 	if c.LimitBytes <= 0 {
 		c.LimitBytes = defaultLimit
 	}
-	return &Memory{name: c.Name, limit: c.LimitBytes}
+	return &Memory{name: c.Name, limit: c.LimitBytes, reading: make(map[*reading]struct{})}
 }
 
 // Reserve takes n more bytes for a body that holds some. It returns ErrNoMemory if the body would
@@ -77,6 +100,11 @@
 func (m *Memory) Reserve(held, n int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.reserve(held, n)
+}
+
+// reserve is like Reserve; the caller must hold the lock.
+func (m *Memory) reserve(held, n int64) error {
 	if free := m.limit - m.used - n; held+n > maxFreeMultiple*free {
 		return ErrNoMemory{Memory: m.name, LimitBytes: m.limit}
 	}
@@ -89,6 +117,95 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used -= n
+	if m.released != nil {
+		close(m.released)
+		m.released = nil
+	}
+}
+
+// reserveFor is like Reserve, for a body that is being read. If there is too little memory, bodies
+// that make no progress give way.
+func (m *Memory) reserveFor(r *reading, n int64) error {
+	deadline := time.Time{}
+	for {
+		m.mu.Lock()
+		err := m.reserve(r.held, n)
+		if err == nil {
+			r.held += n
+			m.mu.Unlock()
+			return nil
+		}
+		if deadline.IsZero() {
+			deadline = time.Now().Add(giveWayTimeout)
+			if !m.endStalled(r, n) {
+				m.mu.Unlock()
+				return err
+			}
+		}
+		if m.released == nil {
+			m.released = make(chan struct{})
+		}
+		released := m.released
+		m.mu.Unlock()
+		timer := time.NewTimer(time.Until(deadline))
+		select {
+		case <-released:
+			timer.Stop()
+		case <-timer.C:
+			return err
+		}
+	}
+}
+
+// endStalled ends bodies that make no progress until there will be room for n bytes more for r. It
+// reports whether any memory will be released; the caller must hold the lock.
+func (m *Memory) endStalled(r *reading, n int64) bool {
+	var stalled []*reading
+	for other := range m.reading {
+		if other != r && other.held > 0 && time.Since(other.at) > stallTime {
+			stalled = append(stalled, other)
+		}
+	}
+	slices.SortFunc(stalled, func(a, b *reading) int { return int(b.held - a.held) })
+	released := int64(0)
+	for _, other := range stalled {
+		if !other.ended {
+			other.ended = true
+			other.giveWay()
+		}
+		if released += other.held; maxFreeMultiple*(m.limit-m.used-n+released) >= r.held+n {
+			break
+		}
+	}
+	return released > 0
+}
+
+// track makes the body give way if it makes no progress. The function returned ends that, and
+// reports whether the body had to give way.
+func (m *Memory) track(r *reading) func() bool {
+	if r.giveWay == nil {
+		return func() bool { return false }
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.at = time.Now()
+	m.reading[r] = struct{}{}
+	return func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.reading, r)
+		return r.ended
+	}
+}
+
+// arrived notes that the body has n bytes.
+func (m *Memory) arrived(r *reading, n int) {
+	if n-r.marked < StepBytes {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.at, r.marked = time.Now(), n
 }
 
 // Used returns the number of bytes in use.
@@ -106,40 +223,58 @@
 	Limit    string
 	// Length is the length that the peer has announced; 0 if it is not known.
 	Length int64
+	// HeadBytes is the memory of what belongs to the body. It counts if it is over StepBytes.
+	HeadBytes int64
+	// GiveWay makes the Reader fail, as the body makes no progress and others need its memory. It
+	// must not block, and is not called after the body has been read. nil if that can't be done.
+	GiveWay func()
 }
 
 // Read returns the complete body, and a function that must be called once the body is no longer
-// used. After an error nothing is held.
+// used. After an error nothing is held. A body that had to give way ends with ErrNoMemory.
 func (m *Memory) Read(b Body) (data []byte, done func(), err error) {
-	data, reserved, err := m.read(b)
+	r := &reading{giveWay: b.GiveWay}
+	end := m.track(r)
+	data, err = m.read(r, b)
+	if end() {
+		err = ErrNoMemory{Memory: m.name, LimitBytes: m.limit}
+	}
 	if err != nil {
-		m.Release(reserved)
+		m.Release(r.held)
 		return nil, func() {}, err
 	}
-	return data, func() { m.Release(reserved) }, nil
+	return data, func() { m.Release(r.held) }, nil
 }
 
-// read returns the body, or the error that ended it, and how much memory it holds.
-func (m *Memory) read(b Body) (data []byte, reserved int64, err error) {
+// read returns the body, or the error that ended it.
+func (m *Memory) read(r *reading, b Body) (data []byte, err error) {
+	if b.HeadBytes > StepBytes {
+		if err := m.reserveFor(r, b.HeadBytes); err != nil {
+			return nil, err
+		}
+	}
+	if b.Reader == nil {
+		return nil, nil
+	}
 	data = make([]byte, 0, StepBytes)
 	for {
 		if len(data) == cap(data) {
 			step := growth(int64(len(data)), b.Length)
-			if err := m.Reserve(reserved, step); err != nil {
-				return nil, reserved, err
+			if err := m.reserveFor(r, step); err != nil {
+				return nil, err
 			}
-			reserved += step
 			data = append(make([]byte, 0, int64(cap(data))+step), data...)
 		}
 		n, err := b.Reader.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
+		m.arrived(r, len(data))
 		switch {
 		case int64(len(data)) > b.MaxBytes:
-			return nil, reserved, ErrTooLong{Limit: b.Limit, LimitBytes: b.MaxBytes}
+			return nil, ErrTooLong{Limit: b.Limit, LimitBytes: b.MaxBytes}
 		case err == io.EOF:
-			return data, reserved, nil
+			return data, nil
 		case err != nil:
-			return nil, reserved, err
+			return nil, err
 		}
 	}
 }
--- a/base/collector/collector_test.go
+++ b/base/collector/collector_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -143,3 +144,77 @@
 		is.Equal(m.Used(), int64(0))
 	}
 }
+
+// stalled is a body whose data has arrived, and which then waits until it gives way.
+type stalled struct {
+	io.Reader
+	ended chan struct{}
+}
+
+func newStalled(n int) stalled {
+	return stalled{Reader: bytes.NewReader(make([]byte, n)), ended: make(chan struct{})}
+}
+
+func (s stalled) Read(b []byte) (int, error) {
+	if n, err := s.Reader.Read(b); err == nil {
+		return n, nil
+	}
+	<-s.ended
+	return 0, io.ErrUnexpectedEOF
+}
+
+func (s stalled) giveWay() { close(s.ended) }
+
+// slow sends 100 bytes at a time.
+type slow struct{}
+
+func (slow) Read(b []byte) (int, error) { return min(len(b), 100), nil }
+
+// TestStalledBodiesGiveWay guards against callers that stop within their bodies, keep the connections
+// open, and so keep the memory from others. It also checks that none ends without need, or one that
+// makes progress.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit, length = 1 << 20, 128 << 10
+		m := collector.New(collector.Config{LimitBytes: limit})
+		var wg sync.WaitGroup
+		var ended atomic.Int64
+		for range 100 {
+			wg.Go(func() {
+				body := newStalled(length - 1)
+				_, done, err := m.Read(collector.Body{Reader: body, MaxBytes: length, Length: length, GiveWay: body.giveWay})
+				defer done()
+				is.True(errors.As(err, new(collector.ErrNoMemory)))
+				ended.Add(1)
+			})
+		}
+		synctest.Wait()
+		time.Sleep(time.Second)
+		refused := ended.Load() // found no memory at the start, before any had stalled
+		is.True(refused < 100)
+		progressing := make(chan error)
+		go func() {
+			body := paced{io.LimitReader(slow{}, length)}
+			_, done, err := m.Read(collector.Body{Reader: body, MaxBytes: length, GiveWay: func() { t.Error("ended despite its progress") }})
+			done()
+			progressing <- err
+		}()
+		for range 20 {
+			data, done, err := m.Read(collector.Body{Reader: bytes.NewReader(make([]byte, length)), MaxBytes: length, Length: length})
+			is.NoErr(err)
+			is.Equal(len(data), length)
+			time.Sleep(50 * time.Millisecond)
+			done()
+		}
+		is.True(ended.Load() > refused)
+		is.True(ended.Load() < 100) // only as many as were needed
+		is.NoErr(<-progressing)
+		for range 100 { // all that are left
+			_, done, _ := m.Read(collector.Body{Reader: &endless{}, MaxBytes: 4 * limit})
+			done()
+		}
+		wg.Wait()
+		is.Equal(m.Used(), int64(0))
+	})
+}
