responder, entryrunner, hostrunner: bodies share a memory on the product's own interface

fasthttp read each body as a whole before the handler ran, and made room for the announced length at once: 200 clients that announced 4 MiB took an entry to a peak of 890 MiB, an administration address to 321 MiB, and a host to 287 MiB. A lower limit for one body doesn't help, as clients choose their number.

Bodies are now streamed into a collector.Memory, and the listeners of the programs are wrapped in package acceptor. Multipart forms are no longer parsed ahead, which kept up to 16 MiB each. The entry has the settings MemoryMB and MaxConns.

--- a/base/configurer/settings.go
+++ b/base/configurer/settings.go
@@ -55,8 +55,29 @@
 	MaxWait      Duration   `doc:"Maximum time that a request waits for a replica."`
 	MaxHosts     int        `doc:"Maximum number of hosts that the entry keeps connections to."`
 	RecordsKept  Duration   `doc:"How long the outcome of a non-idempotent call is stored; not shorter than CallTimeout."`
+	MemoryMB     int        `doc:"Memory of the process, in MiB; 0 means no limit but that of 64 MiB on the bodies of requests in all."`
+	MaxConns     int        `doc:"Maximum number of connections of callers; 0 means 16 per MiB of MemoryMB, and at least 1024."`
 }
 
+const (
+	// connsPerMB keeps the buffers of connections, 25 KiB each, within half of the memory. Callers
+	// within the documented limits open some hundred connections.
+	connsPerMB = 16
+	// minDefaultConns is the smallest default maximum number of connections.
+	minDefaultConns = 1024
+)
+
+// Conns returns the maximum number of connections of callers.
+func (e *Entry) Conns() int {
+	if e.MaxConns > 0 {
+		return e.MaxConns
+	}
+	return max(minDefaultConns, connsPerMB*e.MemoryMB)
+}
+
+// MemoryBytes returns the part 1/divisor of the memory; 0 if it is not limited.
+func (e *Entry) MemoryBytes(divisor int64) int64 { return int64(e.MemoryMB) << 20 / divisor }
+
 // DefaultEntry returns the default settings of filbertstile-entry.
 func DefaultEntry() *Entry {
 	return &Entry{
@@ -88,6 +109,12 @@
 	c.positive("MaxQueue", int64(e.MaxQueue))
 	c.positive("MaxWait", int64(e.MaxWait))
 	c.positive("MaxHosts", int64(e.MaxHosts))
+	if e.MemoryMB < 0 {
+		c.addProblem("MemoryMB", "must not be below 0")
+	}
+	if e.MaxConns < 0 {
+		c.addProblem("MaxConns", "must not be below 0")
+	}
 	if e.RecordsKept < e.CallTimeout {
 		c.addProblem("RecordsKept", "must not be shorter than CallTimeout: an outcome must be stored until its call has ended")
 	}
--- a/cmd/filbertstile-entry/main.go
+++ b/cmd/filbertstile-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
@@ -17,6 +18,10 @@
 	"filbertstile.example/filbertstile/transport/connector"
 )
 
+// memoryLimitShare is the share of the process's memory that is set as the Go memory limit. The rest
+// is for received data in socket buffers, which counts as the process's memory too.
+const memoryLimitShare = 0.7
+
 func main() {
 	os.Exit(launcher.Main(launcher.Program{
 		Name:     "filbertstile-entry",
@@ -24,8 +29,12 @@
 		Settings: func() configurer.Checker { return configurer.DefaultEntry() },
 		Level:    func(s configurer.Checker) string { return s.(*configurer.Entry).Log.Level },
 		New: func(s configurer.Checker, log *logrus.Logger) (launcher.Role, error) {
+			settings := s.(*configurer.Entry)
+			if settings.MemoryMB > 0 {
+				debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryLimitShare))
+			}
 			return entryrunner.New(entryrunner.Config{
-				Settings: s.(*configurer.Entry), Network: connector.NewTCP(), Logger: log,
+				Settings: settings, Network: connector.NewTCP(), Logger: log,
 				Tree: relayer.DefaultLimits(), Trust: evaluator.DefaultLimits(), Records: recorder.DefaultConfig(),
 			})
 		},
--- a/shells/entryrunner/entryrunner.go
+++ b/shells/entryrunner/entryrunner.go
@@ -27,7 +27,6 @@
 	"filbertstile.example/filbertstile/shells/recorder"
 	"filbertstile.example/filbertstile/shells/relayer"
 	"filbertstile.example/filbertstile/transport/messenger"
-	"filbertstile.example/filbertstile/transport/responder"
 )
 
 const (
@@ -167,12 +166,8 @@
 	e.wg.Go(func() { e.records.Run(ctx) })
 	e.wg.Go(func() { e.watchView(ctx) })
 	e.wg.Go(func() { e.rollout.run(ctx) })
-	e.wg.Go(func() {
-		_ = responder.Serve(ctx, public, responder.Config{Name: "filbertstile", Handler: e.handlePublic, MaxBodyBytes: s.MaxBodyBytes})
-	})
-	e.wg.Go(func() {
-		_ = responder.Serve(ctx, admin, responder.Config{Name: "filbertstile-admin", Handler: e.handleAdmin})
-	})
+	e.wg.Go(func() { e.servePublic(ctx, public) })
+	e.wg.Go(func() { e.serveAdmin(ctx, admin) })
 	err = e.node.Run(ctx, l)
 	cancel()
 	e.wg.Wait()
--- a/shells/hostrunner/hostrunner.go
+++ b/shells/hostrunner/hostrunner.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/configurer"
@@ -26,7 +25,6 @@
 	"filbertstile.example/filbertstile/shells/fetcher"
 	"filbertstile.example/filbertstile/shells/joiner"
 	"filbertstile.example/filbertstile/shells/relayer"
-	"filbertstile.example/filbertstile/transport/responder"
 )
 
 const (
@@ -210,9 +208,7 @@
 		h.wg.Go(func() { h.fetcher.Run(ctx) })
 		h.wg.Go(func() { h.pollEngine(ctx) })
 	}
-	h.wg.Go(func() {
-		_ = responder.Serve(ctx, admin, responder.Config{Name: "filbertstile-host", Handler: h.handleHTTP})
-	})
+	h.wg.Go(func() { h.serveAdmin(ctx, admin) })
 	err = h.node.Run(ctx, l)
 	cancel()
 	h.wg.Wait()
@@ -224,12 +220,6 @@
 	return err
 }
 
-func (h *Host) handleHTTP(rc *fasthttp.RequestCtx) {
-	if !h.node.HandleHTTP(rc) {
-		responder.WriteProblem(rc, fasthttp.StatusNotFound, responder.ProblemDetail{Code: "NotFound", Message: "try /metrics or /dump"})
-	}
-}
-
 // Drain announces a planned stop, after which new requests are refused, and returns
 // when no request is running or queued.
 func (h *Host) Drain(ctx context.Context) error {
--- a/transport/responder/responder.go
+++ b/transport/responder/responder.go
@@ -4,11 +4,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"filbertstile.example/filbertstile/base/collector"
+	"filbertstile.example/filbertstile/transport/acceptor"
 )
 
 const (
@@ -19,6 +23,9 @@
 	defaultMaxBodyBytes = 4 << 20
 	contentTypeJSON     = "application/json"
 	maxHeaderBytes      = 16 << 10
+	// writeTimeout is the maximum time in which a client receives a part of a response. Clients that
+	// read nothing would keep their connections.
+	writeTimeout = 30 * time.Second
 )
 
 // Config configures a server.
@@ -30,6 +37,12 @@
 	MaxBodyBytes int
 	// StreamBodies is true if the handler reads large request bodies while they arrive.
 	StreamBodies bool
+	// Bodies is the memory for the bodies of all requests. Connections and heads are limited as
+	// well if it is set; nil means no limits, for clients that are trusted.
+	Bodies *collector.Memory
+	// MaxConns and HeadBytes are those of acceptor.Config.
+	MaxConns  int
+	HeadBytes int64
 }
 
 // Serve serves requests until the context ends, and then waits for the requests in
@@ -52,6 +65,16 @@
 		Logger:             discardLogger{},
 		ErrorHandler:       writeBadRequest,
 	}
+	if c.Bodies != nil {
+		l = acceptor.New(acceptor.Config{Listener: l, MaxConns: c.MaxConns, HeadBytes: c.HeadBytes, WriteTimeout: writeTimeout})
+		s.StreamRequestBody, s.DisablePreParseMultipartForm = true, true
+		s.Handler = collect(c.Handler, c.Bodies, limit)
+		s.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
+			if a, ok := conn.(*acceptor.Conn); ok && state == fasthttp.StateIdle {
+				a.AwaitHead()
+			}
+		}
+	}
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	select {
@@ -108,7 +131,8 @@
 // writeBadRequest responds to a request that fasthttp cannot read.
 func writeBadRequest(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
-	if err == fasthttp.ErrBodyTooLarge {
+	var tooLong collector.ErrTooLong
+	if err == fasthttp.ErrBodyTooLarge || errors.As(err, &tooLong) {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	WriteProblem(ctx, status, ProblemDetail{Code: "BadRequest", Message: err.Error(), Run: "NotRun", Field: "request"})
