platform: processes exit before the time to stop ends

A process could outlast its time to stop in three ways: it waited without a limit until its log had been written, so that it never ended if nobody read the log; the 150 ms in which callers receive the last responses were counted from the time at which the process got to it, even if it had stood still until then; and nothing limited the wait for the goroutines of a process that gets a quarter of a core.

Trackers, the messenger and the object store client were read for waits that ignore their context; none was found.

--- a/base/reporter/writer.go
+++ b/base/reporter/writer.go
@@ -83,3 +83,18 @@
 	w.closeOnce.Do(func() { close(w.done) })
 	w.wg.Wait()
 }
+
+// CloseWithin is like Close, but waits no longer than the timeout for an output that is blocked.
+func (w *Writer) CloseWithin(timeout time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		w.Close()
+		close(closed)
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	}
+}
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -130,8 +130,9 @@
 	routingMu sync.Mutex
 	// leaving is true after a planned stop has begun.
 	leaving atomic.Bool
-	// leavingSince is the time at which the planned stop began, on Config.Clock.
+	// leavingSince is the time of the signal to stop, on Config.Clock. leavingOnce sets it.
 	leavingSince atomic.Int64
+	leavingOnce  sync.Once
 	// inFlight is the number of calls in flight.
 	inFlight atomic.Int64
 	// startedAt is the time of New, on the sources' clock.
--- a/shells/edgerunner/leaving.go
+++ b/shells/edgerunner/leaving.go
@@ -31,13 +31,23 @@
 // Leaving reports whether a planned stop has begun.
 func (e *Edge) Leaving() bool { return e.leaving.Load() }
 
+// BeginLeaving records that the process has been signalled to stop.
+func (e *Edge) BeginLeaving() {
+	e.leavingOnce.Do(func() {
+		e.leavingSince.Store(int64(e.config.Clock()))
+	})
+}
+
+// UntilKilled returns the time until the process is killed, after BeginLeaving.
+func (e *Edge) UntilKilled() time.Duration { return e.config.Bounds.StopTimeout - e.stoppingFor() }
+
 // Leave begins a planned stop. It returns after addressTTL, the time for which callers may
 // still use the entry's address, has passed and no call is in flight, or earlier if the
 // time to stop runs out or the context ends. Calls that are in flight when TimeLeft is 0 must
 // end then.
 func (e *Edge) Leave(ctx context.Context, addressTTL time.Duration) {
 	stopTimeout := e.config.Bounds.StopTimeout
-	e.leavingSince.Store(int64(e.config.Clock()))
+	e.BeginLeaving()
 	e.forwarder.BeginStop(forwarder.PlannedStop{
 		TimeLeft: e.TimeLeft, SilenceMargin: min(maxReplicaSilence, stopTimeout/minStopPerSilence),
 		StoppingFor: e.stoppingFor, EstimateWindow: estimateWindow,
@@ -54,7 +64,7 @@
 	}
 }
 
-// stoppingFor returns the time since the planned stop began.
+// stoppingFor returns the time since the signal to stop.
 func (e *Edge) stoppingFor() time.Duration {
 	return e.config.Clock() - time.Duration(e.leavingSince.Load())
 }
