edgerunner, platform: planned stops allow for pauses at the signal and for slow hosts

A process whose host stands still as the signal to stop arrives took the time at which it ran again for the beginning of the stop, and was killed before it ended. A pauseWatch now records every 50 ms that the process runs. If a pause of 250 ms or more has just ended, the stop counts from its beginning, but from no more than half of the time to stop earlier, as the signal may also have come after the pause.

TestProcessEndsWithinTimeToStop/FrozenAsSignalled failed before: with 3 s to stop and a pause of 1 s the process ended after 3.91 s.

--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -133,6 +133,8 @@
 	// leavingSince is the time of the signal to stop, on Config.Clock. leavingOnce sets it.
 	leavingSince atomic.Int64
 	leavingOnce  sync.Once
+	// pauses knows whether the process has just stood still.
+	pauses *pauseWatch
 	// inFlight is the number of calls in flight.
 	inFlight atomic.Int64
 	// startedAt is the time of New, on the sources' clock.
@@ -180,6 +182,7 @@
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), news: make(chan struct{}, 1),
 	}
+	e.pauses = &pauseWatch{clock: c.Clock}
 	e.registerGauges()
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
@@ -213,6 +216,7 @@
 		wg.Go(func() { e.sources.Contacts.Run(ctx) })
 	}
 	wg.Go(func() { e.pulser.Run(ctx) })
+	wg.Go(func() { e.pauses.run(ctx) })
 	wg.Go(func() { e.sendLoads(ctx) })
 	wg.Go(func() { e.shareNews(ctx) })
 	wg.Go(func() { e.refreshLoop(ctx) })
