forwarder: replicas that end streams which callers do not read have not failed

The entry reads a stream no faster than its caller. A replica that breaks off a stream which was not read for some seconds got a cooldown, and the parts of the prompt were blamed for a crash if the process ended then. A stream that ends with its connection was passed on as complete.

The caller's connection ends visibly incomplete, or the stream goes on at another replica if it may.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -66,6 +66,8 @@
 	repeated bool
 	// freeBody frees the memory of the response's body; nil if it has none.
 	freeBody func()
+	// unread is the time for which the stream was not read because of the caller.
+	unread unreadTime
 }
 
 // newAttempt returns an attempt at the replica of the grant, of which nothing has been sent.
@@ -335,6 +337,8 @@
 		outcome, logged = placer.Failed, "Failed"
 	case errors.Is(err, errUnconfirmedEnd):
 		outcome, logged = placer.Abandoned, "Unconfirmed"
+	case a.unread.explainsEnd() && x.ctx.Err() == nil:
+		outcome, logged = placer.Abandoned, "Unread"
 	case errors.Is(cause, errVersionDue):
 		// The replica has not failed.
 		outcome, logged, err = placer.Abandoned, "Withdrawn", cause
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -56,7 +56,7 @@
 		}
 		a.startTimer = nil
 		a.x.forwarder.config.Placer.ResponseStarted(a.grant)
-		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && a.x.brokeOff(a, a.x.answer.begun()) {
+		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && (a.unread.explainsEnd() || a.x.brokeOff(a, a.x.answer.begun())) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) && a.mustContinue {
@@ -100,7 +100,7 @@
 	} else if !isComment(p.event) {
 		x.unnumbered = true
 	}
-	if err := x.writeEvent(a.response, p.event, a.events.hasBufferedEvent()); err != nil {
+	if err := x.writeEvent(a, p.event); err != nil {
 		x.release(a.grant, placer.Abandoned)
 		x.callerDisconnected(a.grant.Replica.ID)
 		return true
@@ -110,14 +110,15 @@
 
 // writeEvent writes an event to the caller, after the header if it is the first. It
 // flushes the event unless more events are buffered and follow at once.
-func (x *requestState) writeEvent(resp Response, e []byte, moreBuffered bool) error {
+func (x *requestState) writeEvent(a *attemptState, e []byte) error {
+	defer a.unread.add(time.Now())
 	if !x.responseStarted {
 		x.responseStarted = true
-		if err := x.writer.WriteHeader(resp); err != nil {
+		if err := x.writer.WriteHeader(a.response); err != nil {
 			return err
 		}
 	}
-	if err := x.writer.WriteEvent(e); err != nil || moreBuffered {
+	if err := x.writer.WriteEvent(e); err != nil || a.events.hasBufferedEvent() {
 		return err
 	}
 	return x.writer.Flush()
--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -66,7 +66,7 @@
 // connectionEnded checks, after an attempt that failed with err, whether the replica has
 // crashed.
 func (x *requestState) connectionEnded(a *attemptState, err error) {
-	if a.endedByForwarder() || x.answer.witnessed || len(x.keys) == 0 || !peerClosed(err) || x.ctx.Err() != nil || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
+	if a.endedByForwarder() || a.unread.explainsEnd() || x.answer.witnessed || len(x.keys) == 0 || !peerClosed(err) || x.ctx.Err() != nil || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
 		return
 	}
 	if x.forwarder.crashes.connectionEnded(x.ctx, a.grant.Replica, suspector.LostRequest{Keys: x.keys, SentAt: a.startedAt}, crashWait) == Ended {
