forwarder, collector, platform: callers that read slowly lose their connections first

A response that is no stream, and a long event, hold memory of the entry until the caller has received them, up to 5 s after the deadline. A few callers that did not read used all of it, the responses to others failed with 502, and the replicas that had sent these got a cooldown.

A body or event that finds no memory now waits until some is freed, for up to 4 s. If the oldest delivery has taken more than a second, its connection is reset, which also frees what the kernel holds for it and which no caller takes for the end of a response. A lack of memory in the entry does not count as a failure of the replica.

TestSlowCallerGivesWay and TestNoMemoryIsNoFailure failed before.

--- a/base/collector/collector.go
+++ b/base/collector/collector.go
@@ -20,6 +20,8 @@
 	// maxHintMultiple is how many times larger than what has arrived a buffer may be because of
 	// the length that the peer has announced.
 	maxHintMultiple = 4
+	// maxReclaims is the maximum number of times that a body waits for memory.
+	maxReclaims = 40
 )
 
 // ErrTooLong reports a body of which no more is read.
@@ -52,13 +54,17 @@
 	Name string
 	// LimitBytes is the size of the memory; 0 means the default.
 	LimitBytes int64
+	// Reclaim, if not nil, is called while the memory does not suffice. It waits for memory that others
+	// free, and may make them free it. It returns false if nobody will.
+	Reclaim func() bool
 }
 
 // Memory is the memory for all bodies of one kind that are being read or used. It is safe for
 // concurrent use.
 type Memory struct {
-	name  string
-	limit int64
+	name    string
+	limit   int64
+	reclaim func() bool
 
 	mu   sync.Mutex
 	used int64
@@ -69,12 +75,23 @@
 	if c.LimitBytes <= 0 {
 		c.LimitBytes = defaultLimit
 	}
-	return &Memory{name: c.Name, limit: c.LimitBytes}
+	if c.Reclaim == nil {
+		c.Reclaim = func() bool { return false }
+	}
+	return &Memory{name: c.Name, limit: c.LimitBytes, reclaim: c.Reclaim}
 }
 
 // Reserve takes n more bytes for a body that holds some. It returns ErrNoMemory if the body would
 // hold too much of the memory.
 func (m *Memory) Reserve(held, n int64) error {
+	err := m.reserve(held, n)
+	for i := 0; err != nil && i < maxReclaims && m.reclaim(); i++ {
+		err = m.reserve(held, n)
+	}
+	return err
+}
+
+func (m *Memory) reserve(held, n int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if free := m.limit - m.used - n; held+n > maxFreeMultiple*free {
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -98,12 +98,16 @@
 	if a.startTimer != nil {
 		a.startTimer.Stop()
 	}
+	holdsMemory := a.freeBody != nil || a.events != nil && a.events.reserved > 0
 	if a.freeBody != nil {
 		a.freeBody()
 	}
 	if a.events != nil {
 		a.events.close()
 	}
+	if holdsMemory {
+		a.x.forwarder.deliveries.memoryFreed()
+	}
 }
 
 // await calls f, which blocks until the replica is heard. It returns errSuperseded if another
@@ -258,7 +262,10 @@
 	x.release(a.grant, outcome)
 	x.answerCompleted(a.response)
 	x.responseStarted = true
-	if err := x.writer.WriteResponse(a.response, p.body); err != nil {
+	end := x.forwarder.deliveries.begin(x.writer)
+	err := x.writer.WriteResponse(a.response, p.body)
+	end()
+	if err != nil {
 		x.callerDisconnected(a.grant.Replica.ID)
 		return false, true
 	}
@@ -326,6 +333,7 @@
 	outcome, logged := placer.NoResponse, "Broken"
 	cause := context.Cause(a.ctx)
 	var notSent exchanger.ErrNotSent
+	var noMemory collector.ErrNoMemory
 	switch {
 	case errors.As(err, &notSent):
 		outcome, logged = notSentOutcome(a.ctx, err), "NotSent"
@@ -337,6 +345,9 @@
 		outcome, logged = placer.Failed, "Failed"
 	case errors.Is(err, errUnconfirmedEnd):
 		outcome, logged = placer.Abandoned, "Unconfirmed"
+	case errors.As(err, &noMemory):
+		// The replica has not failed.
+		outcome, logged = placer.Abandoned, "NoMemory"
 	case a.unread.explainsEnd() && x.ctx.Err() == nil:
 		outcome, logged = placer.Abandoned, "Unread"
 	case errors.Is(cause, errVersionDue):
--- a/shells/forwarder/body.go
+++ b/shells/forwarder/body.go
@@ -29,6 +29,6 @@
 
 // newBuffers returns the memory for the bodies and the long events of all responses that are
 // being read.
-func newBuffers(limit int64) *collector.Memory {
-	return collector.New(collector.Config{Name: "responses", LimitBytes: limit})
+func newBuffers(limit int64, d *deliveries) *collector.Memory {
+	return collector.New(collector.Config{Name: "responses", LimitBytes: limit, Reclaim: d.reclaim})
 }
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -213,6 +213,7 @@
 	config      Config
 	retryBudget *retryBudget
 	buffers     *collector.Memory
+	deliveries  *deliveries
 	crashes     *crashChecks
 	durations   durations
 	// plannedStop is the planned stop; nil if none has begun. stopBegun ends as it begins, by
@@ -236,7 +237,8 @@
 	if c.Situation == nil {
 		c.Situation = func() Situation { return Situation{} }
 	}
-	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes), crashes: newCrashChecks(c)}
+	d := newDeliveries()
+	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes, d), deliveries: d, crashes: newCrashChecks(c)}
 	f.stopBegun, f.stopBegins = context.WithCancel(context.Background())
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
 	return f
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -111,6 +111,9 @@
 // writeEvent writes an event to the caller, after the header if it is the first. It
 // flushes the event unless more events are buffered and follow at once.
 func (x *requestState) writeEvent(a *attemptState, e []byte) error {
+	if a.events.reserved > 0 {
+		defer x.forwarder.deliveries.begin(x.writer)()
+	}
 	defer a.unread.add(time.Now())
 	if !x.responseStarted {
 		x.responseStarted = true
--- a/shells/forwarder/unread_test.go
+++ b/shells/forwarder/unread_test.go
@@ -3,9 +3,16 @@
 import (
 	"errors"
 	"io"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/decisions/placer"
 	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
@@ -66,3 +73,62 @@
 		})
 	}
 }
+
+// TestSlowCallerGivesWay guards against callers that do not read long responses and so use up the memory
+// for all others, and against replicas in cooldown because the entry has no memory.
+func TestSlowCallerGivesWay(t *testing.T) {
+	const limit, long = 1 << 20, 350 << 10
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := placer.New(placer.Config{Region: "a"})
+		p.SetFleet(time.Now(), placer.Fleet{
+			Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "0", Service: "s", Address: "0", Slots: 100}),
+			Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
+		})
+		f := forwarder.New(forwarder.Config{
+			Placer: p, Link: &script{steps: []step{{verdict: forwarder.Ran, status: 200, body: strings.Repeat("x", long)}}}, BufferBytes: limit, Log: reporter.New(reporter.Config{Logger: discardLog()}),
+			VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
+		})
+		serve := func(w forwarder.ResponseWriter) {
+			now := time.Now()
+			f.Serve(t.Context(), &forwarder.Call{Route: route(filbertstile.CallNonIdempotent), Service: "s", Arrived: now, Deadline: now.Add(20 * time.Second)}, w)
+		}
+		slow := make([]*slowCaller, 2)
+		for i := range slow {
+			slow[i] = &slowCaller{stalls: time.Minute, cut: make(chan struct{})}
+			go serve(slow[i])
+			time.Sleep(100 * time.Millisecond)
+		}
+		began, c := time.Now(), &caller{}
+		serve(c)
+		is.Equal(c.body.Len(), long)
+		is.True(time.Since(began) < 2*time.Second)
+		is.True(slow[0].aborted) // the one that has had the most time
+		is.True(!slow[1].aborted)
+		time.Sleep(2 * time.Minute) // nobody needs the memory of the other one
+		is.Equal(slow[1].body.Len(), long)
+		states, _ := p.Dump(time.Now())
+		is.Equal(states[0].Failures, 0)
+	})
+}
+
+// TestNoMemoryIsNoFailure guards against replicas in cooldown because the entry has no memory for a response.
+func TestNoMemoryIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := placer.New(placer.Config{Region: "a"})
+		p.SetFleet(time.Now(), placer.Fleet{
+			Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "0", Service: "s", Address: "0", Slots: 100}),
+			Pools:    filbertstile.NewTable(filbertstile.PoolSpec{Service: "s"}), Entries: 1,
+		})
+		f := forwarder.New(forwarder.Config{
+			Placer: p, Link: &script{steps: []step{{verdict: forwarder.Ran, status: 200, body: strings.Repeat("x", 1<<20)}}}, BufferBytes: 1 << 18, Log: reporter.New(reporter.Config{Logger: discardLog()}),
+			VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
+		})
+		c, now := &caller{}, time.Now()
+		f.Serve(t.Context(), &forwarder.Call{Route: route(filbertstile.CallNonIdempotent), Service: "s", Arrived: now, Deadline: now.Add(20 * time.Second)}, c)
+		is.True(c.failedWith(filbertstile.Unknown))
+		states, _ := p.Dump(time.Now())
+		is.Equal(states[0].Failures, 0)
+	})
+}
