--- a/base/collector/collector.go
+++ b/base/collector/collector.go
@@ -27,6 +27,8 @@
 	stallTime = 400 * time.Millisecond
 	// giveWayTimeout is how long a body waits for the memory of those that give way.
 	giveWayTimeout = 200 * time.Millisecond
+	// maxReclaims is the maximum number of times that a body waits for memory.
+	maxReclaims = 40
 )
 
 // ErrTooLong reports a body of which no more is read.
@@ -59,13 +61,17 @@
 	Name string
 	// LimitBytes is the size of the memory; 0 means the default.
 	LimitBytes int64
+	// Reclaim, if not nil, is called while the memory does not suffice. It waits for memory that others
+	// free, and may make them free it. It returns false if nobody will.
+	Reclaim func() bool
 }
 
 // Memory is the memory for all bodies of one kind that are being read or used. It is safe for
 // concurrent use.
 type Memory struct {
-	name  string
-	limit int64
+	name    string
+	limit   int64
+	reclaim func() bool
 
 	mu   sync.Mutex
 	used int64
@@ -92,18 +98,30 @@
 	if c.LimitBytes <= 0 {
 		c.LimitBytes = defaultLimit
 	}
-	return &Memory{name: c.Name, limit: c.LimitBytes, reading: make(map[*reading]struct{})}
+	if c.Reclaim == nil {
+		c.Reclaim = func() bool { return false }
+	}
+	return &Memory{name: c.Name, limit: c.LimitBytes, reclaim: c.Reclaim, reading: make(map[*reading]struct{})}
 }
 
 // Reserve takes n more bytes for a body that holds some. It returns ErrNoMemory if the body would
 // hold too much of the memory.
 func (m *Memory) Reserve(held, n int64) error {
+	err := m.tryReserve(held, n)
+	for i := 0; err != nil && i < maxReclaims && m.reclaim(); i++ {
+		err = m.tryReserve(held, n)
+	}
+	return err
+}
+
+// tryReserve is like Reserve, but does not wait for memory.
+func (m *Memory) tryReserve(held, n int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.reserve(held, n)
 }
 
-// reserve is like Reserve; the caller must hold the lock.
+// reserve is like tryReserve; the caller must hold the lock.
 func (m *Memory) reserve(held, n int64) error {
 	if free := m.limit - m.used - n; held+n > maxFreeMultiple*free {
 		return ErrNoMemory{Memory: m.name, LimitBytes: m.limit}
@@ -126,6 +144,21 @@
 // reserveFor is like Reserve, for a body that is being read. If there is too little memory, bodies
 // that make no progress give way.
 func (m *Memory) reserveFor(r *reading, n int64) error {
+	if m.awaitStalled(r, n) == nil {
+		return nil
+	}
+	if err := m.Reserve(r.held, n); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.held += n
+	return nil
+}
+
+// awaitStalled is like tryReserve, for a body that is being read, but waits for the memory of bodies
+// that make no progress and give way.
+func (m *Memory) awaitStalled(r *reading, n int64) error {
 	deadline := time.Time{}
 	for {
 		m.mu.Lock()
