--- a/decisions/distributor/messages.go
+++ b/decisions/distributor/messages.go
@@ -13,7 +13,11 @@
 type WantedChanged struct{ Wants []Want }
 
 // MembersChanged replaces the list of the service's hosts.
-type MembersChanged struct{ Members []filbertstile.Member }
+type MembersChanged struct {
+	Members []filbertstile.Member
+	// Listed is true if the list contains all hosts that are registered.
+	Listed bool
+}
 
 // ManifestArrived provides a verified manifest.
 type ManifestArrived struct {
