--- a/decisions/distributor/origin.go
+++ b/decisions/distributor/origin.go
@@ -8,7 +8,7 @@
 // readFromOrigin reads the chunks of which this host is the designated reader, and
 // those of readers that have made no progress for too long.
 func (c *Core) readFromOrigin(now time.Time, t *transfer) []Command {
-	if !t.hasManifest || t.missing == 0 || !c.mayReadOrigin(now, t) || now.Before(c.cooldownUntil[""]) || t.originFetches >= c.maxOriginFetches(now) {
+	if !t.hasManifest || t.missing == 0 || !c.mayReadOrigin(now, t) || now.Before(c.cooldownUntil[""]) || t.originFetches >= c.maxOriginFetches(now, t) {
 		return nil
 	}
 	var out []Command
@@ -19,7 +19,7 @@
 			if isOwn != own || t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) {
 				continue
 			}
-			if t.originFetches >= c.maxOriginFetches(now) {
+			if t.originFetches >= c.maxOriginFetches(now, t) {
 				ownLeft = ownLeft || own
 				return
 			}
--- a/decisions/distributor/settle.go
+++ b/decisions/distributor/settle.go
@@ -24,6 +24,8 @@
 	// startingManifestStep replaces the takeover delay between two hosts that request the
 	// manifest soon after they have started: others may start a little later.
 	startingManifestStep = 100 * time.Millisecond
+	// severalReaders is the number of readers that fill the origin's link with one read each.
+	severalReaders = 8
 	// noProgressDelay is the time without a chunk after which more hosts read early.
 	noProgressDelay = 500 * time.Millisecond
 )
@@ -36,6 +38,7 @@
 	grown := slices.ContainsFunc(e.Members, func(m filbertstile.Member) bool {
 		return m.Name != c.config.Self.Name && !slices.ContainsFunc(c.members, func(o filbertstile.Member) bool { return o.Name == m.Name })
 	})
+	c.listedAlone = e.Listed && len(e.Members) == 1
 	if grown {
 		// A complete list that grows is one of hosts that are still registering.
 		c.listedFirst = e.Listed && len(c.members) <= 1
@@ -50,6 +53,9 @@
 	if l.SettleDelay == 0 {
 		return time.Time{}
 	}
+	if c.membersGrewAt.IsZero() && c.listedAlone {
+		return c.firstMembersAt.Add(l.MaxSettleDelay / 2)
+	}
 	if c.membersGrewAt.IsZero() {
 		return c.firstMembersAt.Add(l.MaxSettleDelay)
 	}
@@ -115,12 +121,16 @@
 }
 
 // maxOriginFetches returns the number of chunks that this host reads from the origin at the
-// same time: one, so that the few readers share the link in small parts, and more as long as
-// a read takes so little time that one at a time would leave the link idle.
-func (c *Core) maxOriginFetches(now time.Time) int {
+// same time. Reads share the link, so that the first chunks arrive the later the more there are.
+// Several readers fill the link with one each, and few ones with more, as long as a read takes
+// so little time that the link would idle between two.
+func (c *Core) maxOriginFetches(now time.Time, t *transfer) int {
 	l := c.config.Limits
+	if l.SlowOriginRead == 0 {
+		return l.MaxOriginFetches
+	}
 	unknown := c.averageOriginTime == 0 && (!c.settled(now) || len(c.originCandidates) > l.MaxOriginFetches)
-	if l.SlowOriginRead > 0 && (unknown || c.averageOriginTime > l.SlowOriginRead) {
+	if unknown || c.averageOriginTime > l.SlowOriginRead || len(t.topology.owners) >= severalReaders {
 		return 1
 	}
 	return l.MaxOriginFetches
