edgerunner, platform, operator: a command explains where a request would go now

filbertstile explain asks a running entry, by its address for metrics, where a request would go and why, without sending it: route, account and priority, the decision and its rule, free slots and those left to more urgent requests, and the candidates with load, pace, expected first event, score and what speaks against each. It also works on an entry that rejects requests. Entries of the product's own interface have no such answer yet.

--- a/operators/operator/operator.go
+++ b/operators/operator/operator.go
@@ -106,6 +106,7 @@
 			Run:   watch,
 		},
 		{Name: "dump", Group: groupInspection, Args: "PROCESS", Help: "print the state dump of a process as JSON", Run: dump},
+		explainCommand(),
 	}
 }
 
--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -63,16 +64,27 @@
 // request is rejected.
 func (e *Edge) Admit(req Request) (*forwarder.Call, error) {
 	m, age := e.currentMatcher()
+	call, err := e.admit(req, m, age)
+	var rejected filbertstile.ErrRequest
+	if !errors.As(err, &rejected) {
+		return call, err
+	}
+	configVersion := int64(0)
+	if m != nil {
+		configVersion = m.Routing().Version
+	}
+	e.config.Log.Event(reporter.RequestRefused, reporter.Fields{
+		"Request": req.ID, "Code": rejected.Code, "Detail": rejected.Detail, "HostName": req.HostName, "Path": req.Path,
+		"Config": configVersion, "ConfigAge": age.String(), "RetryAfter": rejected.RetryAfter.String(),
+	})
+	e.recordRequestEnd(&forwarder.Call{}, rejected.Code, time.Since(req.Arrived))
+	return nil, err
+}
+
+// admit is like Admit, for the matcher of a view that the store confirmed that long ago. It records
+// nothing.
+func (e *Edge) admit(req Request, m *matcher.Matcher, age time.Duration) (*forwarder.Call, error) {
 	reject := func(code, detail string, retryAfter time.Duration) (*forwarder.Call, error) {
-		configVersion := int64(0)
-		if m != nil {
-			configVersion = m.Routing().Version
-		}
-		e.config.Log.Event(reporter.RequestRefused, reporter.Fields{
-			"Request": req.ID, "Code": code, "Detail": detail, "HostName": req.HostName, "Path": req.Path,
-			"Config": configVersion, "ConfigAge": age.String(), "RetryAfter": retryAfter.String(),
-		})
-		e.recordRequestEnd(&forwarder.Call{}, code, time.Since(req.Arrived))
 		return nil, filbertstile.ErrRequest{Code: code, Run: filbertstile.NotRun, Step: "admit request", RetryAfter: retryAfter, Detail: detail}
 	}
 	if m == nil {
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -350,6 +350,12 @@
 	return x.runAttempt(&g)
 }
 
+// PlacerRequest returns the request for a replica for the first attempt of the call.
+func (f *Forwarder) PlacerRequest(c *Call) placer.Request {
+	x := &requestState{forwarder: f, call: c, lastEventID: c.LastEventID}
+	return x.placerRequest()
+}
+
 // placerRequest returns the request for a replica for the next attempt.
 func (x *requestState) placerRequest() placer.Request {
 	req := placer.Request{
