admitter, placer, edgerunner, wire: entries tell their group how many requests arrive

The rates of the other entries of a group were assumed to be the own one, and each entry had the same part of the slots. If the others got none, their part of the slots was used only while more than some were free.

Entries now send the arrivals per second by priority every 200 ms, and divide the slots by the demand that the engines can serve, the most urgent first. An entry of an older build is still assumed to have the own rate.

--- a/decisions/admitter/admitter.go
+++ b/decisions/admitter/admitter.go
@@ -72,8 +72,6 @@
 	Free  int
 	// InFlight is the number of requests in flight, from all entries.
 	InFlight int
-	// Entries is the number of entries that use the engines.
-	Entries int
 }
 
 // classState is what is known of a class.
@@ -101,11 +99,16 @@
 	routes  map[string]*routeState
 	// holdTime is a moving average of the time in seconds for which a request holds its slot.
 	holdTime float64
+	// peers are the other entries that use the engines.
+	peers map[string]*peer
+	// weights are the weights of the entries at weighedAt.
+	weights   map[string]float64
+	weighedAt time.Time
 }
 
 // New returns an admitter that has seen no requests.
 func New() *Admitter {
-	return &Admitter{routes: make(map[string]*routeState), holdTime: initialHoldTime}
+	return &Admitter{routes: make(map[string]*routeState), peers: make(map[string]*peer), holdTime: initialHoldTime}
 }
 
 // Arrived records the arrival of a request, and returns its class. The request is late if its
@@ -158,13 +161,13 @@
 	return out
 }
 
-// urgentRate returns the arrivals per second at this entry of classes more urgent than c.
-func (a *Admitter) urgentRate(now time.Time, c Class) float64 {
-	out := 0.0
+// urgentRates returns the arrivals per second of classes more urgent than c at this entry, and at
+// the others.
+func (a *Admitter) urgentRates(now time.Time, c Class) (own, others float64) {
 	for _, s := range a.moreUrgent(c) {
-		out += s.arrivals.perSecond(now)
+		own += s.arrivals.perSecond(now)
 	}
-	return out
+	return own, a.peerRate(own, func(o Class) bool { return o.Rank() < c.Rank() })
 }
 
 // endRate returns the number of requests per second that end at the engines, by the number in
@@ -175,22 +178,21 @@
 // other entries: what they need beyond the slots that become free meanwhile, and a margin for its
 // variation.
 func (a *Admitter) Reserve(now time.Time, c Class, v View) int {
-	own := a.urgentRate(now, c)
-	urgent := own * float64(max(1, v.Entries))
+	own, others := a.urgentRates(now, c)
 	// Requests of this entry do not need slots that are free in advance: they wait in the same
 	// queue, and go first.
-	others := (urgent - own) * reserveHorizon.Seconds()
 	if others == 0 {
 		return 0
 	}
-	out := max(0, (urgent-a.endRate(v))*reserveHorizon.Seconds()) + reserveMargin*math.Sqrt(others)
+	horizon := reserveHorizon.Seconds()
+	out := max(0, (own+others-a.endRate(v))*horizon) + reserveMargin*math.Sqrt(others*horizon)
 	return int(min(math.Ceil(out), maxReserveShare*float64(v.Slots)))
 }
 
 // Unseen returns the number of requests that other entries may have placed at an engine since
 // their latest loads that have arrived: the expected number and its standard deviation.
 func (a *Admitter) Unseen(v View) int {
-	others := 1 - 1/float64(max(1, v.Entries))
+	others := 1 - 1/float64(1+len(a.peers))
 	n := a.endRate(v) / float64(max(1, v.Replicas)) * others * maxViewAge.Seconds()
 	return int(math.Round(n + math.Sqrt(n)))
 }
@@ -200,19 +202,21 @@
 	return v.Free > a.Reserve(now, c, v)
 }
 
-// RoomRate returns the slots per second that this entry can expect for the class after more
+// RoomShare returns the share of the arrivals of the class for which room is expected after more
 // urgent ones have taken theirs.
-func (a *Admitter) RoomRate(now time.Time, c Class, v View) float64 {
-	return max(0, a.endRate(v)/float64(max(1, v.Entries))-a.urgentRate(now, c))
-}
-
-// RoomShare returns the share of the arrivals of the class for which room is expected.
 func (a *Admitter) RoomShare(now time.Time, c Class, v View) float64 {
-	arrivals := a.state(c).arrivals.perSecond(now)
-	if arrivals == 0 {
+	own := a.state(c).arrivals.perSecond(now)
+	rate := own + a.peerRate(own, func(o Class) bool { return o == c })
+	if rate == 0 {
 		return 1
 	}
-	return min(1, a.RoomRate(now, c, v)/arrivals)
+	urgent, others := a.urgentRates(now, c)
+	return min(1, max(0, a.endRate(v)-urgent-others)/rate)
+}
+
+// RoomRate returns the slots per second that this entry can expect for the class.
+func (a *Admitter) RoomRate(now time.Time, c Class, v View) float64 {
+	return a.RoomShare(now, c, v) * a.state(c).arrivals.perSecond(now)
 }
 
 // TakeCredit reports whether the floor of the route admits the request, which then ranks as
--- a/decisions/admitter/admitter_test.go
+++ b/decisions/admitter/admitter_test.go
@@ -23,9 +23,10 @@
 // have none.
 func TestReserve(t *testing.T) {
 	is := is.New(t)
-	v := admitter.View{Slots: 168, Free: 20, InFlight: 148, Entries: 8}
+	v := admitter.View{Slots: 168, Free: 20, InFlight: 148}
 	reserve := func(urgent int) int {
 		a := admitter.New()
+		a.SetPeers([]string{"2", "3", "4", "5", "6", "7", "8"})
 		now := arrivals(a, time.Now(), urgent, "urgent", 0)
 		is.Equal(a.Reserve(now, admitter.Class{}, v), 0)
 		return a.Reserve(now, admitter.Class{Priority: 1}, v)
--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -27,6 +27,8 @@
 	admitter *admitter.Admitter
 	// view is the view of the engines at viewedAt, less the slots that were taken since.
 	view admitter.View
+	// dividedAt is the time at which the slots were divided among the entries.
+	dividedAt time.Time
 }
 
 // ticket is the admission of one request.
@@ -78,6 +80,9 @@
 	}
 	req.ticket = &ticket{class: a.admitter.Arrived(now, req.Route, req.Priority, req.Waited > req.TargetLatency)}
 	p.updateView(now, *req)
+	if now.Sub(a.dividedAt) >= divideInterval {
+		p.divideSlots(now, req.Service, a)
+	}
 }
 
 // updateView brings the view for the request up to date.
@@ -89,10 +94,7 @@
 
 // viewOf returns the view of the engines that may run the request.
 func (p *Placer) viewOf(now time.Time, req Request) admitter.View {
-	out := admitter.View{Entries: max(1, p.fleet.Entries)}
-	if p.fleet.GroupReplicas != nil {
-		out.Entries = max(1, p.fleet.GroupEntries)
-	}
+	var out admitter.View
 	for r := range p.ofGroups(req.Service, false) {
 		if !p.eligible(now, req, r) {
 			continue
@@ -227,21 +229,6 @@
 	return max(0, out)
 }
 
-// setQuotas works out this entry's quota of the slots of each replica: the slots are divided among
-// the entries of the group, in the order of a hash that all compute alike. The caller must hold
-// p.mu.
-func (p *Placer) setQuotas() {
-	for service := range p.admissions {
-		for r := range p.all(service) {
-			slots, entries := max(1, r.replica.Slots), len(p.peerNames)+1
-			r.quota, r.turn = slots/entries, p.rankAmong(p.peerNames, r.replica.ID)
-			if r.turn < slots%entries {
-				r.quota++
-			}
-		}
-	}
-}
-
 // mayUseSlot reports whether the request may use a free slot of the replica although other
 // entries may be about to. With admission by priority, replicas are full for long while all
 // entries have requests in the queue, and each slot that becomes free would get a request from
--- a/decisions/placer/admission_test.go
+++ b/decisions/placer/admission_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
 )
 
@@ -26,6 +28,11 @@
 		x := fleet(14, 12, 8, 0)
 		x.Priorities = map[string][]int{model: priorities}
 		p.SetFleet(time.Now(), x)
+		var peers []filbertstile.Member
+		for i := range 7 {
+			peers = append(peers, filbertstile.Member{Name: fmt.Sprint("peer-", i)})
+		}
+		p.RetainPeers(time.Now(), peers)
 		for _, r := range x.Replicas.All() {
 			p.SetReplicaLoad(time.Now(), r.Address, placer.ReplicaLoad{Version: 1})
 		}
@@ -33,20 +40,25 @@
 	})
 }
 
-// fill places requests of the route until n slots are free.
-func fill(ctx context.Context, is *is.I, p *placer.Placer, route string, priority, n int) {
-	is.Helper()
-	for range 14*12 - n {
-		_, err := p.Acquire(ctx, prioritized(route, priority))
-		is.NoErr(err)
+// fill makes another entry use all slots but one of each of n engines. It gets 500 urgent requests
+// per second.
+func fill(p *placer.Placer, n int) {
+	loads := make(map[uint32]placer.EntryLoad)
+	for i := range 14 {
+		loads[placer.HashOf(fmt.Sprintf("r%02d", i))] = placer.EntryLoad{Requests: 12}
+		if i < n {
+			loads[placer.HashOf(fmt.Sprintf("r%02d", i))] = placer.EntryLoad{Requests: 11}
+		}
 	}
+	p.SetPeerLoads(time.Now(), "peer-0", loads, true)
+	p.SetPeerDemands("peer-0", []placer.Demand{{Service: placer.HashOf(model), PerSecond: 500}})
 }
 
 // If the free slots are fewer than urgent requests are expected to need, others must be refused
 // at once, with the figures, but for the floor of their route. Urgent requests must get the slots.
 func TestSlotsAreHeldForUrgentRequests(t *testing.T) {
 	withPrioritized(t, []int{0, 2}, func(ctx context.Context, is *is.I, p *placer.Placer) {
-		fill(ctx, is, p, "urgent", 0, 10)
+		fill(p, 10)
 		started, admitted := time.Now(), 0
 		for range 10 {
 			req := prioritized("batch", 2)
@@ -75,7 +87,7 @@
 // Without routes of different priorities, requests must be placed in any free slot.
 func TestNothingIsHeldForOnePriority(t *testing.T) {
 	withPrioritized(t, []int{1}, func(ctx context.Context, is *is.I, p *placer.Placer) {
-		fill(ctx, is, p, "urgent", 0, 10)
+		fill(p, 10)
 		for range 10 {
 			_, err := p.Acquire(ctx, prioritized("batch", 2))
 			is.NoErr(err)
@@ -88,7 +100,7 @@
 // a share of its target latency, which lets a long target outlast an urgent one.
 func TestQueueTimeoutFollowsFromTarget(t *testing.T) {
 	withPrioritized(t, []int{0, 2}, func(ctx context.Context, is *is.I, p *placer.Placer) {
-		fill(ctx, is, p, "urgent", 0, 0)
+		fill(p, 0)
 		started := time.Now()
 		_, err := p.Acquire(ctx, prioritized("urgent", 0))
 		is.True(err != nil)
--- a/decisions/placer/admissionmodel_test.go
+++ b/decisions/placer/admissionmodel_test.go
@@ -55,6 +55,8 @@
 	only string
 	// retries is the number of times that a caller comes back after a refusal.
 	retries int
+	// skew is the share by which every other entry of a group gets fewer requests.
+	skew float64
 	// loss is the share of the messages that are lost, and maxAge the age of a message as it
 	// arrives, at least 50 ms.
 	loss   float64
@@ -206,7 +208,9 @@
 			for id, l := range p.LocalLoads(all) {
 				loads[placer.HashOf(id)] = l
 			}
-			if len(loads) == 0 && !all {
+			demands, _ := p.Demands(time.Now())
+			withDemands := n%4 == i%4
+			if len(loads) == 0 && !all && !withDemands {
 				continue
 			}
 			for j, other := range x.placers {
@@ -214,7 +218,12 @@
 					continue
 				}
 				age := max(0, time.Duration(rng.Int64N(max(1, int64(x.maxAge-50*time.Millisecond)))))
-				time.AfterFunc(age, func() { other.SetPeerLoads(time.Now(), fmt.Sprint(i), loads, all) })
+				time.AfterFunc(age, func() {
+					other.SetPeerLoads(time.Now(), fmt.Sprint(i), loads, all)
+					if withDemands {
+						other.SetPeerDemands(fmt.Sprint(i), demands)
+					}
+				})
 			}
 		}
 		pause(ctx, 50*time.Millisecond)
@@ -255,6 +264,16 @@
 	wg.Wait()
 }
 
+// entry returns the entry that a request goes to.
+func (x *competitionRun) entry(rng *rand.Rand) int {
+	for {
+		i := rng.IntN(len(x.placers))
+		if !x.dead[i] && (x.skew == 0 || rng.Float64() >= x.skew*float64(i/x.groups()%2)) {
+			return i
+		}
+	}
+}
+
 // call sends a request, and sends it again after a refusal.
 func (x *competitionRun) call(ctx context.Context, r competingRoute, tokens, events int, rng *rand.Rand) {
 	const timeout = 6 * time.Second
@@ -268,10 +287,7 @@
 	}
 	x.mu.Unlock()
 	for attempt := 0; attempt <= x.retries; attempt++ {
-		i := rng.IntN(len(x.placers))
-		for x.dead[i] {
-			i = rng.IntN(len(x.placers))
-		}
+		i := x.entry(rng)
 		now := time.Now()
 		req := placer.Request{
 			Service: model, Route: r.name, Priority: r.priority, Arrived: now, TargetLatency: r.target, Deadline: first.Add(timeout),
--- /dev/null
+++ b/decisions/placer/division.go
@@ -0,0 +1,103 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertstile.example/filbertstile/decisions/admitter"
+)
+
+// divideInterval is the time between two divisions of the slots.
+const divideInterval = 250 * time.Millisecond
+
+// Demand is the rate at which requests to a service arrive at an entry.
+type Demand struct {
+	// Service is the hash of the service's name.
+	Service uint32
+	// Priority and Late are the class of the requests.
+	Priority  int
+	Late      bool
+	PerSecond float64
+}
+
+// Demands returns the demands of this entry on services with admission by priority, and whether
+// there are such services.
+func (p *Placer) Demands(now time.Time) (demands []Demand, any bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, a := range p.admissions {
+		for _, d := range a.admitter.Demands(now) {
+			demands = append(demands, Demand{Service: HashOf(service), Priority: d.Class.Priority, Late: d.Class.Late, PerSecond: d.PerSecond})
+		}
+	}
+	return demands, len(p.admissions) > 0
+}
+
+// SetPeerDemands sets the demands of another entry. Rates that are none count as zero.
+func (p *Placer) SetPeerDemands(entry string, demands []Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, a := range p.admissions {
+		hash := HashOf(service)
+		var list []admitter.Demand
+		for _, d := range demands {
+			if d.Service == hash && d.PerSecond > 0 && !math.IsInf(d.PerSecond, 0) {
+				list = append(list, admitter.Demand{Class: admitter.Class{Priority: max(0, d.Priority), Late: d.Late}, PerSecond: d.PerSecond})
+			}
+		}
+		a.admitter.SetPeerDemands(entry, list)
+	}
+}
+
+// setAdmissionPeers applies a change of the entries or of the replicas to the admissions. The
+// caller must hold p.mu.
+func (p *Placer) setAdmissionPeers(now time.Time) {
+	for service, a := range p.admissions {
+		a.admitter.SetPeers(p.peerNames)
+		p.divideSlots(now, service, a)
+	}
+}
+
+// divideSlots works out this entry's quota of the slots of each replica: the slots are divided
+// among the entries of the group by their weights, in the order of a hash that all compute alike.
+// The caller must hold p.mu.
+func (p *Placer) divideSlots(now time.Time, service string, a *admission) {
+	a.dividedAt = now
+	weights := a.admitter.Weights(now, p.viewOf(now, Request{Service: service}))
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	type entry struct {
+		hash   uint64
+		weight float64
+		self   bool
+	}
+	entries := make([]entry, 0, len(weights))
+	for r := range p.ofGroups(service, false) {
+		entries = entries[:0]
+		for name, w := range weights {
+			self := name == ""
+			if self {
+				name = p.config.Self
+			}
+			entries = append(entries, entry{hash: xxhash.Sum64String(name + "\x00" + r.replica.ID), weight: w, self: self})
+		}
+		slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(b.hash, a.hash) })
+		// The order differs from replica to replica, and so does where a slot ends that two
+		// entries share: each gets it at as many replicas as its part of it.
+		slots := float64(max(1, r.replica.Slots)) / sum
+		end := float64(HashOf(r.replica.ID)) / (1 << 32)
+		for turn, e := range entries {
+			begin := end
+			end += e.weight * slots
+			if e.self {
+				r.quota, r.turn = int(math.Floor(end)-math.Floor(begin)), turn
+			}
+		}
+	}
+}
--- a/decisions/placer/limits.go
+++ b/decisions/placer/limits.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -167,22 +166,17 @@
 // rank returns the number of entries that come before this one in the order for the replica.
 // An entry that is not among Fleet.Senders, because it stops, comes last.
 func (p *Placer) rank(id string) int {
-	if len(p.fleet.Senders) > 0 && !slices.Contains(p.fleet.Senders, p.config.Self) {
-		return math.MaxInt
-	}
-	return p.rankAmong(p.fleet.Senders, id)
-}
-
-// rankAmong returns the number of the entries that come before this one in the order for the
-// replica.
-func (p *Placer) rankAmong(entries []string, id string) int {
 	weight := func(entry string) uint64 { return xxhash.Sum64String(entry + "\x00" + id) }
-	own, n := weight(p.config.Self), 0
-	for _, entry := range entries {
+	own, listed, n := weight(p.config.Self), len(p.fleet.Senders) == 0, 0
+	for _, entry := range p.fleet.Senders {
+		listed = listed || entry == p.config.Self
 		if cmp.Or(cmp.Compare(weight(entry), own), cmp.Compare(entry, p.config.Self)) > 0 {
 			n++
 		}
 	}
+	if !listed {
+		return math.MaxInt
+	}
 	return n
 }
 
--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -89,7 +89,7 @@
 			delete(p.peerLoads, name)
 		}
 	}
-	p.setQuotas()
+	p.setAdmissionPeers(now)
 	p.sumPeerLoads()
 	p.serveQueue(now)
 }
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -138,7 +138,7 @@
 	}
 	p.fleet, p.byID, p.byAddress, p.byHash, p.byService = f, byID, byAddress, byHash, byService
 	p.setAdmissions(f)
-	p.setQuotas()
+	p.setAdmissionPeers(now)
 	p.retainAnnouncements(now)
 	p.divideLimits(now)
 	p.sumPeerLoads()
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -39,6 +39,9 @@
 	// allLoadsInterval is the time between two such messages with all loads, as datagrams
 	// may be lost.
 	allLoadsInterval = 500 * time.Millisecond
+	// demandInterval is the time between two such messages that include the rates at which
+	// requests arrive at this entry.
+	demandInterval = 200 * time.Millisecond
 	// multiGroupLoadInterval replaces loadInterval if there are several groups, as each
 	// entry then has fewer requests.
 	multiGroupLoadInterval = 50 * time.Millisecond
@@ -257,6 +260,9 @@
 	if e.learnManifests(p.GetWeights()) || newVersion {
 		e.pulser.SendNow()
 	}
+	if p.GetAllDemands() {
+		e.placer.SetPeerDemands(p.GetName(), readDemands(p.GetDemands()))
+	}
 	if p.GetAllLoads() || len(p.GetLoads()) > 0 {
 		loads := make(map[uint32]placer.EntryLoad, len(p.GetLoads()))
 		for _, l := range p.GetLoads() {
@@ -275,7 +281,7 @@
 // sendLoads sends the loads that this entry puts on replicas to the other entries of its
 // group, until the context ends.
 func (e *Edge) sendLoads(ctx context.Context) {
-	lastAll := time.Now()
+	lastAll, lastDemands := time.Now(), time.Now()
 	time.AfterFunc(pulser.HeartbeatTimeout, e.Refresh)
 	for sleeper.Sleep(ctx, e.nextLoadInterval()) == nil {
 		if e.senders.tick() {
@@ -284,13 +290,17 @@
 		}
 		all := time.Since(lastAll) >= allLoadsInterval
 		loads := e.placer.LocalLoads(all)
-		if len(loads) == 0 && !all {
+		p := e.newPulse()
+		if time.Since(lastDemands) >= demandInterval {
+			lastDemands = time.Now()
+			p.Demands, p.AllDemands = e.demands()
+		}
+		if len(loads) == 0 && !all && !p.GetAllDemands() {
 			continue
 		}
 		if all {
 			lastAll = time.Now()
 		}
-		p := e.newPulse()
 		p.AllLoads = all
 		for id, l := range loads {
 			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens)})
