--- a/decisions/placer/benchmark_test.go
+++ b/decisions/placer/benchmark_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
 )
 
@@ -34,3 +35,32 @@
 		})
 	}
 }
+
+// BenchmarkAcquirePrioritized is like BenchmarkAcquire, with admission by priority.
+func BenchmarkAcquirePrioritized(b *testing.B) {
+	f := fleet(138, 1<<20, 100, 0)
+	f.GroupReplicas, f.GroupEntries, f.Priorities = make(map[string]bool), 8, map[string][]int{model: {0, 1, 2}}
+	for i := range 11 {
+		f.GroupReplicas[fmt.Sprintf("r%02d", i)] = true
+	}
+	p := placer.New(placer.Config{Region: "a", Seed: 1, ColdBurst: 1.5, ColdSlack: 5})
+	var peers []filbertstile.Member
+	for i := range 7 {
+		peers = append(peers, filbertstile.Member{Name: fmt.Sprint("peer-", i)})
+	}
+	p.RetainPeers(time.Now(), peers)
+	p.SetFleet(time.Now(), f)
+	for _, m := range peers {
+		p.SetPeerDemands(m.Name, []placer.Demand{{Service: placer.HashOf(model), PerSecond: 10}, {Service: placer.HashOf(model), Priority: 1, PerSecond: 10}})
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		req := request(100)
+		req.TargetLatency, req.Priority, req.Route = time.Hour, i%3, "route"
+		g, err := p.Acquire(context.Background(), req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Release(&g, placer.Completed)
+	}
+}
