placer: engines faster than usual get more requests

The estimate of the first event adds 14 ms for each request in flight, for the prompts of later requests. On engines with a target of 100 ms, steps of 5 ms and prompts that take 12 ms, that left 3 of 12 slots usable. The delay now follows from the average prompt and output of the service if that is below half of the constant, for services whose engines report paces. A longer delay than the constant is not used: with steps of 50 ms and 64 slots, 6.5 in 100 were late instead of 0.3.

--- a/decisions/placer/outputs.go
+++ b/decisions/placer/outputs.go
@@ -16,6 +16,8 @@
 	// expected is the whole output that was expected, and arrived what has arrived of it.
 	expected float64
 	arrived  int
+	// prompt is the length of the prompt.
+	prompt int
 	// perEvent is the number of tokens of an event, and perToken the time of a step.
 	perEvent int
 	perToken time.Duration
@@ -71,7 +73,7 @@
 	}
 	spec := p.engine(req.Service)
 	o := &pendingOutput{
-		request: req.Output, resumed: req.Resumed, expected: p.outputs.Expected(req.Output),
+		request: req.Output, resumed: req.Resumed, prompt: req.PromptTokens, expected: p.outputs.Expected(req.Output),
 		perEvent: max(1, spec.StepsPerEvent), perToken: stepTime(spec, g.InFlight),
 	}
 	o.pending = o.remaining()
@@ -108,6 +110,12 @@
 		return
 	}
 	p.outputs.Learn(now, o.request, o.arrived)
+	w := p.work[r.replica.Service]
+	if w == nil {
+		w = &estimator.Work{}
+		p.work[r.replica.Service] = w
+	}
+	w.Learn(o.prompt, o.arrived)
 	p.costs.Responses++
 	p.costs.ExpectedTokens += int64(o.expected)
 	p.costs.Tokens += int64(o.arrived)
--- a/decisions/placer/pace.go
+++ b/decisions/placer/pace.go
@@ -11,10 +11,18 @@
 	// slowEngineCost is added to the score of an engine for each unit by which its pace exceeds
 	// 1, in requests. In a model with 2 or 8 the late and the refused were as many.
 	slowEngineCost = 4.0
-	// slowDelayPerRequest replaces delayPerRequest for a slow engine, before its pace counts:
-	// few requests go there while others wait. In a model 14 ms, as for other engines, had 9.0 in
-	// 100 requests refused at 1.2 times the capacity, and 3.5 ms 7.5; at 0 too many were late.
-	slowDelayPerRequest = 3500 * time.Microsecond
+	// slowDelayShare is the part of delayPerRequest that counts for a slow engine, before its pace
+	// does: few requests go there while others wait. In a model at 1.2 times the capacity, a half
+	// had 8.0 in 100 requests refused and 1.6 late, a quarter 7.5 and 1.9, and none 7.0 and 2.9.
+	slowDelayShare = 0.25
+	// laterPromptsFactor is the ratio of delayPerRequest to the average time that the prompts of
+	// later requests take, on the engines for which it was chosen: most responses must be in
+	// time, not those of average delay.
+	laterPromptsFactor = 2.6
+	// usualDelayRange is the factor by which the delay must be below delayPerRequest to replace
+	// it. A longer one never does: it had requests queued that would have been in time (in a model
+	// of 64 slots and steps of 50 ms, 6.5 in 100 were late instead of 0.3).
+	usualDelayRange = 2
 	// maxSlowInterval is the share of the target latency that the next interval between events
 	// of a slow engine may take if a late request goes there: its streams must not stall.
 	maxSlowInterval = 0.6
@@ -22,7 +30,8 @@
 
 // usePace works out the pace that counts for the replica until the next call. An engine whose
 // report is stale counts as one that works as specified, until events show otherwise.
-func (r *replicaState) usePace(now time.Time) {
+func (r *replicaState) usePace(now time.Time, delay time.Duration) {
+	r.usedDelay = delay
 	reported := 0.0
 	if r.hasFreshLoad(now) {
 		reported = r.load.Pace
@@ -33,6 +42,29 @@
 // pace returns how much slower than its specification the engine works.
 func (r *replicaState) pace() float64 { return max(1, r.usedPace) }
 
+// delayPerRequest returns the delay of a response by each request in flight, before the pace
+// counts.
+func (r *replicaState) delayPerRequest() time.Duration {
+	if r.pace() > 1 {
+		return time.Duration(float64(r.usedDelay) * slowDelayShare)
+	}
+	return r.usedDelay
+}
+
+// delayPerRequest returns the delay of a response of the service by each request in flight. It is
+// the usual one unless the engines are so much faster, or the prompts so much shorter, that they
+// would get only a part of the requests that they can answer in time.
+func (p *Placer) delayPerRequest(service string, e *filbertstile.EngineSpec) time.Duration {
+	if e == nil || !p.paced[service] {
+		return delayPerRequest
+	}
+	later, known := p.work[service].LaterPrompts(e)
+	if later = time.Duration(float64(later) * laterPromptsFactor); !known || later > delayPerRequest/usualDelayRange {
+		return delayPerRequest
+	}
+	return later
+}
+
 // atPace returns how long something takes for which the specification says d.
 func (r *replicaState) atPace(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * r.pace())
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -90,6 +90,8 @@
 	// outputs estimates the outputs of requests.
 	outputs *estimator.Outputs
 	costs   Costs
+	// work is the average work of requests, by service.
+	work map[string]*estimator.Work
 	// tokenDueAt is the time at which the queue is served for a limited replica; zero if no
 	// such time is set.
 	tokenDueAt time.Time
@@ -102,7 +104,7 @@
 	return &Placer{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), byID: make(map[string]*replicaState), byAddress: make(map[string]*replicaState),
 		byHash: make(map[uint32]*replicaState), placementRates: make(map[string]float64), placements: make(map[string]int), peerLoads: make(map[string]map[uint32]EntryLoad),
-		announced: make(map[string]*announced), paced: make(map[string]bool), outputs: estimator.NewOutputs(),
+		announced: make(map[string]*announced), paced: make(map[string]bool), outputs: estimator.NewOutputs(), work: make(map[string]*estimator.Work),
 	}
 }
 
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -128,6 +128,8 @@
 	observed *estimator.Pace
 	// usedPace is the pace that counts, as of the last call of usePace.
 	usedPace float64
+	// usedDelay is the delay by each request in flight, as of that call.
+	usedDelay time.Duration
 	// localOutput is the time that the output still to come of this entry's requests takes at an
 	// engine that works as specified.
 	localOutput time.Duration
@@ -191,11 +193,7 @@
 // the request's own, one more event interval, and a delay by later requests that grows
 // with the load.
 func (r *replicaState) timeToFirstEvent(e filbertstile.EngineSpec, inFlight, tokens int) time.Duration {
-	delay := delayPerRequest
-	if r.pace() > 1 {
-		delay = slowDelayPerRequest
-	}
-	return r.atPace(e.EventInterval(inFlight)*3/2 + e.PrefillTime(r.pendingTokens()+tokens) + time.Duration(inFlight)*delay)
+	return r.atPace(e.EventInterval(inFlight)*3/2 + e.PrefillTime(r.pendingTokens()+tokens) + time.Duration(inFlight)*r.delayPerRequest())
 }
 
 // startTime returns the time that the response to the request may take to begin, for a replica
@@ -289,13 +287,14 @@
 	bestScore := 0.0
 	var cooling *replicaState
 	spec := p.engine(req.Service)
+	delay := p.delayPerRequest(req.Service, spec)
 	for r := range p.ofGroups(req.Service, otherGroup) {
 		if !p.eligible(now, req, r) {
 			continue
 		}
 		anyEligible = true
 		inFlight := r.inFlight(now)
-		r.usePace(now)
+		r.usePace(now, delay)
 		if inFlight >= max(1, r.replica.Slots) || !p.withinColdLimit(now, r) {
 			continue
 		}
