placer: entries tell one another the paces that they see

An entry sees only the events of its own requests, and with 7 entries and 5 engines too few of an engine in a second. Entries now tell one another the pace that they see in the load messages; the lowest of all counts, so that an entry on a busy host, which sees all engines slow, changes nothing. The time to a first event is compared with one interval and the request's own prompt, not with all that may come before it: its ratio was the lowest of all and hid slow engines. Four observations in a second count instead of six in 0.8 s.

The model's tests now cover targets of 0.1 to 2 s, 4 to 64 slots and 1 to 100 entries, beside random choice, the least own count and the placer without paces.

--- a/decisions/estimator/pace.go
+++ b/decisions/estimator/pace.go
@@ -15,10 +15,10 @@
 	paceSamples = 16
 	// paceWindow is the age from which an observation no longer counts, so that an engine
 	// counts as slow or as recovered within about a second.
-	paceWindow = 800 * time.Millisecond
-	// minPaceSamples is the number of observations from which they count. A stream of an
-	// engine that works at a third of its specified pace has as many events in a second.
-	minPaceSamples = 6
+	paceWindow = time.Second
+	// minPaceSamples is the number of observations from which they count. At full load, a stream
+	// of an engine that works at 2.5 times its pace has about 5 events in a second.
+	minPaceSamples = 4
 	// paceQuantilePercent is the quantile of the observations that is taken as the pace. It is low,
 	// as the prompts of other requests are read between events; at full load most gaps contain
 	// one.
@@ -107,15 +107,23 @@
 }
 
 // Used returns the pace that counts, from 1 to filbertstile.MaxPace, given the latest report of
-// the engine, which is 0 if there is none. An engine is never faster than it says, and not much
-// faster than it is seen to be.
-func (p *Pace) Used(now time.Time, reported float64) float64 {
+// the engine and the pace that others see, which are 0 if there is none. An engine is never faster
+// than it says, and not much faster than all see it to be. The lowest of what is seen counts, as
+// an observer on a busy host sees all engines slow.
+func (p *Pace) Used(now time.Time, reported, others float64) float64 {
 	if math.IsNaN(reported) || reported < 1 || reported > hugePace {
 		reported = 1
 	}
 	out := min(reported, filbertstile.MaxPace)
-	if seen := p.Seen(now); seen >= minObservedPace {
+	seen := p.Seen(now)
+	if others > 0 && (seen == 0 || others < seen) {
+		seen = min(others, filbertstile.MaxPace)
+	}
+	if IsSlow(seen) {
 		out = max(out, seen)
 	}
 	return out
 }
+
+// IsSlow reports whether a pace that is seen counts.
+func IsSlow(seen float64) bool { return seen >= minObservedPace }
--- a/decisions/estimator/pace_test.go
+++ b/decisions/estimator/pace_test.go
@@ -33,14 +33,27 @@
 	is := is.New(t)
 	var p estimator.Pace
 	now := observe(&p, start, 30, 1)
-	is.Equal(p.Used(now, 1), 1.0)
+	is.Equal(p.Used(now, 1, 0), 1.0)
 	now = observe(&p, now, 9, 2.5) // one second
-	is.True(math.Abs(p.Used(now, 1)-2.5) < 0.1)
-	is.True(math.Abs(p.Used(now, 0)-2.5) < 0.1) // a build that does not report a pace
-	is.Equal(p.Used(now, 4), 4.0)
+	is.True(math.Abs(p.Used(now, 1, 0)-2.5) < 0.1)
+	is.True(math.Abs(p.Used(now, 0, 0)-2.5) < 0.1) // a build that does not report a pace
+	is.Equal(p.Used(now, 4, 0), 4.0)
 	recovered := observe(&p, now, 15, 1)
-	is.Equal(p.Used(recovered, 1), 1.0)
-	is.Equal(p.Used(now.Add(2*time.Second), 1), 1.0) // it is not used any more
+	is.Equal(p.Used(recovered, 1, 0), 1.0)
+	is.Equal(p.Used(now.Add(2*time.Second), 1, 0), 1.0) // it is not used any more
+}
+
+// What other entries see must count for an entry that has seen nothing, and an entry that sees all
+// engines slow, as its host is busy, must not be believed against them, nor believe itself.
+func TestLowestSeenPaceCounts(t *testing.T) {
+	is := is.New(t)
+	var none, slow, nominal estimator.Pace
+	now := observe(&slow, start, 9, 2.5)
+	observe(&nominal, now.Add(-9*interval), 9, 1)
+	is.Equal(none.Used(now, 1, 2.5), 2.5)
+	is.Equal(nominal.Used(now, 1, 2.5), 1.0)
+	is.Equal(slow.Used(now, 1, 1), 1.0)
+	is.True(slow.Used(now, 1, 2.2) < 2.3)
 }
 
 // Prompts of other requests, which are read between events, and events that were delayed on the
@@ -53,7 +66,7 @@
 		now = observe(&p, now, 3, 2.5)
 		now = observe(&p, now, 1, 0.1) // it arrived together with the previous one
 		now = observe(&p, now, 1, 1.05)
-		is.Equal(p.Used(now, 1), 1.0)
+		is.Equal(p.Used(now, 1, 0), 1.0)
 	}
 }
 
@@ -67,7 +80,7 @@
 			p.Observe(now, time.Duration(rapid.Int64().Draw(rt, "took")), time.Duration(rapid.Int64().Draw(rt, "expected")))
 		}
 		reported := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), 0, -1, 1e300})).Draw(rt, "reported")
-		if used := p.Used(now, reported); !(used >= 1 && used <= filbertstile.MaxPace) {
+		if used := p.Used(now, reported, rapid.Float64().Draw(rt, "others")); !(used >= 1 && used <= filbertstile.MaxPace) {
 			rt.Fatalf("pace %v", used)
 		}
 	})
--- a/decisions/placer/dump.go
+++ b/decisions/placer/dump.go
@@ -23,9 +23,10 @@
 	Rate float64
 	// Held is the remaining cooldown.
 	Held time.Duration
-	// SeenPace is how much slower than its specification the engine works by observation, 0 if
-	// that is not known, and UsedPace the pace that counts.
+	// SeenPace is how much slower than its specification this entry sees the engine work, and
+	// PeerPace the lowest that others see; 0 if that is not known. UsedPace is what counts.
 	SeenPace float64
+	PeerPace float64
 	UsedPace float64
 	// Output is the time that the output still to come of all requests takes at an engine that
 	// works as specified, summed over them.
@@ -50,7 +51,7 @@
 		out = append(out, State{
 			Replica: x, Own: r.localRequests, Others: r.peerLoad.Requests, Load: r.load, LoadAge: now.Sub(r.loadAt), Failures: r.failures, Rate: r.failureRate,
 			Held: max(0, r.cooldownUntil.Sub(now)), Leaving: leaving, Paused: paused, Limit: limit,
-			SeenPace: r.observed.Seen(now), UsedPace: r.pace(), Output: r.localOutput + r.peerLoad.Output,
+			SeenPace: r.observed.Seen(now), PeerPace: r.peerLoad.SeenPace, UsedPace: r.pace(), Output: r.localOutput + r.peerLoad.Output,
 		})
 	}
 	return out, len(p.queue)
--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/decisions/estimator"
 )
 
 // EntryLoad is the load that one or more entries put on a replica.
@@ -18,12 +19,15 @@
 	// Output is the time that the output still to come of these requests takes, summed over
 	// them, at an engine that works as specified.
 	Output time.Duration
+	// SeenPace is how much slower than its specification an entry sees the engine work; 0 if it
+	// has seen too little. Of several entries the lowest counts.
+	SeenPace float64
 }
 
-// isLike reports whether the loads differ only in the output still to come, which changes with
-// every event and is no reason for a message.
+// isLike reports whether the loads differ only in what changes with every event and is no reason
+// for a message.
 func (l EntryLoad) isLike(other EntryLoad) bool {
-	return l.Requests == other.Requests && l.Tokens == other.Tokens
+	return l.Requests == other.Requests && l.Tokens == other.Tokens && estimator.IsSlow(l.SeenPace) == estimator.IsSlow(other.SeenPace)
 }
 
 // HashOf returns the hash of a replica's ID that identifies the replica in heartbeats
@@ -36,9 +40,10 @@
 func (p *Placer) LocalLoads(all bool) map[string]EntryLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	out := make(map[string]EntryLoad)
 	for id, r := range p.byID {
-		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens, Output: r.localOutput}
+		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens, Output: r.localOutput, SeenPace: r.observed.Seen(now)}
 		if !l.isLike(r.lastLocalLoad) || all && l != (EntryLoad{}) {
 			r.lastLocalLoad = l
 			out[id] = l
@@ -78,11 +83,33 @@
 		r.peerLoad.Tokens += l.Tokens - loads[hash].Tokens
 		r.peerLoad.Output += l.Output - loads[hash].Output
 	}
+	seenBefore := loads[hash].SeenPace
 	if l == (EntryLoad{}) {
 		delete(loads, hash)
+	} else {
+		loads[hash] = l
+	}
+	if l.SeenPace != seenBefore {
+		p.updatePeerPace(hash)
+	}
+}
+
+// updatePeerPace works out the lowest pace that other entries see.
+func (p *Placer) updatePeerPace(hash uint32) {
+	r := p.byHash[hash]
+	if r == nil {
 		return
 	}
-	loads[hash] = l
+	r.peerLoad.SeenPace = 0
+	for _, loads := range p.peerLoads {
+		r.peerLoad.addPace(loads[hash].SeenPace)
+	}
+}
+
+func (l *EntryLoad) addPace(seen float64) {
+	if seen > 0 && (l.SeenPace == 0 || seen < l.SeenPace) {
+		l.SeenPace = seen
+	}
 }
 
 // RetainPeers keeps the loads of the given entries, and removes those of all others,
@@ -109,6 +136,7 @@
 				r.peerLoad.Requests += l.Requests
 				r.peerLoad.Tokens += l.Tokens
 				r.peerLoad.Output += l.Output
+				r.peerLoad.addPace(l.SeenPace)
 			}
 		}
 	}
--- a/decisions/placer/pace.go
+++ b/decisions/placer/pace.go
@@ -36,7 +36,7 @@
 	if r.hasFreshLoad(now) {
 		reported = r.load.Pace
 	}
-	r.usedPace = r.observed.Used(now, reported)
+	r.usedPace = r.observed.Used(now, reported, r.peerLoad.SeenPace)
 }
 
 // pace returns how much slower than its specification the engine works.
@@ -117,8 +117,8 @@
 	}
 	expected := spec.EventInterval(r.inFlight(now))
 	if !g.begun {
-		// The request arrives in the middle of an interval, and its prompt is read in the next.
-		expected = 2*expected + spec.PrefillTime(g.PendingTokens+g.promptTokens)
+		// Other prompts may be read before it as well, as they are between events.
+		expected += spec.PrefillTime(g.promptTokens)
 	}
 	r.observed.Observe(now, now.Sub(g.timedFrom), expected)
 }
--- a/decisions/placer/pace_test.go
+++ b/decisions/placer/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -212,9 +213,7 @@
 func (w pacedWorkload) runs(t *testing.T, policy pacedPolicy) *pacedResults {
 	out := &pacedResults{}
 	for seed := range uint64(3) {
-		r := w.run(t, policy, seed)
-		out.sent, out.refused, out.late, out.lateSlow, out.slow = out.sent+r.sent, out.refused+r.refused, out.late+r.late, out.lateSlow+r.lateSlow, out.slow+r.slow
-		out.firstEvents = append(out.firstEvents, r.firstEvents...)
+		out.add(w.run(t, policy, seed))
 	}
 	t.Logf("%.1f of capacity, %-13s %v", w.load, policy, out)
 	return out
@@ -222,14 +221,62 @@
 
 // If a fifth of the engines is slow, they must get so little that few responses are late, fewer
 // than without the paces or with simple policies, and that no more requests are lost under
-// overload.
+// overload. If they claim to work as specified, what is seen of them must help.
 func TestSlowEnginesGetWhatTheyAnswerInTime(t *testing.T) {
 	is := is.New(t)
 	for _, load := range []float64{0.2, 0.6, 1.2} {
 		w := deployment(load)
-		random, own, without, with := w.runs(t, byRandom), w.runs(t, byOwnCount), w.runs(t, byCount), w.runs(t, byPace)
-		is.True(with.lateShare() <= max(0.012, without.lateShare()/3))
+		random, own, without, with, seen := w.runs(t, byRandom), w.runs(t, byOwnCount), w.runs(t, byCount), w.runs(t, byPace), w.runs(t, byObservation)
+		is.True(with.lateShare() <= max(0.01, without.lateShare()/3))
 		is.True(with.late < random.late && with.late < own.late)
 		is.True(with.late+with.refused < without.late+without.refused)
+		is.True(seen.late < without.late)
+	}
+}
+
+// If all engines work as specified, requests must be served as well as if none reported a pace.
+func TestNominalPacesChangeLittle(t *testing.T) {
+	is := is.New(t)
+	w := deployment(1.2)
+	w.slowShare = 0
+	without, with := w.runs(t, byCount), w.runs(t, byPace)
+	lost := func(r *pacedResults) float64 { return float64(r.late+r.refused) / float64(r.sent) }
+	is.True(math.Abs(lost(with)-lost(without)) < 0.01)
+}
+
+// With engines of 4 and 12 slots and any spread of outputs, at most 1 in 100 responses must be
+// late, whatever the steps and the number of entries, and the slowest first events must not be
+// much later than without slow engines. Of engines with 64 slots and of targets of 100 ms fewer
+// must be late than without the paces: the targets of docs/design/demand.md are not reached there.
+func TestLateAcrossDeployments(t *testing.T) {
+	is := is.New(t)
+	for _, x := range []struct {
+		target, step  time.Duration
+		steps, slots  int
+		targetReached bool
+	}{
+		{400 * time.Millisecond, 9 * time.Millisecond, 5, 4, true}, {400 * time.Millisecond, 9 * time.Millisecond, 5, 12, true}, {2 * time.Second, 50 * time.Millisecond, 5, 12, true},
+		{100 * time.Millisecond, 5 * time.Millisecond, 2, 12, false}, {400 * time.Millisecond, 9 * time.Millisecond, 5, 64, false}, {2 * time.Second, 50 * time.Millisecond, 5, 64, false},
+	} {
+		var allWith, allWithout pacedResults
+		for _, entries := range []int{1, 12, 65, 100} {
+			if !x.targetReached && entries != 65 {
+				continue // the model of many slots takes long
+			}
+			var with, without pacedResults
+			for _, sigma := range []float64{0.7, 1.6} {
+				w := deployment(0.6)
+				w.target, w.spec.StepTime, w.spec.StepsPerEvent, w.slots, w.sigma, w.entries, w.seconds = x.target, x.step, x.steps, x.slots, sigma, entries, 10*x.target.Seconds()
+				w.spec.PrefillTokensPerSecond = w.meanTokens / (x.target.Seconds() / 8.5)
+				with.add(w.run(t, byPace, 1))
+				without.add(w.run(t, byCount, 1))
+			}
+			t.Logf("target %v, %d slots, %3d entries: with pace %v, p99/p50 %.1f", x.target, x.slots, entries, &with, with.tail())
+			t.Logf("target %v, %d slots, %3d entries: without   %v, p99/p50 %.1f", x.target, x.slots, entries, &without, without.tail())
+			allWith.add(&with)
+			allWithout.add(&without)
+		}
+		is.True(allWith.late < allWithout.late)
+		is.True(!x.targetReached || allWith.lateShare() <= 0.01 && allWith.tail() < allWithout.tail())
 	}
 }
--- a/decisions/placer/pacemodel_test.go
+++ b/decisions/placer/pacemodel_test.go
@@ -166,6 +166,17 @@
 	return r.firstEvents[int(q*float64(len(r.firstEvents)-1))]
 }
 
+// add adds the results of another simulation.
+func (r *pacedResults) add(o *pacedResults) {
+	r.sent, r.refused, r.late, r.lateSlow, r.slow = r.sent+o.sent, r.refused+o.refused, r.late+o.late, r.lateSlow+o.lateSlow, r.slow+o.slow
+	r.firstEvents = append(r.firstEvents, o.firstEvents...)
+}
+
+// tail returns the ratio of the 99th percentile of the first events to their median.
+func (r *pacedResults) tail() float64 {
+	return float64(r.quantile(0.99)) / float64(max(1, r.quantile(0.5)))
+}
+
 func (r *pacedResults) lateShare() float64 {
 	return float64(r.late) / float64(max(1, r.sent-r.refused))
 }
--- a/decisions/placer/paceuse_test.go
+++ b/decisions/placer/paceuse_test.go
@@ -114,6 +114,30 @@
 	}
 }
 
+// What another entry sees must count, and a message must tell the others when an engine begins to
+// count as slow, although no request has begun or ended.
+func TestSeenPaceOfOthersCounts(t *testing.T) {
+	withPaces(t, 1, 1, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		other := map[uint32]placer.EntryLoad{placer.HashOf("r01"): {SeenPace: 2.5}}
+		p.SetPeerLoads(time.Now(), "entry-2", other, true)
+		is.Equal(place(ctx, is, p, request(100), 100), 0)
+		p.SetPeerLoads(time.Now(), "entry-3", map[uint32]placer.EntryLoad{placer.HashOf("r01"): {SeenPace: 1}}, true)
+		is.True(place(ctx, is, p, request(100), 100) > 30)
+		p.RetainPeers(time.Now(), nil)
+		is.Equal(states(p)[1].PeerPace, 0.0)
+		g, err := p.Acquire(ctx, request(100))
+		is.NoErr(err)
+		told := false
+		for range 10 {
+			p.LocalLoads(false)
+			time.Sleep(112 * time.Millisecond)
+			p.EventArrived(&g)
+			told = told || p.LocalLoads(false)[g.Replica.ID].SeenPace > 2
+		}
+		is.True(told)
+	})
+}
+
 func states(p *placer.Placer) []placer.State {
 	out, _ := p.Dump(time.Now())
 	return out
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -263,6 +263,7 @@
 		for _, l := range p.GetLoads() {
 			loads[l.GetReplica()] = placer.EntryLoad{
 				Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Output: time.Duration(max(0, l.GetOutputMilliseconds())) * time.Millisecond,
+				SeenPace: filbertstile.ValidPace(float64(l.GetSeenPacePercent()) / 100),
 			}
 		}
 		e.placer.SetPeerLoads(time.Now(), p.GetName(), loads, p.GetAllLoads())
@@ -298,6 +299,7 @@
 		for id, l := range loads {
 			p.Loads = append(p.Loads, &wire.EntryLoad{
 				Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens), OutputMilliseconds: int32(min(l.Output.Milliseconds(), math.MaxInt32)),
+				SeenPacePercent: int32(l.SeenPace * 100),
 			})
 		}
 		e.pulser.Send(pulser.Message{Pulse: p, To: e.division.Load().LiveGroupPeers})
--- a/shells/edgerunner/gauges.go
+++ b/shells/edgerunner/gauges.go
@@ -22,7 +22,7 @@
 	register("Replicas.Paused", func(s placer.State) bool { return s.Paused > 0 })
 	register("Replicas.Limited", func(s placer.State) bool { return s.Limit.Named })
 	register("Replicas.SlowReported", func(s placer.State) bool { return s.Load.Pace > 1 })
-	register("Replicas.SlowSeen", func(s placer.State) bool { return s.SeenPace > 1 && s.UsedPace == s.SeenPace })
+	register("Replicas.SlowSeen", func(s placer.State) bool { return s.UsedPace > max(1, s.Load.Pace) })
 	registerCost("Costs.Responses", func(c placer.Costs) int64 { return c.Responses })
 	registerCost("Costs.ExpectedTokens", func(c placer.Costs) int64 { return c.ExpectedTokens })
 	registerCost("Costs.Tokens", func(c placer.Costs) int64 { return c.Tokens })
