--- a/decisions/placer/benchmark_test.go
+++ b/decisions/placer/benchmark_test.go
@@ -35,6 +35,27 @@
 	}
 }
 
+// BenchmarkAcquirePaced measures the placement of a request on one of 11 engines that report paces.
+func BenchmarkAcquirePaced(b *testing.B) {
+	p := placer.New(placer.Config{Region: "a", Seed: 1})
+	f := fleet(11, 1<<20, 8, 0)
+	p.SetFleet(time.Now(), f)
+	for _, r := range f.Replicas.All() {
+		p.SetReplicaLoad(time.Now().Add(time.Hour), r.Address, placer.ReplicaLoad{Version: 1, Pace: 1})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		req := request(100)
+		req.TargetLatency, req.Output.Route = time.Hour, "route"
+		g, err := p.Acquire(context.Background(), req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.EventArrived(&g)
+		p.Release(&g, placer.Completed)
+	}
+}
+
 // BenchmarkEventArrived measures what an event of a stream costs.
 func BenchmarkEventArrived(b *testing.B) {
 	for _, pace := range []float64{0, 1} {
