--- a/decisions/placer/explain.go
+++ b/decisions/placer/explain.go
@@ -119,9 +119,10 @@
 func (p *Placer) candidatesFor(now time.Time, req Request, maxLatency time.Duration) []Candidate {
 	var out []Candidate
 	spec := p.engine(req.Service)
+	delay := p.delayPerRequest(req.Service, spec)
 	for r := range p.all(req.Service) {
 		inFlight := r.inFlight(now)
-		r.usePace(now)
+		r.usePace(now, delay)
 		c := Candidate{
 			Replica: r.replica.ID, Address: r.replica.Address, Domain: r.replica.Domain, OwnGroup: !r.otherGroup, Eligible: p.eligible(now, req, r),
 			InFlight: inFlight, Slots: max(1, r.replica.Slots), PendingTokens: r.pendingTokens(), Pace: r.pace(), Score: p.score(req, r, spec, inFlight, 0),
--- a/decisions/placer/pacemodel_test.go
+++ b/decisions/placer/pacemodel_test.go
@@ -145,8 +145,8 @@
 
 // draw returns the lengths of the prompt and of the output of a request.
 func (w pacedWorkload) draw(rng *rand.Rand) (tokens, events int) {
-	lognormal := func(mean, sigma float64) float64 { return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2) }
-	return 20 + int(min(8000, lognormal(w.meanTokens, 0.8))), max(1, int(min(float64(w.maxEvents), lognormal(w.meanEvents, w.sigma))))
+	output := w.meanEvents * math.Exp(w.sigma*rng.NormFloat64()-w.sigma*w.sigma/2)
+	return int(w.meanTokens * (1 + 5*rng.ExpFloat64()) / 6), max(1, int(min(float64(w.maxEvents), output)))
 }
 
 // pacedResults counts the requests of a simulation.
@@ -166,6 +166,17 @@
 	return r.firstEvents[int(q*float64(len(r.firstEvents)-1))]
 }
 
+// add adds the results of another simulation.
+func (r *pacedResults) add(o *pacedResults) {
+	r.sent, r.refused, r.late, r.lateSlow, r.slow = r.sent+o.sent, r.refused+o.refused, r.late+o.late, r.lateSlow+o.lateSlow, r.slow+o.slow
+	r.firstEvents = append(r.firstEvents, o.firstEvents...)
+}
+
+// tail returns the ratio of the 99th percentile of the first events to their median.
+func (r *pacedResults) tail() float64 {
+	return float64(r.quantile(0.99)) / float64(max(1, r.quantile(0.5)))
+}
+
 func (r *pacedResults) lateShare() float64 {
 	return float64(r.late) / float64(max(1, r.sent-r.refused))
 }
