placer, wire, platform: entries send replicas only what fits into their memory

A replica crashes if the prompts and outputs of the requests that it holds exceed its memory, and entries counted only its slots. The specification of a service's engine now says how many tokens fit (kvCapacity). One that exceeds the memory of an empty replica is refused at once.

The engine's report of its use (kvUsed, kvTotal) is not used: it is 400 ms old, and may count parts of prompts that the engine keeps only until it needs the memory, so that nothing would be sent to a replica that is merely warm. Without kvCapacity nothing changes. Peers of an older build do not send memory_tokens, so that their requests are not counted.

--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -15,6 +15,8 @@
 	Requests int
 	// Tokens is the number of prompt tokens of requests whose response has not begun.
 	Tokens int
+	// Memory is the number of tokens that the requests in flight may hold in the replica's memory.
+	Memory int
 }
 
 // HashOf returns the hash of a replica's ID that identifies the replica in heartbeats
@@ -29,7 +31,7 @@
 	defer p.mu.Unlock()
 	out := make(map[string]EntryLoad)
 	for id, r := range p.byID {
-		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens}
+		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens, Memory: r.localMemory}
 		if l != r.lastLocalLoad || all && l != (EntryLoad{}) {
 			r.lastLocalLoad = l
 			out[id] = l
@@ -67,6 +69,7 @@
 	if r := p.byHash[hash]; r != nil {
 		r.peerLoad.Requests += l.Requests - loads[hash].Requests
 		r.peerLoad.Tokens += l.Tokens - loads[hash].Tokens
+		r.peerLoad.Memory += l.Memory - loads[hash].Memory
 	}
 	if l == (EntryLoad{}) {
 		delete(loads, hash)
@@ -98,6 +101,7 @@
 			if r := p.byHash[hash]; r != nil {
 				r.peerLoad.Requests += l.Requests
 				r.peerLoad.Tokens += l.Tokens
+				r.peerLoad.Memory += l.Memory
 			}
 		}
 	}
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -197,6 +197,7 @@
 	}
 	r.localRequests++
 	r.localTokens += req.PromptTokens
+	p.takeMemory(now, r, &g, req)
 	r.coldTokens--
 	p.takeLimitToken(now, &g)
 	p.countPlacement(now, req.Service)
@@ -276,6 +277,7 @@
 		return time.Time{}
 	}
 	p.promptRead(g)
+	r.freeMemory(g)
 	if o == Abandoned && g.sent && !g.answered {
 		r.unanswered++
 	}
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -25,6 +25,9 @@
 	Deadline time.Time
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
+	// MemoryTokens is the number of tokens that the request may hold in the replica's memory: its prompt
+	// and the maximum output.
+	MemoryTokens int
 	// Repeatable is true if the request may be sent again after it has been withdrawn.
 	Repeatable bool
 	// PreferIdle asks for the replica with the fewest requests in flight, as the request may
@@ -55,6 +58,8 @@
 	// promptTokens is the length of the request's prompt; 0 after the replica has read
 	// it.
 	promptTokens int
+	// memoryTokens is what the request may hold in the replica's memory.
+	memoryTokens int
 	// hasLimitToken is true if the request counts toward the limit of its replica.
 	hasLimitToken bool
 	// sent is true if the request may have been sent.
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -122,6 +122,10 @@
 	// localTokens is the number of prompt tokens of this entry's requests whose response
 	// has not begun.
 	localTokens int
+	// localMemory is the number of tokens that this entry's requests may hold in the replica's memory,
+	// which was last nearly full at memoryFullAt.
+	localMemory  int
+	memoryFullAt time.Time
 	// lastLocalLoad is the load that LocalLoads last returned.
 	lastLocalLoad EntryLoad
 	// peerLoad is the sum of the loads of the other entries.
@@ -245,7 +249,7 @@
 	if !p.hasEngine(req.Service) {
 		return true
 	}
-	if r.hasFreshLoad(now) && r.load.Loading {
+	if r.hasFreshLoad(now) && r.load.Loading || p.neverFits(req) {
 		return false
 	}
 	v := r.version(now)
@@ -291,7 +295,7 @@
 		if maxLatency > 0 && inFlight > maxIdleRequests && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency {
 			continue
 		}
-		if spec != nil && r.startsTooLate(now, *spec, req, inFlight) {
+		if spec != nil && (r.startsTooLate(now, *spec, req, inFlight) || !r.hasMemory(*spec, req)) {
 			continue
 		}
 		if now.Before(r.cooldownUntil) {
--- a/fleet.go
+++ b/fleet.go
@@ -87,6 +87,9 @@
 	StepTimePerRequest time.Duration
 	// StepsPerEvent is the number of steps between two events of a stream.
 	StepsPerEvent int
+	// MemoryTokens is the number of tokens of prompts and outputs that fit into an engine's memory;
+	// 0 if it is not known.
+	MemoryTokens int
 }
 
 // EventInterval returns the time between two events of a stream while the engine
--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -49,6 +49,10 @@
 	LastEventID int64
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
+	// OutputTokens is the maximum length of the output in tokens, and OutputHint the length that
+	// the caller expects; 0 if it is not given.
+	OutputTokens int
+	OutputHint   int
 	// PromptParts identifies the parts of the prompt that other requests may share.
 	PromptParts []uint64
 	// Arrived is the time at which the request arrived.
@@ -84,7 +88,8 @@
 	}
 	call := &forwarder.Call{
 		ID: req.ID, Route: route, Priority: route.Priority, Regions: route.Regions, Arrived: req.Arrived,
-		LastEventID: req.LastEventID, PromptTokens: req.PromptTokens, PromptParts: req.PromptParts, ConfigVersion: m.Routing().Version, ConfigAge: age,
+		LastEventID: req.LastEventID, PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens, OutputHint: req.OutputHint,
+		PromptParts: req.PromptParts, ConfigVersion: m.Routing().Version, ConfigAge: age,
 	}
 	if m.Routing().RequiresKeys() && !route.Public {
 		if age >= e.config.Bounds.RevokeTimeout-revokeMargin {
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -265,7 +265,7 @@
 	if p.GetAllLoads() || len(p.GetLoads()) > 0 {
 		loads := make(map[uint32]placer.EntryLoad, len(p.GetLoads()))
 		for _, l := range p.GetLoads() {
-			loads[l.GetReplica()] = placer.EntryLoad{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens())}
+			loads[l.GetReplica()] = placer.EntryLoad{Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Memory: max(0, int(l.GetMemoryTokens()))}
 		}
 		e.placer.SetPeerLoads(time.Now(), p.GetName(), loads, p.GetAllLoads())
 	}
@@ -298,7 +298,7 @@
 		p := e.newPulse()
 		p.AllLoads = all
 		for id, l := range loads {
-			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens)})
+			p.Loads = append(p.Loads, &wire.EntryLoad{Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens), MemoryTokens: int32(l.Memory)})
 		}
 		e.pulser.Send(pulser.Message{Pulse: p, To: e.division.Load().LiveGroupPeers})
 	}
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -82,6 +82,10 @@
 	LastEventID int64
 	// PromptTokens is the length of the prompt in tokens; 0 for plain services.
 	PromptTokens int
+	// OutputTokens is the maximum length of the output in tokens, and OutputHint the length that
+	// the caller expects; 0 if it is not given.
+	OutputTokens int
+	OutputHint   int
 	// PromptParts identifies the parts of the prompt that other requests may share.
 	PromptParts []uint64
 	// Key identifies the request: a caller who repeats it sends one with the same key, which
@@ -353,6 +357,7 @@
 		VersionFloor: x.forwarder.config.VersionFloor(x.call.Service), PreferIdle: x.onTrial || x.crashes > 0,
 		Repeatable: x.call.Route.Retryable(),
 	}
+	req.MemoryTokens = x.call.PromptTokens + x.call.OutputTokens
 	if x.sends > 0 {
 		// The target latency of a retry starts anew, as the request may have used it up
 		// in earlier attempts.
--- a/shells/forwarder/unread_test.go
+++ b/shells/forwarder/unread_test.go
@@ -66,7 +66,7 @@
 				f.Serve(r.ctx, &forwarder.Call{ID: "1", Route: onceStream, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second), PromptParts: []uint64{7}}, c)
 				states, _ := r.placer.Dump(time.Now())
 				r.is.Equal(states[0].Failures, 0)
-				r.is.Equal(len(r.suspector.Dump(time.Now())), 0)
+				r.is.Equal(r.evidence.Load(), int32(0))
 				r.is.Equal(r.prober.probes.Load(), int32(0))
 				r.is.True(c.aborted)
 			})
