forwarder: crashes of replicas without free memory are no evidence against a request

A crash at a replica with free memory, or one whose memory is not known, counts as before.

TestCrashOfFullReplicaIsNoEvidence failed before: the crash was told to other entries as evidence.

--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -66,6 +66,9 @@
 // connectionEnded checks, after an attempt that failed with err, whether the replica has
 // crashed.
 func (x *requestState) connectionEnded(a *attemptState, err error) {
+	if x.forwarder.config.Placer.MemoryNearlyFull(time.Now(), a.grant.Replica.ID) {
+		return // any of the requests there may have been one too many
+	}
 	if a.endedByForwarder() || a.unread.explainsEnd() || x.answer.witnessed || len(x.keys) == 0 || !peerClosed(err) || x.ctx.Err() != nil || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
 		return
 	}
@@ -81,7 +84,7 @@
 		return !begun
 	}
 	lost := suspector.LostRequest{SentAt: a.startedAt}
-	if !x.answer.witnessed {
+	if !x.answer.witnessed && !x.forwarder.config.Placer.MemoryNearlyFull(time.Now(), a.grant.Replica.ID) {
 		lost.Keys = x.keys
 	}
 	// The answer can't be passed on before this is known.
--- a/shells/forwarder/unread_test.go
+++ b/shells/forwarder/unread_test.go
@@ -132,3 +132,26 @@
 		is.Equal(states[0].Failures, 0)
 	})
 }
+
+// TestCrashOfFullReplicaIsNoEvidence guards against requests that are suspected because their replica crashed
+// when its memory was used up, and against crashes that are never evidence.
+func TestCrashOfFullReplicaIsNoEvidence(t *testing.T) {
+	for name, capacity := range map[string]int{"Full": 1000, "HalfFull": 2000, "Unknown": 0} {
+		t.Run(name, func(t *testing.T) {
+			withCrashRig(t, &ended, func(r *crashRig) {
+				r.placer.SetFleet(time.Now(), placer.Fleet{
+					Replicas: filbertstile.NewTable(filbertstile.Replica{ID: "0", Born: time.Now(), Service: "s", Address: "0", Slots: 100, Version: 1}), Entries: 1,
+					Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: &filbertstile.EngineSpec{Model: "m", PrefillTokensPerSecond: 1e6, MemoryTokens: capacity}}),
+				})
+				f, c := forwarder.New(r.config(&script{steps: []step{connectionLost}}, discardLog())), &caller{}
+				now := time.Now()
+				f.Serve(r.ctx, &forwarder.Call{
+					ID: "1", Route: onceStream, Service: "s", Arrived: now, Deadline: now.Add(6 * time.Second), PromptParts: []uint64{7}, PromptTokens: 600, OutputTokens: 300,
+				}, c)
+				r.is.True(c.failedWith(filbertstile.Unknown)) // it was sent
+				r.is.Equal(r.prober.probes.Load() == 0, name == "Full")
+				r.is.Equal(r.evidence.Load() == 0, name == "Full")
+			})
+		})
+	}
+}
