--- a/shells/forwarder/deliveries.go
+++ b/shells/forwarder/deliveries.go
@@ -30,12 +30,14 @@
 type deliveries struct {
 	mu     sync.Mutex
 	active map[*delivery]struct{}
-	// changed is closed and replaced when a delivery ends.
+	// changed is closed and replaced when memory has been freed.
 	changed chan struct{}
+	// stopped is closed when all requests must end.
+	stopped <-chan struct{}
 }
 
-func newDeliveries() *deliveries {
-	return &deliveries{active: make(map[*delivery]struct{}), changed: make(chan struct{})}
+func newDeliveries(stopped <-chan struct{}) *deliveries {
+	return &deliveries{active: make(map[*delivery]struct{}), changed: make(chan struct{}), stopped: stopped}
 }
 
 // begin records a delivery until the function returned is called.
@@ -64,7 +66,7 @@
 }
 
 // reclaim waits until memory may have been freed or, if the oldest delivery is slow, ends that. It
-// returns false if there is no delivery.
+// returns false if there is no delivery, or if the forwarder stops.
 func (d *deliveries) reclaim() bool {
 	d.mu.Lock()
 	oldest, changed := d.oldest(), d.changed
@@ -73,8 +75,7 @@
 		return false
 	}
 	if wait := time.Until(oldest.since.Add(slowDelivery)); wait > 0 {
-		awaitChange(changed, min(wait, reclaimInterval))
-		return true
+		return d.await(changed, min(wait, reclaimInterval))
 	}
 	d.mu.Lock()
 	if _, active := d.active[oldest]; active && !oldest.cut {
@@ -82,8 +83,7 @@
 		oldest.writer.Cut()
 	}
 	d.mu.Unlock()
-	awaitChange(changed, cutTimeout)
-	return true
+	return d.await(changed, cutTimeout)
 }
 
 // oldest returns the oldest delivery that has not been cut; nil if there is none. The caller holds d.mu.
@@ -97,12 +97,16 @@
 	return out
 }
 
-// awaitChange waits until the channel is closed or the timeout has passed.
-func awaitChange(changed <-chan struct{}, timeout time.Duration) {
+// await waits until the channel is closed or the timeout has passed. It returns false if the forwarder
+// stops.
+func (d *deliveries) await(changed <-chan struct{}, timeout time.Duration) bool {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-timer.C:
+	case <-d.stopped:
+		return false
 	}
+	return true
 }
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -241,10 +241,11 @@
 	if c.Situation == nil {
 		c.Situation = func() Situation { return Situation{} }
 	}
-	d := newDeliveries()
-	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes, d), deliveries: d, crashes: newCrashChecks(c)}
+	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), crashes: newCrashChecks(c)}
 	f.stopBegun, f.stopBegins = context.WithCancel(context.Background())
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
+	f.deliveries = newDeliveries(f.stopped.Done())
+	f.buffers = newBuffers(c.BufferBytes, f.deliveries)
 	return f
 }
 
