--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -22,12 +22,14 @@
 	// SeenPace is how much slower than its specification an entry sees the engine work; 0 if it
 	// has seen too little. Of several entries the lowest counts.
 	SeenPace float64
+	// Memory is the number of tokens that the requests in flight may hold in the replica's memory.
+	Memory int
 }
 
 // isLike reports whether the loads differ only in what changes with every event and is no reason
 // for a message.
 func (l EntryLoad) isLike(other EntryLoad) bool {
-	return l.Requests == other.Requests && l.Tokens == other.Tokens && estimator.IsSlow(l.SeenPace) == estimator.IsSlow(other.SeenPace)
+	return l.Requests == other.Requests && l.Tokens == other.Tokens && l.Memory == other.Memory && estimator.IsSlow(l.SeenPace) == estimator.IsSlow(other.SeenPace)
 }
 
 // HashOf returns the hash of a replica's ID that identifies the replica in heartbeats
@@ -43,7 +45,7 @@
 	now := time.Now()
 	out := make(map[string]EntryLoad)
 	for id, r := range p.byID {
-		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens, Output: r.localOutput, SeenPace: r.observed.Seen(now)}
+		l := EntryLoad{Requests: r.localRequests, Tokens: r.localTokens, Output: r.localOutput, SeenPace: r.observed.Seen(now), Memory: r.localMemory}
 		if !l.isLike(r.lastLocalLoad) || all && l != (EntryLoad{}) {
 			r.lastLocalLoad = l
 			out[id] = l
@@ -82,6 +84,7 @@
 		r.peerLoad.Requests += l.Requests - loads[hash].Requests
 		r.peerLoad.Tokens += l.Tokens - loads[hash].Tokens
 		r.peerLoad.Output += l.Output - loads[hash].Output
+		r.peerLoad.Memory += l.Memory - loads[hash].Memory
 	}
 	seenBefore := loads[hash].SeenPace
 	if l == (EntryLoad{}) {
@@ -147,6 +150,7 @@
 				r.peerLoad.Tokens += l.Tokens
 				r.peerLoad.Output += l.Output
 				r.peerLoad.addPace(l.SeenPace)
+				r.peerLoad.Memory += l.Memory
 			}
 		}
 	}
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -220,6 +220,7 @@
 	r.localRequests++
 	r.localTokens += req.PromptTokens
 	p.expectOutput(now, r, &g, req)
+	p.takeMemory(now, r, &g, req)
 	if r.coldTokens >= 1 { // a request beyond the entry's share uses none of it
 		r.coldTokens--
 	}
@@ -308,6 +309,7 @@
 		a.admitter.Ended(now.Sub(g.placedAt))
 	}
 	p.outputEnded(now, r, g, o)
+	r.freeMemory(g)
 	if o == Abandoned && g.sent && !g.answered {
 		r.unanswered++
 	}
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -32,6 +32,9 @@
 	Deadline time.Time
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
+	// MemoryTokens is the number of tokens that the request may hold in the replica's memory: its prompt
+	// and the maximum output.
+	MemoryTokens int
 	// Repeatable is true if the request may be sent again after it has been withdrawn.
 	Repeatable bool
 	// Output is what is known of the length of the response in advance. Resumed is true if the
@@ -78,6 +81,8 @@
 	Buffered bool
 	// output is the output that is expected; nil if it plays no role.
 	output *pendingOutput
+	// memoryTokens is what the request may hold in the replica's memory.
+	memoryTokens int
 	// hasLimitToken is true if the request counts toward the limit of its replica.
 	hasLimitToken bool
 	// sent is true if the request may have been sent.
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -133,6 +133,10 @@
 	// localOutput is the time that the output still to come of this entry's requests takes at an
 	// engine that works as specified.
 	localOutput time.Duration
+	// localMemory is the number of tokens that this entry's requests may hold in the replica's memory,
+	// which was last nearly full at memoryFullAt.
+	localMemory  int
+	memoryFullAt time.Time
 	// lastLocalLoad is the load that LocalLoads last returned.
 	lastLocalLoad EntryLoad
 	// peerLoad is the sum of the loads of the other entries.
@@ -266,7 +270,7 @@
 	if !p.hasEngine(req.Service) {
 		return true
 	}
-	if r.hasFreshLoad(now) && r.load.Loading {
+	if r.hasFreshLoad(now) && r.load.Loading || p.neverFits(req) {
 		return false
 	}
 	v := r.version(now)
@@ -336,6 +340,7 @@
 	ObstacleSlowEnd    Obstacle = "the engine is slow, and the response would end too late"
 	ObstacleLateStart  Obstacle = "the response would begin after the target latency"
 	ObstacleVersionDue Obstacle = "the response might begin after the version is due to end"
+	ObstacleMemory     Obstacle = "its memory does not hold the request beside those in flight"
 )
 
 // obstacle returns why the eligible replica, whose pace is up to date, is not free for the request.
@@ -355,6 +360,8 @@
 		return ObstacleLateStart
 	case spec != nil && r.startsTooLate(now, *spec, req, inFlight):
 		return ObstacleVersionDue
+	case spec != nil && !r.hasMemory(*spec, req):
+		return ObstacleMemory
 	}
 	return ""
 }
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -278,7 +278,7 @@
 		for _, l := range p.GetLoads() {
 			loads[l.GetReplica()] = placer.EntryLoad{
 				Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Output: time.Duration(max(0, l.GetOutputMilliseconds())) * time.Millisecond,
-				SeenPace: filbertstile.ValidPace(float64(l.GetSeenPacePercent()) / 100),
+				SeenPace: filbertstile.ValidPace(float64(l.GetSeenPacePercent()) / 100), Memory: max(0, int(l.GetMemoryTokens())),
 			}
 		}
 		e.placer.SetPeerLoads(time.Now(), p.GetName(), loads, p.GetAllLoads())
@@ -325,7 +325,7 @@
 		for id, l := range loads {
 			p.Loads = append(p.Loads, &wire.EntryLoad{
 				Replica: placer.HashOf(id), Requests: int32(l.Requests), Tokens: int32(l.Tokens), OutputMilliseconds: int32(min(l.Output.Milliseconds(), math.MaxInt32)),
-				SeenPacePercent: int32(l.SeenPace * 100),
+				SeenPacePercent: int32(l.SeenPace * 100), MemoryTokens: int32(min(l.Memory, math.MaxInt32)),
 			})
 		}
 		d := e.division.Load()
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -242,10 +242,11 @@
 	if c.Situation == nil {
 		c.Situation = func() Situation { return Situation{} }
 	}
-	d := newDeliveries()
-	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), buffers: newBuffers(c.BufferBytes, d), deliveries: d, crashes: newCrashChecks(c)}
+	f := &Forwarder{config: c, retryBudget: newRetryBudget(c.RetryBudget), crashes: newCrashChecks(c)}
 	f.stopBegun, f.stopBegins = context.WithCancel(context.Background())
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
+	f.deliveries = newDeliveries(f.stopped.Done())
+	f.buffers = newBuffers(c.BufferBytes, f.deliveries)
 	return f
 }
 
@@ -365,6 +366,7 @@
 		Repeatable: x.call.Route.Retryable(), Route: x.call.Route.Name, Waited: x.call.waited(), Resumed: x.lastEventID > 0 || x.responseStarted,
 		Output: estimator.OutputRequest{Route: x.call.Route.Name, Account: x.call.Account, Hint: x.call.OutputHint, Max: x.call.OutputTokens},
 	}
+	req.MemoryTokens = x.call.PromptTokens + x.call.OutputTokens
 	if x.sends > 0 {
 		// The target latency of a retry starts anew, as the request may have used it up
 		// in earlier attempts.
