--- a/decisions/distributor/order.go
+++ b/decisions/distributor/order.go
@@ -66,7 +66,7 @@
 	if t.topology.membersVersion == c.membersVersion {
 		return
 	}
-	t.topology = topology{membersVersion: c.membersVersion, neighbours: c.neighbours(t), sourcePeers: c.sourcePeers(t), importRank: c.importRank(t), importers: c.importers(t), leads: c.leads(t)}
+	t.topology = topology{membersVersion: c.membersVersion, neighbours: c.neighbours(t), sourcePeers: c.sourcePeers(t), importRank: c.importRank(t), importers: c.importers(t), leads: c.leads()}
 	owners := rendezvousOrder(c.owners(t), string(t.digest))
 	for _, m := range owners {
 		t.topology.owners = append(t.topology.owners, m.Name)
@@ -161,10 +161,11 @@
 
 // leads returns the hosts that complete a release first. They subscribe to all readers, so
 // that there is a complete copy soon after the last chunk was read. The second one is there in
-// case the first fails.
-func (c *Core) leads(t *transfer) []filbertstile.Member {
-	candidates := rendezvousOrder(c.originCandidates, string(t.digest)+"lead")
-	return candidates[:min(len(candidates), c.config.Limits.Leads)]
+// case the first fails. They are not readers if there are enough hosts, as the chunks that they
+// receive would delay those that they read.
+func (c *Core) leads() []filbertstile.Member {
+	candidates := rendezvousOrder(c.originCandidates, c.config.SourceRegion)
+	return candidates[max(0, len(candidates)-c.config.Limits.Leads):]
 }
 
 func (c *Core) isLead(t *transfer) bool {
@@ -173,8 +174,8 @@
 
 // maxPeerFetches returns the maximum number of fetches in flight from peers of the region.
 func (c *Core) maxPeerFetches(t *transfer) int {
-	if c.isLead(t) {
-		return max(c.config.Limits.MaxPeerFetches, len(t.topology.neighbours))
+	if c.isLead(t) && !slices.Contains(t.topology.owners, c.config.Self.Name) {
+		return 2 * c.config.Limits.MaxPeerFetches
 	}
 	return c.config.Limits.MaxPeerFetches
 }
