--- a/decisions/distributor/origin.go
+++ b/decisions/distributor/origin.go
@@ -74,7 +74,10 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	return []Command{c.startFetch(now, t, candidates[c.rng.IntN(len(candidates))], nil)}
+	// The order of takeover spreads the readers over the chunks.
+	return []Command{c.startFetch(now, t, slices.MinFunc(candidates, func(a, b int) int {
+		return c.ownerRank(t, a, c.ownerOf(t, a)) - c.ownerRank(t, b, c.ownerOf(t, b))
+	}), nil)}
 }
 
 // recordFirstMissing records for each owner which of its chunks is the first that is missing in
@@ -96,8 +99,11 @@
 // stuck reports whether the owner does not read its chunks: it reads them in order, and the first
 // of them has been missing for too long. That other hosts read the rest does not count.
 func (c *Core) stuck(now time.Time, t *transfer, owner int) bool {
-	since := t.progressOf(now, t.topology.owners[owner]).firstMissingSince
-	return !since.IsZero() && now.Sub(since) >= max(c.config.Limits.TakeoverDelay, 2*c.averageOriginTime)
+	p := t.progressOf(now, t.topology.owners[owner])
+	if p.failedAt.IsZero() && !p.firstMissingSince.IsZero() && now.Sub(p.firstMissingSince) >= max(c.config.Limits.TakeoverDelay, 2*c.averageOriginTime) {
+		p.failedAt = now
+	}
+	return !p.failedAt.IsZero()
 }
 
 // originReadsIssued reports whether all chunks of which this host is the designated
