--- a/decisions/distributor/settle.go
+++ b/decisions/distributor/settle.go
@@ -96,23 +96,31 @@
 func (c *Core) mayRequestManifestFromOrigin(now time.Time, t *transfer) bool {
 	isCandidate := slices.ContainsFunc(c.originCandidates, func(m filbertstile.Member) bool { return m.Name == c.config.Self.Name })
 	pending := !t.originManifestRequested.IsZero() && now.Sub(t.originManifestRequested) < c.config.Limits.ChunkTimeout
-	return isCandidate && !pending && c.mayReadOrigin(now, t) && now.Sub(t.started) >= c.manifestDelay(now, t)
+	return isCandidate && !pending && c.mayReadOrigin(now, t) && !now.Before(c.manifestDue(now, t))
 }
 
-// manifestDelay returns how long after its start a transfer requests the manifest from the
-// origin. While the list of members may be incomplete, the delays are distributed so that few
-// hosts do so before the manifest of the first has spread, however many hosts there are: the
-// number of those whose time has come grows exponentially.
-func (c *Core) manifestDelay(now time.Time, t *transfer) time.Duration {
-	if c.settled(now) {
-		step := c.config.Limits.TakeoverDelay
-		if c.config.Limits.SettleDelay > 0 && now.Sub(c.firstMembersAt) < c.config.Limits.MaxSettleDelay {
-			step = startingManifestStep
-		}
-		return time.Duration(rendezvousRank(c.originCandidates, string(t.digest), c.config.Self.Name)) * step
+// manifestDue returns when a transfer requests the manifest from the origin. While the list of
+// members may be incomplete, the delays are distributed so that few hosts do so before the
+// manifest of the first has spread, however many hosts there are: the number of those whose time
+// has come grows exponentially.
+func (c *Core) manifestDue(now time.Time, t *transfer) time.Time {
+	if !c.settled(now) {
+		part := 1 + math.Log(hashFraction(string(t.digest), "manifest", c.config.Self.Name))/math.Log(maxFirstReaders)
+		return t.started.Add(filbertstile.DurationOf(max(0, part), manifestTimer))
 	}
-	part := 1 + math.Log(hashFraction(string(t.digest), "manifest", c.config.Self.Name))/math.Log(maxFirstReaders)
-	return filbertstile.DurationOf(max(0, part), manifestTimer)
+	rank := time.Duration(rendezvousRank(c.originCandidates, string(t.digest), c.config.Self.Name))
+	if c.config.Limits.SettleDelay > 0 && now.Sub(c.firstMembersAt) < c.config.Limits.MaxSettleDelay {
+		// Peers that have the manifest have just become known.
+		return laterOf(t.started, c.settledAt()).Add(rank * startingManifestStep)
+	}
+	return t.started.Add(rank * c.config.Limits.TakeoverDelay)
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // hashFraction returns a hash of the strings, over 0 and at most 1.
