--- a/decisions/distributor/settle.go
+++ b/decisions/distributor/settle.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// firstReaderShare is the share of the hosts that read from the origin at once while
-	// they may not know of the others. A region of 5 hosts most often has one of them, and
+	// firstReaders is about how many hosts read from the origin at once while they may not know
+	// of the others. They fill its link, and most often there is one, even if only half as many
+	// hosts run as are expected.
+	firstReaders = 6
+	// firstReaderShare is the share that reads if the number of hosts is not known. A region of 5 hosts most often has one of them, and
 	// one of 170 hosts has fewer than the 48 connections that origins accept.
 	firstReaderShare = 0.3
 	// fullListHosts is the number of hosts of the origin's region from which on a list
@@ -38,6 +41,7 @@
 	grown := slices.ContainsFunc(e.Members, func(m filbertstile.Member) bool {
 		return m.Name != c.config.Self.Name && !slices.ContainsFunc(c.members, func(o filbertstile.Member) bool { return o.Name == m.Name })
 	})
+	c.expectedCandidates = e.Expected
 	c.listedAlone = e.Listed && len(e.Members) == 1
 	if grown {
 		// A complete list that grows is one of hosts that are still registering.
@@ -79,6 +83,9 @@
 		return false
 	}
 	share := max(firstReaderShare, float64(len(c.originCandidates))/fullListHosts)
+	if c.expectedCandidates > 0 {
+		share = float64(firstReaders) / float64(max(c.expectedCandidates, len(c.originCandidates)))
+	}
 	if t.missing == len(t.have) && now.Sub(t.started) >= noProgressDelay {
 		share *= 2
 	}
@@ -96,23 +103,31 @@
 func (c *Core) mayRequestManifestFromOrigin(now time.Time, t *transfer) bool {
 	isCandidate := slices.ContainsFunc(c.originCandidates, func(m filbertstile.Member) bool { return m.Name == c.config.Self.Name })
 	pending := !t.originManifestRequested.IsZero() && now.Sub(t.originManifestRequested) < c.config.Limits.ChunkTimeout
-	return isCandidate && !pending && c.mayReadOrigin(now, t) && now.Sub(t.started) >= c.manifestDelay(now, t)
+	return isCandidate && !pending && c.mayReadOrigin(now, t) && !now.Before(c.manifestDue(now, t))
+}
+
+// manifestDue returns when a transfer requests the manifest from the origin. While the list of
+// members may be incomplete, the delays are distributed so that few hosts do so before the
+// manifest of the first has spread, however many hosts there are: the number of those whose time
+// has come grows exponentially.
+func (c *Core) manifestDue(now time.Time, t *transfer) time.Time {
+	if !c.settled(now) {
+		part := 1 + math.Log(hashFraction(string(t.digest), "manifest", c.config.Self.Name))/math.Log(maxFirstReaders)
+		return t.started.Add(filbertstile.DurationOf(max(0, part), manifestTimer))
+	}
+	rank := time.Duration(rendezvousRank(c.originCandidates, string(t.digest), c.config.Self.Name))
+	if c.config.Limits.SettleDelay > 0 && now.Sub(c.firstMembersAt) < c.config.Limits.MaxSettleDelay {
+		// Peers that have the manifest have just become known.
+		return laterOf(t.started, c.settledAt()).Add(rank * startingManifestStep)
+	}
+	return t.started.Add(rank * c.config.Limits.TakeoverDelay)
 }
 
-// manifestDelay returns how long after its start a transfer requests the manifest from the
-// origin. While the list of members may be incomplete, the delays are distributed so that few
-// hosts do so before the manifest of the first has spread, however many hosts there are: the
-// number of those whose time has come grows exponentially.
-func (c *Core) manifestDelay(now time.Time, t *transfer) time.Duration {
-	if c.settled(now) {
-		step := c.config.Limits.TakeoverDelay
-		if c.config.Limits.SettleDelay > 0 && now.Sub(c.firstMembersAt) < c.config.Limits.MaxSettleDelay {
-			step = startingManifestStep
-		}
-		return time.Duration(rendezvousRank(c.originCandidates, string(t.digest), c.config.Self.Name)) * step
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	part := 1 + math.Log(hashFraction(string(t.digest), "manifest", c.config.Self.Name))/math.Log(maxFirstReaders)
-	return filbertstile.DurationOf(max(0, part), manifestTimer)
+	return b
 }
 
 // hashFraction returns a hash of the strings, over 0 and at most 1.
