placer: an idle slow engine is the last resort

If all engines of a group were slow, a prompt that none answers in time was refused at each retry: at 2.5 times the time and a target of 400 ms, all of over 970 tokens. Before paces counted, an idle engine took any request. It does so again once the request has waited in vain, or has no time to wait; no stream is delayed there. The new test failed before with the rejection "queue timeout exceeded".

--- a/decisions/placer/pace.go
+++ b/decisions/placer/pace.go
@@ -79,7 +79,7 @@
 // delaysStreams reports whether the prompt of the request would stall the streams of a slow
 // engine.
 func (r *replicaState) delaysStreams(e *filbertstile.EngineSpec, req Request, inFlight int) bool {
-	if e == nil || r.pace() == 1 {
+	if e == nil {
 		return false
 	}
 	interval := r.atPace(e.EventInterval(inFlight) + e.PrefillTime(r.pendingTokens()+req.PromptTokens))
--- a/decisions/placer/paceuse_test.go
+++ b/decisions/placer/paceuse_test.go
@@ -83,7 +83,13 @@
 			p.Release(&g, placer.Completed)
 			req.Arrived, req.Deadline = time.Now(), time.Now().Add(time.Minute)
 		}
-		req.Deadline = time.Now().Add(6 * time.Second)
+		for range 2 { // an idle engine is the last resort
+			req.Arrived, req.Deadline = time.Now(), time.Now().Add(6*time.Second)
+			g, err := p.Acquire(ctx, req)
+			is.NoErr(err)
+			is.True(g.Waited > 0)
+		}
+		req.Arrived, req.Deadline = time.Now(), time.Now().Add(6*time.Second)
 		_, err := p.Acquire(ctx, req)
 		is.True(err != nil)
 		report(p, 1, 3)
@@ -138,6 +144,23 @@
 	})
 }
 
+// If all engines are slow, a prompt that none answers in time must be answered late by an idle one,
+// not refused each time its caller retries.
+func TestIdleSlowEngineIsLastResort(t *testing.T) {
+	for _, pace := range []float64{2.5, 20} {
+		withPaces(t, pace, pace, func(ctx context.Context, is *is.I, p *placer.Placer) {
+			g, err := p.Acquire(ctx, request(4000))
+			is.NoErr(err)
+			is.True(g.Waited > 0)
+			p.Release(&g, placer.Completed)
+			req := request(4000)
+			req.Arrived = req.Arrived.Add(-300 * time.Millisecond) // its body was slow to arrive
+			_, err = p.Acquire(ctx, req)
+			is.NoErr(err)
+		})
+	}
+}
+
 func states(p *placer.Placer) []placer.State {
 	out, _ := p.Dump(time.Now())
 	return out
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -298,13 +298,15 @@
 		if inFlight >= max(1, r.replica.Slots) || !p.withinColdLimit(now, r) {
 			continue
 		}
-		if maxLatency == 0 && (inFlight > r.replica.Slots/2 || r.delaysStreams(spec, req, inFlight)) {
+		if maxLatency == 0 && inFlight > r.replica.Slots/2 {
 			continue
 		}
-		if r.pace() > 1 && p.endsTooLate(now, r, spec, req, inFlight) {
+		// A late response by an idle slow engine is better than none.
+		lastResort := inFlight == 0 && (maxLatency == 0 || !now.Before(req.Arrived.Add(queueTimeout(req))))
+		if r.pace() > 1 && !lastResort && (maxLatency == 0 && r.delaysStreams(spec, req, inFlight) || p.endsTooLate(now, r, spec, req, inFlight)) {
 			continue
 		}
-		if maxLatency > 0 && (inFlight > maxIdleRequests || r.pace() > 1) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency {
+		if maxLatency > 0 && (inFlight > maxIdleRequests || r.pace() > 1 && !lastResort) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency {
 			continue
 		}
 		if spec != nil && r.startsTooLate(now, *spec, req, inFlight) {
