--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -336,7 +336,8 @@
 	ObstacleFull       Obstacle = "all slots are taken"
 	ObstacleColdLimit  Obstacle = "the limit of requests to a cold replica is used up"
 	ObstacleOthers     Obstacle = "its free slots are left to other entries"
-	ObstacleHalfFull   Obstacle = "the request is late, and the replica is more than half full or would stall"
+	ObstacleHalfFull   Obstacle = "the request is late, and the replica is more than half full"
+	ObstacleStall      Obstacle = "the request is late, and its prompt would stall the streams of a slow engine"
 	ObstacleSlowEnd    Obstacle = "the engine is slow, and the response would end too late"
 	ObstacleLateStart  Obstacle = "the response would begin after the target latency"
 	ObstacleVersionDue Obstacle = "the response might begin after the version is due to end"
@@ -345,6 +346,9 @@
 
 // obstacle returns why the eligible replica, whose pace is up to date, is not free for the request.
 func (p *Placer) obstacle(now time.Time, req Request, r *replicaState, spec *filbertstile.EngineSpec, inFlight int, maxLatency time.Duration) Obstacle {
+	// A late response by an idle slow engine is better than none.
+	lastResort := inFlight == 0 && (maxLatency == 0 || !now.Before(req.Arrived.Add(p.queueTimeout(now, req))))
+	slow := r.pace() > 1 && !lastResort
 	switch {
 	case inFlight >= max(1, r.replica.Slots):
 		return ObstacleFull
@@ -352,11 +356,13 @@
 		return ObstacleColdLimit
 	case !p.mayUseSlot(req, r, inFlight):
 		return ObstacleOthers
-	case maxLatency == 0 && (inFlight > r.replica.Slots/2 || r.delaysStreams(spec, req, inFlight)):
+	case maxLatency == 0 && inFlight > r.replica.Slots/2:
 		return ObstacleHalfFull
-	case r.pace() > 1 && p.endsTooLate(now, r, spec, req, inFlight):
+	case slow && maxLatency == 0 && r.delaysStreams(spec, req, inFlight):
+		return ObstacleStall
+	case slow && p.endsTooLate(now, r, spec, req, inFlight):
 		return ObstacleSlowEnd
-	case maxLatency > 0 && (inFlight > maxIdleRequests || r.pace() > 1) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency:
+	case maxLatency > 0 && (inFlight > maxIdleRequests || slow) && spec != nil && r.timeToFirstEvent(*spec, inFlight, req.PromptTokens) > maxLatency:
 		return ObstacleLateStart
 	case spec != nil && r.startsTooLate(now, *spec, req, inFlight):
 		return ObstacleVersionDue
