distributor: hosts that may not know of the others read few chunks

After all processes were killed, each host knew only itself. It was then the designated reader of every chunk, read all of them in the same order, asked the origin for the manifest again every 50 ms while the first answer was on its way, and took over the chunks of readers that had only started later. The origin sent 3.9 copies before there was one whole one.

While the list of members may be incomplete, about 6 hosts of the origin's region read, in random order and one chunk at a time; nobody takes over. One request for a manifest is in progress at a time. Chunks of failed readers go to other readers first, which have connections, and a reader without chunks left reads those of others. Two hosts subscribe to all readers, so that the first complete copy does not wait for the rest of the region.

A wait for the list of members without any reads was ruled out: it would cost a fourth of the time that a copy takes, or more.

--- a/decisions/distributor/decide.go
+++ b/decisions/distributor/decide.go
@@ -70,11 +70,10 @@
 		t.manifestRequested = now
 		return []Command{FetchManifest{Digest: t.digest, Peer: p.member}}
 	}
-	rank := rendezvousRank(c.originCandidates, string(t.digest), c.config.Self.Name)
-	if rank < 0 || now.Sub(t.started) < time.Duration(rank)*c.config.Limits.TakeoverDelay {
+	if !c.mayRequestManifestFromOrigin(now, t) {
 		return nil
 	}
-	t.manifestRequested = now
+	t.manifestRequested, t.originManifestRequested = now, now
 	return []Command{FetchManifest{Digest: t.digest}}
 }
 
@@ -83,7 +82,7 @@
 	if !t.hasManifest || t.missing == 0 {
 		return nil
 	}
-	free := c.config.Limits.MaxPeerFetches - (len(t.fetching) - t.originFetches - t.importFetches)
+	free := c.maxPeerFetches(t) - (len(t.fetching) - t.originFetches - t.importFetches)
 	var out []Command
 	for ; free > 0; free-- {
 		index, p := c.rarestChunk(now, t)
@@ -199,7 +198,7 @@
 		}
 	}
 	var out []Command
-	for i := range t.have {
+	for _, i := range c.rng.Perm(len(t.have)) {
 		if t.importFetches >= c.config.Limits.MaxImportFetches || now.Before(t.nextImport) {
 			break
 		}
@@ -243,67 +242,6 @@
 	return false
 }
 
-// readFromOrigin reads the chunks of which this host is the designated reader, and
-// those of readers that have made no progress for too long.
-func (c *Core) readFromOrigin(now time.Time, t *transfer) []Command {
-	if !t.hasManifest || t.missing == 0 || !c.readsOrigin || now.Before(c.cooldownUntil[""]) {
-		return nil
-	}
-	var out []Command
-	for i := range t.have {
-		if t.originFetches >= c.config.Limits.MaxOriginFetches {
-			break
-		}
-		if t.have[i] || t.isFetching(i) || !c.shouldFetch(now, t, i) {
-			continue
-		}
-		out = append(out, c.startFetch(now, t, i, nil))
-	}
-	return out
-}
-
-// originReadsIssued reports whether all chunks of which this host is the designated
-// reader are in the region or in flight, so that it may read less urgent releases from
-// the origin. A transfer without progress for ChunkTimeout counts as issued, so that it
-// does not block the others.
-func (c *Core) originReadsIssued(now time.Time, t *transfer) bool {
-	stalled := now.Sub(t.lastProgress) > c.config.Limits.ChunkTimeout
-	if t.done || stalled || !c.readsOrigin {
-		return true
-	}
-	if !t.hasManifest {
-		return false
-	}
-	for i := range t.have {
-		if !t.have[i] && !t.isFetching(i) && !c.heldInRegion(t, i) && c.ownerOf(t, i) == c.config.Self.Name {
-			return false
-		}
-	}
-	return true
-}
-
-// shouldFetch reports whether this host should fetch the chunk into its region: no peer
-// of the region is known to hold it, and this host is the chunk's owner, or the owner and
-// the hosts before this one in the takeover order have made no progress for too long.
-func (c *Core) shouldFetch(now time.Time, t *transfer, index int) bool {
-	owner := c.ownerOf(t, index)
-	if owner == c.config.Self.Name {
-		return !c.heldInRegion(t, index)
-	}
-	p := t.progressOf(now, owner)
-	delay := c.config.Limits.TakeoverDelay
-	if p.chunks > 0 {
-		// The chunks of a slow owner that makes steady progress must not be taken over.
-		delay = max(delay, 4*p.lastChunk.Sub(p.since)/time.Duration(p.chunks))
-	}
-	idle := min(now.Sub(p.lastChunk), now.Sub(c.originFailedAt))
-	if idle < delay || c.heldInRegion(t, index) {
-		return false
-	}
-	rank := c.ownerRank(t, index)
-	return rank >= 0 && idle >= time.Duration(rank)*delay
-}
-
 // Progress is the state of the transfer of one release, for state dumps and reports.
 type Progress struct {
 	Release  string
--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -26,94 +26,6 @@
 	Seed uint64
 }
 
-// Limits are the limits and delays of a host. The maximum numbers of fetches apply
-// to each transfer separately.
-type Limits struct {
-	// RingPeersPerSide is the number of peers that a host subscribes to in each
-	// direction of its region's ring.
-	RingPeersPerSide int
-	// SourcePeers is the number of peers in the source region that an importer
-	// subscribes to.
-	SourcePeers int
-	// MaxPeerFetches is the maximum number of fetches in flight from peers of the
-	// region.
-	MaxPeerFetches int
-	// MaxFetchesPerPeer is the maximum number of fetches in flight from one peer.
-	MaxFetchesPerPeer int
-	// MaxOriginFetches is the maximum number of fetches in flight from the origin.
-	MaxOriginFetches int
-	// MaxImportFetches is the maximum number of fetches in flight from another
-	// region.
-	MaxImportFetches int
-	// ImportShare is the share of the region link that imports may use.
-	ImportShare float64
-	// TakeoverDelay is the minimum time without progress after which the next host
-	// in order takes over. It is also how long a peer gets no requests after a fetch
-	// from it was lost.
-	TakeoverDelay time.Duration
-	// ChunkTimeout is the timeout of a fetch, and how long a peer gets no requests
-	// after a slow one.
-	ChunkTimeout time.Duration
-	// MinHedgeDelay is the minimum time after which a chunk in flight is also
-	// requested from another peer. The actual delay grows with the average fetch
-	// time, up to ChunkTimeout.
-	MinHedgeDelay time.Duration
-	// CorruptPeerCooldown is how long a peer that sent a corrupt chunk gets no
-	// requests.
-	CorruptPeerCooldown time.Duration
-	// BusyPeerCooldown is how long a peer that had no free slot gets no requests.
-	BusyPeerCooldown time.Duration
-	// OriginRetryDelay is the delay before the origin is read again after a failure.
-	OriginRetryDelay time.Duration
-	// ManifestRetryDelay is the minimum time between two requests for a manifest, and
-	// how long a peer gets no requests after it failed to send one.
-	ManifestRetryDelay time.Duration
-	// MaxReaders is the maximum number of hosts that read from the origin and divide
-	// its chunks among them. It is limited because origins limit their connections.
-	MaxReaders int
-	// MaxImporters is the maximum number of hosts of a region that import chunks from
-	// the source region and divide them among each other.
-	MaxImporters int
-}
-
-// DefaultLimits returns the default limits, which docs/design/weights.md discusses.
-func DefaultLimits() Limits {
-	return Limits{
-		RingPeersPerSide:    4,
-		SourcePeers:         4,
-		MaxPeerFetches:      4,
-		MaxFetchesPerPeer:   2,
-		MaxOriginFetches:    2,
-		MaxImportFetches:    8,
-		ImportShare:         0.97,
-		TakeoverDelay:       time.Second,
-		ChunkTimeout:        4 * time.Second,
-		MinHedgeDelay:       2 * time.Second,
-		CorruptPeerCooldown: 30 * time.Second,
-		BusyPeerCooldown:    10 * time.Millisecond,
-		OriginRetryDelay:    50 * time.Millisecond,
-		ManifestRetryDelay:  50 * time.Millisecond,
-		MaxReaders:          12,
-		MaxImporters:        2,
-	}
-}
-
-// SmallReleaseLimits returns the limits for releases of a few megabytes. In a region of
-// up to a dozen hosts, each one subscribes to all others, and each imports a part of the
-// chunks from other regions: with a single importer the region would wait for that
-// host's link.
-func SmallReleaseLimits() Limits {
-	l := DefaultLimits()
-	l.RingPeersPerSide, l.SourcePeers, l.MaxImporters, l.MaxOriginFetches = 4, 6, 6, 2
-	l.MaxPeerFetches, l.MaxFetchesPerPeer = 5, 2
-	l.MinHedgeDelay = smallReleaseHedgeDelay
-	return l
-}
-
-// smallReleaseHedgeDelay is about three times the time in which a host that serves all
-// its uploads at once completes them, at some 30 ms each at the rate of its link.
-const smallReleaseHedgeDelay = 800 * time.Millisecond
-
 // Want is a release that the host should hold, and the digest of its manifest.
 type Want struct {
 	Release  string
@@ -146,6 +58,19 @@
 	originFailedAt time.Time
 	// averageFetchTime is a moving average of the time that a fetch from a peer takes.
 	averageFetchTime time.Duration
+	// averageOriginTime is the same for reads from the origin.
+	averageOriginTime time.Duration
+	// firstMembersAt is when the first list of members arrived, and membersGrewAt when a list
+	// last named a host that the one before did not.
+	firstMembersAt, membersGrewAt time.Time
+	// listedFirst is true if the list has not grown since one with all registered hosts.
+	listedFirst bool
+	// expectedCandidates is MembersChanged.Expected.
+	expectedCandidates int
+	// listedAlone is true if all registered hosts are this one.
+	listedAlone bool
+	// wasSettled is whether the list counted as complete at the last tick.
+	wasSettled bool
 }
 
 const (
@@ -173,6 +98,13 @@
 	for _, e := range inbox {
 		out = append(out, c.handle(now, e)...)
 	}
+	if settled := c.settled(now); settled != c.wasSettled {
+		c.wasSettled = settled
+		for _, t := range c.transfers {
+			// Chunks are missing because hosts did not know of one another.
+			clear(t.ownerProgress)
+		}
+	}
 	mayReadOrigin := true
 	for i, t := range c.transfers {
 		c.updateTopology(t)
@@ -202,11 +134,14 @@
 	case WantedChanged:
 		return c.setWanted(now, e.Wants)
 	case MembersChanged:
-		c.setMembers(e.Members)
+		c.setMembers(now, e)
 	case ManifestArrived:
 		return c.handleManifestArrived(now, e)
 	case ManifestFailed:
 		c.cooldownUntil[e.Peer] = now.Add(c.config.Limits.ManifestRetryDelay)
+		if t := c.findTransfer(e.Digest); t != nil && e.Peer == "" {
+			t.originManifestRequested = time.Time{}
+		}
 	case ChunkArrived:
 		return c.handleChunkArrived(now, e)
 	case ChunkFailed:
@@ -259,8 +194,15 @@
 	if t == nil || !t.hasManifest {
 		return nil
 	}
-	if f, ok := t.endFetch(e.Index, e.Peer); ok && e.Peer != "" {
-		c.averageFetchTime += (now.Sub(f.started) - c.averageFetchTime) / averageDivisor
+	if f, ok := t.endFetch(e.Index, e.Peer); ok {
+		average := &c.averageFetchTime
+		if e.Peer == "" {
+			average = &c.averageOriginTime
+		}
+		if *average == 0 && e.Peer == "" {
+			*average = now.Sub(f.started)
+		}
+		*average += (now.Sub(f.started) - *average) / averageDivisor
 	}
 	c.recordInRegion(now, t, e.Index)
 	if t.have[e.Index] {
@@ -307,6 +249,11 @@
 // shouldFetch measures it from the last origin failure at the earliest.
 func (c *Core) recordOriginFailure(now time.Time) {
 	c.originFailedAt = now
+	for _, t := range c.transfers {
+		for _, p := range t.ownerProgress {
+			p.failedAt = time.Time{}
+		}
+	}
 	c.cooldownUntil[""] = now.Add(c.config.Limits.OriginRetryDelay)
 }
 
--- a/decisions/distributor/links_test.go
+++ b/decisions/distributor/links_test.go
@@ -22,7 +22,7 @@
 	// run 8 s after it was chosen, and a replica takes up to 1.8 s to switch.
 	transferLimit = 6200 * time.Millisecond
 	// uploadLimit is the number of uploads that a host serves at the same time.
-	uploadLimit = 8
+	uploadLimit = 5
 )
 
 // delivery is an event that reaches a host at a later time.
@@ -55,6 +55,11 @@
 	stopped map[string]bool
 	// originReads is the number of chunks that the origin's link has carried.
 	originReads int
+	// origin is a link of the origin that its readers share; nil if it carries one chunk
+	// after another at the rate of a host's link.
+	origin *sharedOrigin
+	// current is the manifest that the hosts fetch.
+	current filbertstile.Digest
 }
 
 // newLinkedSwarm returns a swarm with the given numbers of hosts in each region, all of
@@ -63,7 +68,7 @@
 	s := &linkedSwarm{
 		now: time.Unix(1e9, 0), cores: make(map[string]*distributor.Core), linkFree: make(map[string]time.Time), downlinkFree: make(map[string]time.Time),
 		uploads: make(map[string]int), held: make(map[string][]bool), subscribers: make(map[string]map[string]bool), knowsChunks: make(map[string]bool),
-		completedAt: make(map[string]time.Time), stopped: make(map[string]bool),
+		completedAt: make(map[string]time.Time), stopped: make(map[string]bool), current: manifestName,
 	}
 	for i := range chunks {
 		s.manifest.Chunks = append(s.manifest.Chunks, filbertstile.ChunkRef{Digest: filbertstile.Digest(fmt.Sprint("c", i)), Size: 1})
@@ -80,7 +85,7 @@
 		s.subscribers[h.Name] = make(map[string]bool)
 		// Processes start within 0.3 s of each other.
 		startsAt := s.now.Add(time.Duration(rng.IntN(300)) * time.Millisecond)
-		s.post(startsAt, h.Name, distributor.MembersChanged{Members: s.hosts})
+		s.post(startsAt, h.Name, distributor.MembersChanged{Members: s.hosts, Listed: true})
 		s.post(startsAt, h.Name, distributor.WantedChanged{Wants: []distributor.Want{{Release: "r", Manifest: manifestName}}})
 	}
 	return s
@@ -93,6 +98,9 @@
 // run simulates the given time, or less if all running hosts hold the release earlier.
 func (s *linkedSwarm) run(limit time.Duration) {
 	for end := s.now.Add(limit); s.now.Before(end) && !s.done(); s.now = s.now.Add(tickInterval) {
+		if s.origin != nil {
+			s.origin.advance(s)
+		}
 		inbox := make(map[string][]distributor.Event)
 		s.deliveries = slices.DeleteFunc(s.deliveries, func(d delivery) bool {
 			if d.at.After(s.now) {
@@ -125,11 +133,25 @@
 		s.knowsChunks[host] = true
 		s.announce(host)
 	case distributor.ChunkArrived:
+		if e.Manifest != s.current {
+			return
+		}
 		s.held[host][e.Index] = true
 		s.announce(host)
 	}
 }
 
+// heldBy returns the chunks that the host holds.
+func (s *linkedSwarm) heldBy(host string) []int {
+	var chunks []int
+	for i, held := range s.held[host] {
+		if held {
+			chunks = append(chunks, i)
+		}
+	}
+	return chunks
+}
+
 func (s *linkedSwarm) announce(host string) {
 	for subscriber := range s.subscribers[host] {
 		s.report(host, subscriber)
@@ -141,13 +163,8 @@
 	if !s.knowsChunks[host] || s.stopped[host] {
 		return
 	}
-	var chunks []int
-	for i, held := range s.held[host] {
-		if held {
-			chunks = append(chunks, i)
-		}
-	}
-	s.post(s.now.Add(reportDelay), subscriber, distributor.HoldingReported{Peer: host, Manifest: manifestName, Complete: true, Chunks: chunks})
+	chunks := s.heldBy(host)
+	s.post(s.now.Add(reportDelay), subscriber, distributor.HoldingReported{Peer: host, Manifest: s.current, Complete: true, Chunks: chunks})
 }
 
 func (s *linkedSwarm) execute(host string, cmd distributor.Command) {
@@ -157,12 +174,21 @@
 			s.post(s.now.Add(reportDelay), host, distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
 			return
 		}
-		s.post(s.now.Add(reportDelay), host, distributor.ManifestArrived{Digest: cmd.Digest, Manifest: s.manifest})
+		arrived := distributor.ManifestArrived{Digest: cmd.Digest, Manifest: s.manifest, Held: s.heldBy(host)}
+		if cmd.Peer.Name == "" && s.origin != nil {
+			s.origin.begin(s, originRead{host: host, size: manifestChunks, arrived: arrived, failed: distributor.ManifestFailed{Digest: cmd.Digest}, timeout: manifestTimeout})
+			return
+		}
+		s.post(s.now.Add(reportDelay), host, arrived)
 	case distributor.FetchChunk:
 		s.transfer(host, cmd)
 	case distributor.Subscribe:
 		s.subscribers[cmd.Peer.Name][host] = true
 		s.report(cmd.Peer.Name, host)
+	case distributor.Drop:
+		if s.origin != nil {
+			s.origin.cancel(host)
+		}
 	case distributor.Unsubscribe:
 		delete(s.subscribers[cmd.Peer], host)
 	case distributor.Completed:
@@ -185,6 +211,14 @@
 		failed(s.now.Add(reportDelay), distributor.FailedBusy, "")
 		return
 	}
+	if sender == "" && s.origin != nil {
+		s.origin.begin(s, originRead{
+			host: host, size: 1, chunk: true, timeout: min(cmd.Timeout, originTimeout),
+			arrived: distributor.ChunkArrived{Manifest: cmd.Manifest, Index: cmd.Index},
+			failed:  distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Failure: distributor.FailedLost},
+		})
+		return
+	}
 	if sender == "" {
 		s.originReads++
 	} else {
--- a/decisions/distributor/messages.go
+++ b/decisions/distributor/messages.go
@@ -13,7 +13,14 @@
 type WantedChanged struct{ Wants []Want }
 
 // MembersChanged replaces the list of the service's hosts.
-type MembersChanged struct{ Members []filbertstile.Member }
+type MembersChanged struct {
+	Members []filbertstile.Member
+	// Listed is true if the list contains all hosts that are registered.
+	Listed bool
+	// Expected is about how many hosts the origin's region has, for as long as the list may
+	// be incomplete; 0 if it is not known.
+	Expected int
+}
 
 // ManifestArrived provides a verified manifest.
 type ManifestArrived struct {
--- a/decisions/distributor/order.go
+++ b/decisions/distributor/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -48,7 +49,9 @@
 
 // setMembers replaces the hosts of the service. The hosts of the source region may
 // read from the origin, or all hosts if that region has none.
-func (c *Core) setMembers(members []filbertstile.Member) {
+func (c *Core) setMembers(now time.Time, e MembersChanged) {
+	c.recordGrowth(now, e)
+	members := e.Members
 	c.members = members
 	c.membersVersion++
 	c.originCandidates = inRegion(members, c.config.SourceRegion)
@@ -63,10 +66,20 @@
 	if t.topology.membersVersion == c.membersVersion {
 		return
 	}
-	t.topology = topology{membersVersion: c.membersVersion, neighbours: c.neighbours(t), sourcePeers: c.sourcePeers(t), importRank: c.importRank(t), importers: c.importers(t)}
-	for _, m := range rendezvousOrder(c.owners(t), string(t.digest)) {
+	t.topology = topology{membersVersion: c.membersVersion, neighbours: c.neighbours(t), sourcePeers: c.sourcePeers(t), importRank: c.importRank(t), importers: c.importers(t), leads: c.leads()}
+	owners := rendezvousOrder(c.owners(t), string(t.digest))
+	for _, m := range owners {
 		t.topology.owners = append(t.topology.owners, m.Name)
 	}
+	if !c.isLead(t) {
+		return
+	}
+	for _, m := range owners {
+		known := slices.ContainsFunc(t.topology.neighbours, func(o filbertstile.Member) bool { return o.Name == m.Name })
+		if !known && m.Name != c.config.Self.Name {
+			t.topology.neighbours = append(t.topology.neighbours, m)
+		}
+	}
 }
 
 // ownerOf returns the name of the chunk's owner, the host that fetches it into this
@@ -104,12 +117,67 @@
 
 // ownerRank returns the rank of this host in the order in which hosts take over the
 // chunk from its owner, or -1 if this host may not.
-func (c *Core) ownerRank(t *transfer, index int) int {
+func (c *Core) ownerRank(t *transfer, index int, owner string) int {
+	if t.topology.ranks == nil {
+		t.topology.ranks = make(map[int]int)
+	}
+	rank, ok := t.topology.ranks[index]
+	if !ok {
+		rank = c.computeOwnerRank(t, index, owner)
+		t.topology.ranks[index] = rank
+	}
+	return rank
+}
+
+func (c *Core) computeOwnerRank(t *transfer, index int, owner string) int {
 	candidates := c.originCandidates
 	if !c.readsOrigin {
 		candidates = inRegion(c.members, c.config.Self.Region)
 	}
-	return rendezvousRank(candidates, string(t.manifest.Chunks[index].Digest), c.config.Self.Name)
+	self, key := c.config.Self.Name, string(t.manifest.Chunks[index].Digest)
+	isOwner := func(m filbertstile.Member) bool { return slices.Contains(t.topology.owners, m.Name) }
+	var owners, others []filbertstile.Member
+	for _, m := range candidates {
+		switch {
+		case m.Name == owner:
+		case isOwner(m):
+			owners = append(owners, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	if rank := rendezvousRank(owners, key, self); rank >= 0 {
+		return rank
+	}
+	if rank := rendezvousRank(others, key, self); rank >= 0 {
+		return rank + min(len(owners), ownersBeforeOthers)
+	}
+	return -1
+}
+
+// ownersBeforeOthers is the maximum number of other owners that take over a chunk before the
+// hosts that own none. The owners have connections to the origin.
+const ownersBeforeOthers = 2
+
+// leads returns the hosts that complete a release first. They subscribe to all readers, so
+// that there is a complete copy soon after the last chunk was read. The second one is there in
+// case the first fails. They are not readers if there are enough hosts, as the chunks that they
+// receive would delay those that they read.
+func (c *Core) leads() []filbertstile.Member {
+	candidates := rendezvousOrder(c.originCandidates, c.config.SourceRegion)
+	return candidates[max(0, len(candidates)-c.config.Limits.Leads):]
+}
+
+func (c *Core) isLead(t *transfer) bool {
+	return slices.ContainsFunc(t.topology.leads, func(m filbertstile.Member) bool { return m.Name == c.config.Self.Name })
+}
+
+// maxPeerFetches returns the maximum number of fetches in flight from peers of the region.
+func (c *Core) maxPeerFetches(t *transfer) int {
+	if c.isLead(t) && !slices.Contains(t.topology.owners, c.config.Self.Name) {
+		return 2 * c.config.Limits.MaxPeerFetches
+	}
+	return c.config.Limits.MaxPeerFetches
 }
 
 // importRank returns the rank of this host in the order in which hosts import into its
--- a/decisions/distributor/transfer.go
+++ b/decisions/distributor/transfer.go
@@ -38,6 +38,13 @@
 	since time.Time
 	// chunks is the number of the owner's chunks that have become available.
 	chunks int
+	// firstMissing is the first of the owner's chunks that is missing in the region, since
+	// firstMissingSince.
+	firstMissing      int
+	firstMissingSince time.Time
+	// failedAt is when the owner had made no progress for so long that the next host in
+	// order reads its chunks; zero if it has not failed.
+	failedAt time.Time
 }
 
 // transfer is the transfer of the weights of one manifest to this host.
@@ -53,7 +60,10 @@
 	hasManifest bool
 	// manifestRequested is when the manifest was last requested.
 	manifestRequested time.Time
-	started           time.Time
+	// originManifestRequested is when the request to the origin that has not failed yet
+	// began; zero if there is none.
+	originManifestRequested time.Time
+	started                 time.Time
 	// have has an element for each chunk, true if this host holds the chunk.
 	have []bool
 	// missing is the number of chunks that this host does not hold.
@@ -92,8 +102,11 @@
 	// region; -1 if it is not a member.
 	importRank int
 	importers  []filbertstile.Member
+	leads      []filbertstile.Member
 	// owners lists the names of the owners, to which the chunks are assigned in turn.
 	owners []string
+	// ranks has the results of ownerRank so far, by chunk index.
+	ranks map[int]int
 }
 
 // resize returns a copy of the flags with length n.
