peerrunner, fetcher: hosts start with themselves as the only known member

The list of members is passed with whether it is complete, and until then with about how many hosts there are, judging by the entries of the failure domain. Until then, few hosts of the origin's region read the manifest, in an order that does not depend on the list: 39 hosts had read it at once. Versions heard of together are fetched as one, the newest. The fetches of a dropped version are cancelled, as they held the origin's link for a second. Lists of the living hosts count only some time after a restart with one group of entries too: entries that have just started name few.

Hosts upload 5 chunks at a time instead of 8, which lets the first complete copy arrive up to a tenth earlier in the model.

--- a/shells/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -93,6 +93,8 @@
 	mu sync.Mutex
 	// subscriptions has a cancel function for each active subscription.
 	subscriptions map[subscriptionKey]context.CancelFunc
+	// transfers has the context of the fetches of each manifest.
+	transfers map[filbertstile.Digest]transferContext
 
 	peerBytes     metrics.Counter
 	importedBytes metrics.Counter
@@ -125,6 +127,7 @@
 		uploadSlots:      make(chan struct{}, c.MaxUploads),
 		crossRegionSlots: make(chan struct{}, maxCrossRegionUploads),
 		subscriptions:    make(map[subscriptionKey]context.CancelFunc),
+		transfers:        make(map[filbertstile.Digest]transferContext),
 		peerBytes:        metrics.NewRegisteredCounter("Weights.PeerBytes", c.Metrics),
 		importedBytes:    metrics.NewRegisteredCounter("Weights.ImportedBytes", c.Metrics),
 		sourceBytes:      metrics.NewRegisteredCounter("Weights.SourceBytes", c.Metrics),
@@ -156,9 +159,7 @@
 }
 
 // SetMembers sets the hosts that run the same service.
-func (f *Fetcher) SetMembers(members []filbertstile.Member) {
-	f.loop.Post(distributor.MembersChanged{Members: members})
-}
+func (f *Fetcher) SetMembers(e distributor.MembersChanged) { f.loop.Post(e) }
 
 // AddChunk verifies and adds a chunk that the host already has from another source, so
 // that it is not fetched.
@@ -185,7 +186,8 @@
 		f.submit(func() { f.fetchManifest(cmd) }, distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
 	case distributor.FetchChunk:
 		failed := distributor.ChunkFailed{Manifest: cmd.Manifest, Index: cmd.Index, Peer: cmd.Peer.Name, Failure: distributor.FailedLost}
-		f.submit(func() { f.fetchChunk(cmd) }, failed)
+		ctx := f.transferContext(cmd.Manifest)
+		f.submit(func() { f.fetchChunk(ctx, cmd) }, failed)
 	case distributor.Subscribe:
 		f.subscribe(cmd)
 	case distributor.Unsubscribe:
@@ -194,6 +196,7 @@
 		f.config.Log.Event(reporter.TransferDone, reporter.Fields{"Release": cmd.Release})
 		f.config.OnCompleted(cmd)
 	case distributor.Drop:
+		f.cancelTransfer(cmd.Manifest)
 		f.store.Drop(cmd.Manifest)
 	}
 }
@@ -240,13 +243,16 @@
 	return f.requestContent(ctx, cmd.Peer, cmd.Digest)
 }
 
-func (f *Fetcher) fetchChunk(cmd distributor.FetchChunk) {
-	ctx, cancel := context.WithTimeout(f.ctx, cmd.Timeout)
+func (f *Fetcher) fetchChunk(transferCtx context.Context, cmd distributor.FetchChunk) {
+	ctx, cancel := context.WithTimeout(transferCtx, cmd.Timeout)
 	defer cancel()
 	data, err := f.requestChunk(ctx, cmd)
 	if err == nil {
 		err = f.store.AddChunk(cmd.Ref, data, cmd.Peer.Name)
 	}
+	if err != nil && transferCtx.Err() != nil && f.ctx.Err() == nil {
+		return // the manifest was dropped
+	}
 	if err != nil {
 		f.loop.Post(f.chunkFailure(cmd, err))
 		return
@@ -306,91 +312,6 @@
 	return s.ReceiveContent()
 }
 
-// HandleChunk sends a manifest, or a chunk if an upload slot is free.
-func (f *Fetcher) HandleChunk(ctx context.Context, req *wire.Request, s *messenger.Stream) {
-	digest := filbertstile.Digest(req.GetChunk().GetDigest())
-	if raw := f.store.Manifest(digest); raw != nil {
-		_ = s.SendContent(raw, f.config.PieceBytes)
-		return
-	}
-	data := f.store.Chunk(digest)
-	if data == nil {
-		_ = s.Send(refusal(codeNotHeld))
-		return
-	}
-	slots := f.uploadSlots
-	if req.GetChunk().GetAcrossRegions() {
-		slots = f.crossRegionSlots
-	}
-	select {
-	case slots <- struct{}{}:
-		defer func() { <-slots }()
-	default:
-		_ = s.Send(refusal(codeBusy))
-		return
-	}
-	if f.uploadLimiter.WaitN(ctx, min(len(data), uploadBurstBytes)) != nil {
-		return
-	}
-	_ = s.SendContent(data, f.config.PieceBytes)
-}
-
-func refusal(code string) *wire.Frame {
-	return &wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{Code: code, Run: string(filbertstile.NotRun)}}}
-}
-
-// HandleHoldings reports to a peer which chunks of a manifest the host holds, now and
-// whenever chunks are added.
-func (f *Fetcher) HandleHoldings(ctx context.Context, req *wire.Request, s *messenger.Stream) {
-	digest := filbertstile.Digest(req.GetHoldings().GetManifest())
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.wg.Go(func() {
-		// The peer sends no frames, so Receive returns when the stream ends.
-		_, _ = s.Receive()
-		cancel()
-	})
-	var reported []bool
-	for {
-		held, changed := f.store.Held(digest)
-		if held != nil {
-			if s.Send(&wire.Frame{Kind: &wire.Frame_Holding{Holding: holdingUpdate(reported, held)}}) != nil {
-				return
-			}
-			reported = held
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-		if sleeper.Sleep(ctx, holdingBatchDelay) != nil {
-			return
-		}
-	}
-}
-
-// holdingUpdate returns the held chunks that have not been reported. The first report,
-// for which reported is nil, lists all held chunks as a bitmap.
-func holdingUpdate(reported, held []bool) *wire.Holding {
-	if reported == nil {
-		bitmap := make([]byte, (len(held)+7)/8)
-		for i, h := range held {
-			if h {
-				bitmap[i/8] |= 1 << (i % 8)
-			}
-		}
-		return &wire.Holding{Bitmap: bitmap}
-	}
-	var added []uint32
-	for i, h := range held {
-		if h && !reported[i] {
-			added = append(added, uint32(i))
-		}
-	}
-	return &wire.Holding{Added: added}
-}
-
 // subscribe subscribes to the holdings of a peer, again after each failure, until
 // unsubscribe is called.
 func (f *Fetcher) subscribe(cmd distributor.Subscribe) {
--- a/shells/fetcher/fetcher_test.go
+++ b/shells/fetcher/fetcher_test.go
@@ -59,7 +59,7 @@
 		stopped := make(chan struct{})
 		go func() { f.Run(ctx); close(stopped) }()
 		defer func() { cancel(); <-stopped }()
-		f.SetMembers([]filbertstile.Member{self})
+		f.SetMembers(distributor.MembersChanged{Members: []filbertstile.Member{self}})
 		f.SetWanted([]distributor.Want{{Release: "r", Manifest: digest}})
 		time.Sleep(time.Second) // the manifest arrives, and chunks are requested from the source
 		for n, ref := range m.Chunks {
@@ -70,3 +70,46 @@
 		is.True(f.AddChunk(digest, 0, m.Chunks[0], []byte("corrupt")) != nil)
 	})
 }
+
+// TestFetchesOfDroppedReleaseEnd guards against fetches of a superseded release that keep the
+// links busy.
+func TestFetchesOfDroppedReleaseEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var m filbertstile.Manifest
+		m.Chunks = append(m.Chunks, filbertstile.ChunkRef{Digest: "c", Size: 1})
+		source := endingSource{stalledSource: stalledSource{raw: m.Encode()}, ended: make(chan struct{}, 9)}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		self := filbertstile.Member{Name: "h0", Region: "r0"}
+		f, err := fetcher.New(fetcher.Config{
+			Self: self, Source: source, Metrics: metrics.NewRegistry(), MemoryBytes: 1 << 20,
+			Log:         reporter.New(reporter.Config{Logger: log}),
+			Core:        distributor.Config{Self: self, SourceRegion: "r0", Limits: distributor.DefaultLimits()},
+			OnCompleted: func(distributor.Completed) {},
+		})
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+		go func() { f.Run(ctx); close(stopped) }()
+		defer func() { cancel(); <-stopped }()
+		f.SetMembers(distributor.MembersChanged{Members: []filbertstile.Member{self}})
+		f.SetWanted([]distributor.Want{{Release: "r", Manifest: filbertstile.DigestOf(m.Encode())}})
+		time.Sleep(time.Second) // the chunk is requested
+		is.Equal(len(source.ended), 0)
+		f.SetWanted(nil)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(source.ended), 1)
+	})
+}
+
+// endingSource is a stalledSource that records which requests for chunks have ended.
+type endingSource struct {
+	stalledSource
+	ended chan struct{}
+}
+
+func (s endingSource) Chunk(ctx context.Context, d filbertstile.Digest) ([]byte, error) {
+	defer func() { s.ended <- struct{}{} }()
+	return s.stalledSource.Chunk(ctx, d)
+}
--- a/shells/hostrunner/hostrunner.go
+++ b/shells/hostrunner/hostrunner.go
@@ -287,7 +287,7 @@
 		return
 	}
 	if v.MembersVersion != h.fetcherInput.members {
-		h.fetcher.SetMembers(serviceHosts(v.Members, self.Service))
+		h.fetcher.SetMembers(distributor.MembersChanged{Members: serviceHosts(v.Members, self.Service), Listed: true})
 	}
 	running := h.GateState().Release
 	if v.Config.Revision != h.fetcherInput.revision || running != h.fetcherInput.running {
--- a/shells/peerrunner/manifest_test.go
+++ b/shells/peerrunner/manifest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,3 +42,32 @@
 		})
 	}
 }
+
+// TestFewHostsReadManifestWithoutList guards against hosts that all read the manifest at once
+// because each knows only itself: 39 did after all processes had been killed.
+func TestFewHostsReadManifestWithoutList(t *testing.T) {
+	// digestTime is the time after which the others have the digest that one has read.
+	const digestTime = 150 * time.Millisecond
+	for _, count := range []int{5, 19, 46, 167} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			is := is.New(t)
+			var delays []time.Duration
+			for n := range count {
+				near := filbertstile.Member{Name: fmt.Sprint("host-", n), Region: "r0"}
+				delays = append(delays, unlistedManifestDelay(near, "r0", manifestWait))
+				far := filbertstile.Member{Name: near.Name, Region: "r1"}
+				is.True(unlistedManifestDelay(far, "r0", manifestWait) >= membersWait)
+			}
+			slices.Sort(delays)
+			is.True(delays[0] <= unlistedManifestTimer)
+			early := 0
+			for _, d := range delays {
+				if d <= delays[0]+digestTime {
+					early++
+				}
+			}
+			t.Logf("first after %s, %d before its digest has spread", delays[0], early)
+			is.True(early <= originConnections/4)
+		})
+	}
+}
--- a/shells/peerrunner/manifests.go
+++ b/shells/peerrunner/manifests.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filbertstile.example/filbertstile"
 )
 
@@ -33,7 +36,55 @@
 	p.mu.Lock()
 	at, known := p.learnedAt[w]
 	p.mu.Unlock()
-	return !known || p.config.Clock()-at >= manifestDelay(manifestRank(p.fetcherMembers, p.config.Self.Name, p.originRegion), p.manifestWaitTime())
+	return !known || p.config.Clock()-at >= p.manifestDelay()
+}
+
+// manifestDelay returns how long this host waits for the digest before it reads the manifest.
+func (p *Peer) manifestDelay() time.Duration {
+	wait := p.manifestWaitTime()
+	if !p.members.Listed && time.Since(p.started) < membersWait {
+		return unlistedManifestDelay(p.config.Self, p.originRegion, wait)
+	}
+	return manifestDelay(manifestRank(p.members.Members, p.config.Self.Name, p.originRegion), wait)
+}
+
+// unlistedManifestDelay returns how long a host waits that does not know the others yet, so that
+// each of them could be the only one. The delays are distributed so that few hosts read the
+// manifest before the digest of the first has spread, however many hosts there are: the number of
+// those whose time has come grows exponentially.
+func unlistedManifestDelay(self filbertstile.Member, originRegion string, wait time.Duration) time.Duration {
+	if self.Region != originRegion {
+		return max(wait, membersWait)
+	}
+	fraction := (float64(xxhash.Sum64String(self.Name)>>11) + 1) / (1 << 53)
+	return filbertstile.DurationOf(max(0, 1+math.Log(fraction)/math.Log(unlistedHosts)), unlistedManifestTimer)
+}
+
+// expectedHosts returns about how many hosts the origin's region has, judging by the entries of
+// this host's failure domain, which are known before the list of all processes: there are about as
+// many hosts. It returns 0 if they are not known.
+func (p *Peer) expectedHosts() int {
+	entries, domains := 0, 0
+	for _, m := range p.sources.Contacts.View().Rows.All() {
+		if m.Role == filbertstile.RoleEntry && m.Domain == p.config.Self.Domain {
+			entries++
+		}
+	}
+	for _, region := range p.config.Regions {
+		if region == p.originRegion {
+			domains++
+		}
+	}
+	return entries * max(1, domains)
+}
+
+// syncPause returns the time until the next update of the fetcher, which is earlier than usual
+// if this host is to read a manifest before.
+func (p *Peer) syncPause() time.Duration {
+	if p.fetcher.Load() == nil || time.Since(p.started) > membersWait {
+		return syncInterval
+	}
+	return startingSyncInterval
 }
 
 // manifestRank returns the place of the host in the order in which hosts read a manifest:
@@ -65,6 +116,14 @@
 }
 
 const (
+	// membersWait is how long after its start a host expects a list of all hosts.
+	membersWait = 2 * time.Second
+	// unlistedManifestTimer is the longest wait of a host in the origin's region that has no
+	// list yet, and unlistedHosts the number of hosts for which the waits are dimensioned.
+	unlistedManifestTimer = 800 * time.Millisecond
+	unlistedHosts         = 200
+	// startingSyncInterval replaces syncInterval for membersWait.
+	startingSyncInterval = 50 * time.Millisecond
 	// maxFirstReaders is the number of hosts in the origin's region that read a new
 	// manifest at once. Every readersStep, readersPerStep others follow.
 	maxFirstReaders = 2
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -48,8 +47,9 @@
 	// pieceBytes is the size of the frames that carry a chunk. Callers' requests reach the
 	// engine on connections of their own, and do not wait for a frame.
 	pieceBytes = 16 << 10
-	// maxUploads is the maximum number of uploads of chunks in progress.
-	maxUploads = 8
+	// maxUploads is the maximum number of uploads of chunks in progress. With 8, a chunk
+	// waited for 7 others, and the first complete copy in a region came a tenth later.
+	maxUploads = 5
 	// weightMemoryDivisor limits the chunks held to 1/weightMemoryDivisor of the
 	// process's memory.
 	weightMemoryDivisor = 4
@@ -102,9 +102,9 @@
 	pulser       *pulser.Pulser
 	sharer       *sharer.Sharer
 	installer    *installer.Installer
-	// fetcherMembers and fetcherWants were last passed to the fetcher.
-	fetcherMembers []filbertstile.Member
-	fetcherWants   []distributor.Want
+	// members and fetcherWants were last passed to the fetcher.
+	members      distributor.MembersChanged
+	fetcherWants []distributor.Want
 	// rolloutRank is this host's place in the order of switches, as of the last sync.
 	rolloutRank atomic.Pointer[rolloutRank]
 	// syncRequested makes syncLoop update the fetcher before the next interval.
@@ -193,7 +193,7 @@
 	defer wg.Wait()
 	pause := syncInterval
 	for p.awaitSync(ctx, pause) {
-		pause = syncInterval
+		pause = p.syncPause()
 		p.client.CloseIdle(idleSessionTimeout)
 		if p.fetcher.Load() == nil {
 			if err := p.startFetcher(ctx, &wg); err != nil {
@@ -258,7 +258,10 @@
 			Self: p.config.Self, SourceRegion: region, Limits: distributor.SmallReleaseLimits(), Seed: uint64(p.started.UnixNano()),
 		},
 		MemoryBytes: p.config.MemoryBytes / weightMemoryDivisor, MaxUploads: maxUploads, UploadBytesPerSecond: p.config.LinkBytesPerSecond * uploadShare, PieceBytes: pieceBytes, OnCompleted: func(distributor.Completed) {},
-		OnManifest: p.weightSource.addReceivedManifest,
+		OnManifest: func(digest filbertstile.Digest, m filbertstile.Manifest) {
+			p.weightSource.addReceivedManifest(digest, m)
+			p.Refresh() // chunks may be staged at the engine
+		},
 	})
 	if err != nil {
 		return err
@@ -271,16 +274,20 @@
 // syncFetcher updates the fetcher's list of hosts and its list of wanted versions.
 func (p *Peer) syncFetcher(ctx context.Context) error {
 	f := p.fetcher.Load()
-	if m := p.liveHosts(); !slices.Equal(m, p.fetcherMembers) {
-		p.fetcherMembers = m
-		p.rolloutRank.Store(rankAmong(m, p.config.Self))
-		f.SetMembers(m)
+	members := distributor.MembersChanged{Members: p.liveHosts(), Listed: p.sources.Members.View().Listed}
+	if !members.Listed {
+		members.Expected = p.expectedHosts()
+	}
+	if !slices.Equal(members.Members, p.members.Members) || members.Listed != p.members.Listed || members.Expected != p.members.Expected {
+		p.members = members
+		p.rolloutRank.Store(rankAmong(members.Members, p.config.Self))
+		f.SetMembers(members)
 	}
 	w, ok := p.targetVersion()
 	if !ok {
 		// No version is known to be chosen, so the newest one of the origin is used. Most
 		// hosts learn of it from those that have read its manifest.
-		if time.Since(p.started) < manifestDelay(manifestRank(p.fetcherMembers, p.config.Self.Name, p.originRegion), p.manifestWaitTime()) {
+		if time.Since(p.started) < p.manifestDelay() {
 			return nil
 		}
 		ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
@@ -302,40 +309,11 @@
 	return err
 }
 
-// addStagedChunks adds the chunks that were staged at the engine before this process
-// started, so that they need not be transferred again.
-func (p *Peer) addStagedChunks(ctx context.Context, w filbertstile.WeightsVersion) {
-	digest, ok := p.weightSource.digest(w)
-	r := p.report.Load()
-	if p.stagedChunksAdded || !ok || r == nil {
-		return
-	}
-	manifest := p.weightSource.cachedManifest(digest)
-	if manifest == nil {
-		return
-	}
-	f := p.fetcher.Load()
-	for i, ref := range manifest.Chunks {
-		data, err := p.config.Engine.Staged(ctx, w.Model, i)
-		var missing filbertstile.ErrNotFound
-		if err != nil && !errors.As(err, &missing) {
-			return // the engine is asked again with the next update
-		}
-		if err != nil {
-			break // no chunks are staged
-		}
-		if f.AddChunk(digest, i, ref, data) != nil {
-			continue // the chunk is of another version or corrupt
-		}
-	}
-	p.stagedChunksAdded = true
-}
-
 // liveHosts returns the hosts of the service that entries list as alive, or all that
-// are registered if no lists arrive.
+// are registered if no lists arrive. It is the host itself until others are known.
 func (p *Peer) liveHosts() []filbertstile.Member {
 	now := time.Now()
-	settle := time.Duration(0)
+	settle := oneGroupSettleTime
 	if p.hasSeveralGroups() {
 		settle = settleTime
 	}
@@ -349,6 +327,9 @@
 			out = append(out, m)
 		}
 	}
+	if len(out) == 0 {
+		out = append(out, p.config.Self)
+	}
 	return out
 }
 
--- a/shells/peerrunner/roster.go
+++ b/shells/peerrunner/roster.go
@@ -17,6 +17,9 @@
 	// hosts, if the entries form several groups: entries receive the heartbeats of
 	// their own group's hosts, and learn of the other hosts from each other.
 	settleTime = 2500 * time.Millisecond
+	// oneGroupSettleTime is the same if the entries form one group: entries that have just
+	// started name the hosts whose heartbeats have arrived so far.
+	oneGroupSettleTime = 1200 * time.Millisecond
 )
 
 // roster records which hosts are alive according to the lists in the heartbeats of
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -37,11 +37,16 @@
 func (p *Peer) worthFetching(w filbertstile.WeightsVersion, d filbertstile.Digest) bool {
 	p.mu.Lock()
 	at, known := p.learnedAt[w]
-	newerAt, newerKnown := p.learnedAt[filbertstile.WeightsVersion{Model: w.Model, Version: w.Version + 1}]
+	newerAt, newerKnown := p.newerLearnedAt(w)
 	p.mu.Unlock()
 	if !known {
 		return false
 	}
+	if newerKnown && newerAt-at <= p.config.RolloutTimeout/supersededDivisor {
+		// The newer version can run in time to replace this one as well, and would come too
+		// late if it were fetched second.
+		return p.holdsMostChunks(d)
+	}
 	now := p.config.Clock()
 	if now-at < p.config.RolloutTimeout*3/4 {
 		return true
@@ -49,6 +54,23 @@
 	return newerKnown && now-newerAt < p.config.RolloutTimeout-installer.EntryMargin-minUsefulTime && p.holdsMostChunks(d)
 }
 
+// supersededDivisor determines how soon after a version a newer one must be learned of to replace
+// it: within 1/supersededDivisor of the rollout timeout. With a timeout of 8 s, and an origin whose
+// link needs 4.3 s for a copy, the newer one is in time for both up to 1.9 s after the older, and
+// from 2.4 s on both are in time one after the other.
+const supersededDivisor = 4
+
+// newerLearnedAt returns when this process learned of the first version after w that it knows.
+// The caller holds p.mu.
+func (p *Peer) newerLearnedAt(w filbertstile.WeightsVersion) (at time.Duration, known bool) {
+	for newer, learnedAt := range p.learnedAt {
+		if newer.Model == w.Model && newer.Version > w.Version && (!known || learnedAt < at) {
+			at, known = learnedAt, true
+		}
+	}
+	return at, known
+}
+
 // minUsefulTime is the minimum time for which a version must be of use to justify a
 // switch, during which the replica does not serve for about as long.
 const minUsefulTime = 1500 * time.Millisecond
--- a/shells/peerrunner/versions_test.go
+++ b/shells/peerrunner/versions_test.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/decisions/distributor"
 	"filbertstile.example/filbertstile/outside/tracker"
+	"filbertstile.example/filbertstile/shells/fetcher"
 )
 
 // TestSuspensionCountsUntilSwitch guards against a host that takes longer to switch to a version
@@ -58,3 +60,35 @@
 		}
 	}
 }
+
+// TestSupersededVersionIsNotFetched guards against a version that is fetched before or beside the
+// newest one, though hosts heard of both together when the store was back: the first complete copy
+// took 1.7 times what the origin's link needs.
+func TestSupersededVersionIsNotFetched(t *testing.T) {
+	for _, c := range []struct {
+		apart time.Duration
+		want  []distributor.Want
+	}{
+		{0, []distributor.Want{{Release: "m", Manifest: "d3"}}},
+		{2 * time.Second, []distributor.Want{{Release: "m", Manifest: "d3"}}},
+		{3 * time.Second, []distributor.Want{{Release: "m", Manifest: "d2"}, {Release: "m", Manifest: "d3"}}},
+	} {
+		t.Run(c.apart.String(), func(t *testing.T) {
+			is := is.New(t)
+			logger := logrus.New()
+			logger.SetOutput(io.Discard)
+			now := time.Duration(0)
+			p := New(Config{Clock: func() time.Duration { return now }, Log: reporter.New(reporter.Config{Logger: logger}), RolloutTimeout: 8 * time.Second})
+			f, err := fetcher.New(fetcher.Config{Source: p.weightSource, Metrics: metrics.NewRegistry(), Log: p.config.Log})
+			is.NoErr(err)
+			p.fetcher.Store(f)
+			for version, digest := range map[int64]filbertstile.Digest{1: "d1", 2: "d2", 3: "d3"} {
+				p.weightSource.digests[filbertstile.WeightsVersion{Model: "m", Version: version}] = digest
+			}
+			p.recordVersion(filbertstile.WeightsVersion{Model: "m", Version: 2})
+			now += c.apart
+			p.recordVersion(filbertstile.WeightsVersion{Model: "m", Version: 3})
+			is.Equal(p.versionsToHold(filbertstile.WeightsVersion{Model: "m", Version: 3}), c.want)
+		})
+	}
+}
