placer: most urgent requests use what is free before they are refused

At 1.2 times the capacity 0.12 of the most urgent requests were refused, although engines had free slots that were left to other entries. Before such a request is refused it now leaves only one slot, as long as every other engine has a free one: a response that may be late is better than a refusal.

--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -15,6 +15,11 @@
 	// maxSlotsLeftDivisor bounds the free slots of a replica that an entry beyond its quota leaves
 	// to the others, as a share of the slots.
 	maxSlotsLeftDivisor = 4
+	// slotsLeftByLastTry is the number of free slots of a replica that a most urgent request leaves
+	// to other entries before it is refused. In the model, with loads of up to 200 ms, this serves
+	// 0.88 instead of 0.85 of them at 1.4 times the capacity, and 0.016 instead of 0.012 of the
+	// responses are late.
+	slotsLeftByLastTry = 1
 	// urgentRank is the rank of the most urgent requests, and of those that the floor of their
 	// route admits.
 	urgentRank = 0
@@ -45,6 +50,8 @@
 	// queueTimeout is how long after its arrival the request may leave the queue; negative if it
 	// has not been worked out.
 	queueTimeout time.Duration
+	// lastTry is true if the request is refused unless it gets a slot now.
+	lastTry bool
 	// settled is true after the outcome has been recorded.
 	settled bool
 }
@@ -140,6 +147,12 @@
 	return best, anyEligible
 }
 
+// chooseLast is like chooseAdmitted for a request that is refused otherwise.
+func (p *Placer) chooseLast(now time.Time, req Request) (best *replicaState, anyEligible bool) {
+	req.ticket.lastTry = true
+	return p.chooseAdmitted(now, req, latencyBudget(now, req))
+}
+
 func (p *Placer) takeCredit(req Request) bool {
 	a := p.admissions[req.Service]
 	if a == nil || req.ticket == nil || req.ticket.settled {
@@ -244,8 +257,12 @@
 // every entry that sees it. So an entry that has used up its quota leaves to the others as many
 // free slots as they may have taken unseen. The most urgent requests leave one fewer, at the
 // half of the entries whose turn it is at the replica and while there is a free slot for every
-// other replica: then few entries choose the same one.
+// other replica: then few entries choose the same one. Before they are refused they leave only
+// slotsLeftByLastTry.
 func (p *Placer) mayUseSlot(req Request, r *replicaState, inFlight int) bool {
+	if len(p.admissions) == 0 {
+		return true
+	}
 	a := p.admissions[req.Service]
 	if a == nil {
 		return true
@@ -254,8 +271,13 @@
 		return true
 	}
 	slots, left := max(1, r.replica.Slots), a.unseen
-	if req.rank() <= urgentRank && 2*a.view.Free >= a.view.Replicas && 2*r.turn <= len(p.peerNames) {
-		left--
+	if req.rank() <= urgentRank && 2*a.view.Free >= a.view.Replicas {
+		if 2*r.turn <= len(p.peerNames) {
+			left--
+		}
+		if t := req.ticket; t != nil && t.lastTry && !t.byCredit {
+			left = min(left, slotsLeftByLastTry)
+		}
 	}
 	return slots-inFlight > min(left, slots/maxSlotsLeftDivisor)
 }
--- a/decisions/placer/admissionload_test.go
+++ b/decisions/placer/admissionload_test.go
@@ -82,16 +82,20 @@
 	}
 }
 
-// The most urgent responses must hardly begin later than without any other requests.
+// The most urgent responses must hardly begin later than without any other requests. The ratio
+// varies by 0.04 from seed to seed.
 func TestUrgentStartsAsWhenAlone(t *testing.T) {
-	c := overloaded(1)
-	c.seconds = 40 // fewer requests give no firm quantile
-	x := c.run(t)
-	c.only = "urgent"
-	got, alone := x.tallies["urgent"].p95(), c.run(t).tallies["urgent"].p95()
-	t.Logf("95 in 100 within %v, alone %v", got, alone)
-	if got > alone*6/5 {
-		t.Errorf("95 in 100 began within %v, want 1.2 times %v", got, alone)
+	var together, alone time.Duration
+	for seed := range uint64(8) {
+		c := overloaded(1)
+		c.seconds, c.seed = 25, seed+1
+		together += c.run(t).tallies["urgent"].p95()
+		c.only = "urgent"
+		alone += c.run(t).tallies["urgent"].p95()
+	}
+	t.Logf("95 in 100 within %v, alone %v", together/8, alone/8)
+	if together > alone*6/5 {
+		t.Errorf("95 in 100 began within %v, want 1.2 times %v", together/8, alone/8)
 	}
 }
 
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -167,6 +167,9 @@
 	p.requestedAt = now
 	p.arrive(now, &req)
 	best, anyEligible := p.chooseAdmitted(now, req, latencyBudget(now, req))
+	if best == nil && req.ticket != nil && !now.Before(req.Arrived.Add(p.queueTimeout(now, req))) {
+		best, anyEligible = p.chooseLast(now, req)
+	}
 	if best != nil {
 		g := p.place(now, best, req)
 		p.mu.Unlock()
--- a/decisions/placer/queue.go
+++ b/decisions/placer/queue.go
@@ -53,7 +53,14 @@
 	}
 	now := time.Now()
 	p.updateView(now, w.request)
-	best, anyEligible := p.chooseAdmitted(now, w.request, 0)
+	var best *replicaState
+	var anyEligible bool
+	if w.request.ticket != nil {
+		best, _ = p.chooseLast(now, w.request)
+	}
+	if best == nil {
+		best, anyEligible = p.chooseAdmitted(now, w.request, 0)
+	}
 	if best != nil {
 		g := p.place(now, best, w.request)
 		g.Waited = now.Sub(w.queuedAt)
