--- a/decisions/estimator/outputs.go
+++ b/decisions/estimator/outputs.go
@@ -135,7 +135,3 @@
 
 // validTokens returns the number of tokens within its limits; 0 if there is none.
 func validTokens(n int) float64 { return float64(min(max(0, n), maxOutput)) }
-
-// Size returns the numbers of routes, and of pairs of routes and accounts, of which something is
-// known.
-func (o *Outputs) Size() (routes, hinters int) { return len(o.routes), len(o.hints) }
