placer, forwarder: the route's priority counts among requests of the same account priority

All accounts there have the priority 0 or 1, which replaced that of the route, so that the routes had one priority and the one with the longest target, whose requests may queue for longest, won. The account's priority still takes precedence; the route's orders requests within it, where admission by priority is active. TestRoutePriorityCountsWithinAccountPriority failed before.

--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -68,6 +68,15 @@
 	return req.ticket.class.Rank()
 }
 
+// routePriorities is the number of priorities of routes that are told from one another.
+const routePriorities = 16
+
+// classPriority returns the priority of the request's class: by the priority of the account, then by
+// that of the route. Accounts often have the same priority, so that it alone decides little.
+func (req Request) classPriority() int {
+	return max(0, req.Priority)*routePriorities + min(max(0, req.RoutePriority), routePriorities-1)
+}
+
 // cameBack reports whether the request has been refused before and can no longer be in time: the caller
 // has waited longer than the target latency, and as long as a refused caller is asked to. Callers allow
 // less time than the route from the start, some by 15 %, which alone says nothing about earlier attempts.
@@ -99,7 +108,7 @@
 	if a == nil || len(req.Tried) > 0 {
 		return
 	}
-	req.ticket = &ticket{queueTimeout: -1, class: a.admitter.Arrived(now, req.Route, req.Priority, req.cameBack())}
+	req.ticket = &ticket{queueTimeout: -1, class: a.admitter.Arrived(now, req.Route, req.classPriority(), req.cameBack())}
 	p.updateView(now, *req)
 	if now.Sub(a.dividedAt) >= divideInterval {
 		p.divideSlots(now, req.Service, a)
--- a/decisions/placer/admission_test.go
+++ b/decisions/placer/admission_test.go
@@ -132,3 +132,21 @@
 		}
 	})
 }
+
+// Routes must be told apart although all accounts have the same priority, which takes precedence: with
+// the accounts' priority alone, the least urgent route was served most often.
+func TestRoutePriorityCountsWithinAccountPriority(t *testing.T) {
+	withPrioritized(t, []int{0, 2}, func(ctx context.Context, is *is.I, p *placer.Placer) {
+		for _, c := range []struct{ account, route int }{{1, 2}, {0, 2}, {1, 0}, {0, 0}, {-4, 1 << 30}} {
+			req := prioritized("route", c.account)
+			req.RoutePriority = c.route
+			_, err := p.Acquire(ctx, req)
+			is.NoErr(err)
+		}
+		var got []int
+		for _, s := range p.Admissions(time.Now())[0].Classes {
+			got = append(got, s.Class.Priority)
+		}
+		is.Equal(got, []int{0, 2, 15, 16, 18})
+	})
+}
--- a/decisions/placer/explain.go
+++ b/decisions/placer/explain.go
@@ -73,13 +73,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	budget := latencyBudget(now, req)
-	out := Explanation{Candidates: p.candidatesFor(now, req, budget)}
+	var out Explanation
 	held := p.explainAdmission(now, &req, &out)
+	out.Candidates = p.candidatesFor(now, req, budget)
 	out.Queued = p.queuedAhead(req)
 	var best *replicaState
 	anyEligible := true
 	if !held {
 		best, anyEligible = p.choose(now, req, budget)
+		if best == nil && req.ticket != nil && !now.Before(req.Arrived.Add(p.queueTimeout(now, req))) {
+			best, anyEligible = p.chooseLast(now, req)
+		}
 	}
 	if best != nil {
 		out.Decision, out.Replica, out.Reason = WouldPlace, best.replica.ID, "the free replica with the lowest score"
@@ -108,8 +112,8 @@
 	if a == nil {
 		return false
 	}
-	c := admitter.Class{Priority: max(0, req.Priority), Late: req.cameBack()}
-	req.ticket = &ticket{class: c, settled: true}
+	c := admitter.Class{Priority: req.classPriority(), Late: req.cameBack()}
+	req.ticket = &ticket{queueTimeout: -1, class: c, settled: true}
 	p.updateView(now, *req)
 	out.Reserve, out.Free = a.admitter.Reserve(now, c, a.view), a.view.Free
 	return !p.admits(now, *req)
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -20,6 +20,9 @@
 	Waited time.Duration
 	// Priority orders requests; 0 is the highest priority.
 	Priority int
+	// RoutePriority orders requests of the same Priority where admission by priority is active: the
+	// priority of an account takes precedence over that of the route, but does not replace it.
+	RoutePriority int
 	// VersionFloor is the minimum version of the weights.
 	VersionFloor VersionFloor
 	// Tried lists the IDs of replicas that must not be chosen again.
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -360,7 +360,7 @@
 // placerRequest returns the request for a replica for the next attempt.
 func (x *requestState) placerRequest() placer.Request {
 	req := placer.Request{
-		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, Tried: x.tried,
+		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, RoutePriority: x.call.Route.Priority, Tried: x.tried,
 		Arrived: x.call.Arrived, TargetLatency: x.call.Route.TargetLatency, Deadline: x.call.Limit(), PromptTokens: x.call.PromptTokens,
 		VersionFloor: x.forwarder.config.VersionFloor(x.call.Service), PreferIdle: x.onTrial || x.crashes > 0,
 		Repeatable: x.call.Route.Retryable(), Route: x.call.Route.Name, Waited: x.call.waited(), Resumed: x.lastEventID > 0 || x.responseStarted,
