--- a/decisions/placer/explain.go
+++ b/decisions/placer/explain.go
@@ -74,6 +74,10 @@
 	defer p.mu.Unlock()
 	budget := latencyBudget(now, req)
 	var out Explanation
+	delay := p.delayPerRequest(req.Service, p.engine(req.Service))
+	for r := range p.all(req.Service) {
+		r.usePace(now, delay)
+	}
 	held := p.explainAdmission(now, &req, &out)
 	out.Candidates = p.candidatesFor(now, req, budget)
 	out.Queued = p.queuedAhead(req)
@@ -123,10 +127,8 @@
 func (p *Placer) candidatesFor(now time.Time, req Request, maxLatency time.Duration) []Candidate {
 	var out []Candidate
 	spec := p.engine(req.Service)
-	delay := p.delayPerRequest(req.Service, spec)
 	for r := range p.all(req.Service) {
 		inFlight := r.inFlight(now)
-		r.usePace(now, delay)
 		c := Candidate{
 			Replica: r.replica.ID, Address: r.replica.Address, Domain: r.replica.Domain, OwnGroup: !r.otherGroup, Eligible: p.eligible(now, req, r),
 			InFlight: inFlight, Slots: max(1, r.replica.Slots), PendingTokens: r.pendingTokens(), Pace: r.pace(), Score: p.score(req, r, spec, inFlight, 0),
