placer: admission by priority does not lengthen the retry delay while no replica is eligible

No engine is eligible for a second or so while a new version of the weights begins. The rate at which slots become free is zero then, and callers were told the longest delay. They get the delay of before. Found by reading; a test checks the longest delay where it is meant, while slots are held for urgent requests.

--- a/decisions/placer/admission_test.go
+++ b/decisions/placer/admission_test.go
@@ -55,7 +55,8 @@
 }
 
 // If the free slots are fewer than urgent requests are expected to need, others must be refused
-// at once, with the figures, but for the floor of their route. Urgent requests must get the slots.
+// at once, with the figures and the longest retry delay, but for the floor of their route. Urgent
+// requests must get the slots.
 func TestSlotsAreHeldForUrgentRequests(t *testing.T) {
 	withPrioritized(t, []int{0, 2}, func(ctx context.Context, is *is.I, p *placer.Placer) {
 		fill(p, 10)
@@ -72,7 +73,7 @@
 			is.True(errors.As(err, &rejected))
 			is.True(strings.HasPrefix(rejected.Reason, "held for more urgent requests: free "))
 			is.True(rejected.AnyEligible)
-			is.True(rejected.RetryAfter > 0 && rejected.RetryAfter <= 2*time.Second) // a third of the time left
+			is.True(rejected.RetryAfter >= 1500*time.Millisecond && rejected.RetryAfter <= 2*time.Second) // nearly a third of the time left
 		}
 		is.Equal(time.Since(started), time.Duration(0))
 		is.True(admitted >= 3 && admitted <= 4) // the floor's share
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -56,9 +56,7 @@
 type queuedRequest struct {
 	request  Request
 	queuedAt time.Time
-	// leaveAt is the time at which it leaves the queue.
-	leaveAt time.Time
-	grant   chan Grant
+	grant    chan Grant
 	// hopeless receives a value if no replica is eligible any more.
 	hopeless chan struct{}
 }
@@ -179,12 +177,12 @@
 		p.mu.Unlock()
 		return Grant{}, err
 	}
-	leaveAt := req.Arrived.Add(p.queueTimeout(now, req))
-	w := &queuedRequest{request: req, queuedAt: now, leaveAt: leaveAt, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
+	timeout := p.queueTimeout(now, req)
+	w := &queuedRequest{request: req, queuedAt: now, grant: make(chan Grant, 1), hopeless: make(chan struct{}, 1)}
 	p.enqueue(w)
 	p.serveQueueAtToken(now)
 	p.mu.Unlock()
-	timer := time.NewTimer(leaveAt.Sub(now))
+	timer := time.NewTimer(req.Arrived.Add(timeout).Sub(now))
 	defer timer.Stop()
 	select {
 	case g := <-w.grant:
--- a/decisions/placer/queue.go
+++ b/decisions/placer/queue.go
@@ -104,7 +104,7 @@
 // callers spread over the time in which slots become free.
 func (p *Placer) rejection(now time.Time, req Request, reason string, anyEligible bool) error {
 	after := minRetryAfter + time.Duration(p.rng.Int64N(int64(maxRetryAfter-minRetryAfter)))
-	if delay, ok := p.admissionDelay(now, req); ok {
+	if delay, ok := p.admissionDelay(now, req); ok && anyEligible {
 		after = delay
 	}
 	p.notAdmitted(req)
