placer: entries share the memory of a replica when most of it is in use

Unless a replica is idle, or nearly so, an entry now uses only its share of the memory. A request that a share would not hold may be sent by as few entries as it takes, in the order of a hash of entry and replica.

--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -95,6 +95,7 @@
 func (p *Placer) sumPeerLoads() {
 	for _, r := range p.byID {
 		r.peerLoad = EntryLoad{}
+		p.shareMemory(r)
 	}
 	for _, loads := range p.peerLoads {
 		for hash, l := range loads {
--- a/decisions/placer/memory.go
+++ b/decisions/placer/memory.go
@@ -15,6 +15,9 @@
 	// that it has crashed.
 	fullMemoryShare = 0.85
 	fullMemoryTime  = 2 * time.Second
+	// freeMemoryFactor is the multiple of the memory in use that must be free for a request that
+	// exceeds the entry's share.
+	freeMemoryFactor = 6
 )
 
 // usableMemory returns the number of tokens that may be in a replica's memory; 0 if that is not known.
@@ -33,9 +36,39 @@
 // memory, and is 400 ms old.
 func (r *replicaState) memoryTokens() int { return r.localMemory + r.peerLoad.Memory }
 
-// hasMemory reports whether the request fits beside those that are in flight, as far as is known.
+// hasMemory reports whether the request fits beside those that are in flight, whatever the other entries
+// send before they learn of it. If most of the memory is free, that is so as long as each entry sends one
+// such request. Otherwise the memory is divided among the entries or, if a share would not hold the
+// request, among as few of them as it takes.
 func (r *replicaState) hasMemory(e filbertstile.EngineSpec, req Request) bool {
-	return e.MemoryTokens <= 0 || r.memoryTokens()+req.MemoryTokens <= usableMemory(e)
+	usable, used, need := usableMemory(e), r.memoryTokens(), req.MemoryTokens
+	if e.MemoryTokens <= 0 || need <= 0 {
+		return true
+	}
+	if used+need > usable {
+		return false
+	}
+	users := max(1, r.memoryUsers)
+	if used == 0 || freeMemoryFactor*used+users*need <= usable {
+		return true
+	}
+	holders := min(users, usable/need)
+	return r.memoryRank < holders && r.localMemory+need <= usable/holders
+}
+
+// shareMemory sets the place of this entry among those of the group that use the replica's memory.
+func (p *Placer) shareMemory(r *replicaState) {
+	r.memoryUsers, r.memoryRank = 1, 0
+	if r.otherGroup {
+		return
+	}
+	own := HashOf(p.config.Self + "\x00" + r.replica.ID)
+	for name := range p.peerLoads {
+		r.memoryUsers++
+		if other := HashOf(name + "\x00" + r.replica.ID); other > own || other == own && name > p.config.Self {
+			r.memoryRank++
+		}
+	}
 }
 
 // takeMemory counts the request that is being placed.
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -124,7 +124,10 @@
 	localTokens int
 	// localMemory is the number of tokens that this entry's requests may hold in the replica's memory,
 	// which was last nearly full at memoryFullAt.
+	// The entry has the place memoryRank among the memoryUsers entries that use the memory.
 	localMemory  int
+	memoryUsers  int
+	memoryRank   int
 	memoryFullAt time.Time
 	// lastLocalLoad is the load that LocalLoads last returned.
 	lastLocalLoad EntryLoad
