--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -135,7 +135,10 @@
 	localOutput time.Duration
 	// localMemory is the number of tokens that this entry's requests may hold in the replica's memory,
 	// which was last nearly full at memoryFullAt.
+	// The entry has the place memoryRank among the memoryUsers entries that use the memory.
 	localMemory  int
+	memoryUsers  int
+	memoryRank   int
 	memoryFullAt time.Time
 	// lastLocalLoad is the load that LocalLoads last returned.
 	lastLocalLoad EntryLoad
