--- a/decisions/distributor/restart_test.go
+++ b/decisions/distributor/restart_test.go
@@ -266,68 +266,18 @@
 	}
 }
 
-// unreached has the cases that do not reach the targets with every seed, with bounds that guard
-// against their getting worse. docs/design/weights.md has their figures.
-var unreached = map[string]float64{
-	"14Hosts/Origin0.6/grow":                 1.30,
-	"14Hosts/Origin0.6/list":                 1.30,
-	"14Hosts/Origin1.0/all":                  1.35,
-	"14Hosts/Origin1.0/grow":                 1.40,
-	"14Hosts/Origin1.0/list":                 1.55,
-	"14Hosts/Origin2.0/all":                  1.25,
-	"14Hosts/Origin2.0/grow":                 1.35,
-	"14Hosts/Origin2.0/list":                 1.45,
-	"58Hosts/Origin0.6/all":                  1.25,
-	"58Hosts/Origin0.6/grow":                 1.30,
-	"58Hosts/Origin0.6/list":                 1.35,
-	"58Hosts/Origin0.6/list/Corrupt":         1.40,
-	"58Hosts/Origin0.6/list/DeadReader":      1.40,
-	"58Hosts/Origin0.6/list/KilledAt0.1":     1.35,
-	"58Hosts/Origin0.6/list/KilledAt0.5":     1.35,
-	"58Hosts/Origin0.6/list/KilledAt0.9":     1.35,
-	"58Hosts/Origin0.6/list/Staged":          1.70,
-	"58Hosts/Origin0.6/list/SupersededAt0.1": 1.30,
-	"58Hosts/Origin1.0/all":                  1.40,
-	"58Hosts/Origin1.0/grow":                 1.60,
-	"58Hosts/Origin1.0/list":                 1.55,
-	"58Hosts/Origin2.0/all":                  1.30,
-	"58Hosts/Origin2.0/grow":                 1.35,
-	"58Hosts/Origin2.0/list":                 1.35,
-	"138Hosts/Origin0.6/all":                 1.25,
-	"138Hosts/Origin0.6/grow":                1.40,
-	"138Hosts/Origin0.6/list":                1.40,
-	"138Hosts/Origin1.0/all":                 1.40,
-	"138Hosts/Origin1.0/grow":                1.60,
-	"138Hosts/Origin1.0/list":                1.60,
-	"138Hosts/Origin2.0/all":                 1.30,
-	"138Hosts/Origin2.0/grow":                1.50,
-	"138Hosts/Origin2.0/list":                1.30,
-	"500Hosts/Origin0.6/all":                 1.25,
-	"500Hosts/Origin0.6/grow":                1.30,
-	"500Hosts/Origin0.6/list":                1.35,
-	"500Hosts/Origin1.0/all":                 1.45,
-	"500Hosts/Origin1.0/grow":                1.60,
-	"500Hosts/Origin1.0/list":                1.65,
-	"500Hosts/Origin2.0/all":                 1.30,
-	"500Hosts/Origin2.0/grow":                1.50,
-	"500Hosts/Origin2.0/list":                1.45,
-}
-
-// Bounds of the time to the first complete copy, of the time from then to the last one, and of
-// the traffic of the origin.
 const (
-	maxFirstRatio = 1.2
-	maxLastRatio  = 1.2
-	maxCopies     = 1.75
+	// maxRatio bounds the time to the first complete copy, and that from then to the last one, as
+	// multiples of what the links need.
+	maxRatio = 1.2
+	// maxCopies bounds the traffic of the origin in copies: no chunk need be read more than twice.
+	maxCopies = 2.0
 )
 
-// TestFirstCopySoonAfterAllHostsWereKilled guards against hosts that each read all chunks from
-// the origin because they do not know of one another yet: after all processes were killed, the
-// first complete copy took three times as long as the origin's link needs.
-func TestFirstCopySoonAfterAllHostsWereKilled(t *testing.T) {
-	cases := restarts(14, 58, 138)
-	// The other cases with 500 hosts are in BenchmarkFirstCopyOf500Hosts, as they take long.
-	cases = append(cases, restart{hosts: 500, originRate: 0.6, views: "list"}, restart{hosts: 500, originRate: 2, views: "grow"})
+// restartCases returns the cases of the tests. Others with 500 hosts are in BenchmarkFirstCopyOf500Hosts,
+// as they take long.
+func restartCases() []restart {
+	cases := append(restarts(14, 58, 138), restart{hosts: 500, originRate: 0.6, views: "list"}, restart{hosts: 500, originRate: 2, views: "grow"})
 	base := restart{hosts: 58, originRate: 0.6, views: "list"}
 	for _, at := range []float64{0.1, 0.5, 0.9} {
 		killed, superseded := base, base
@@ -337,19 +287,36 @@
 	staged, corrupt, dead := base, base, base
 	staged.staged, corrupt.corruptOneIn, dead.deadReader = 0.5, 25, true
 	cases = append(cases, staged, corrupt, dead)
-	for i, c := range cases {
-		c.seed = uint64(i)
+	for i := range cases {
+		cases[i].seed = uint64(i)
+	}
+	return cases
+}
+
+// TestFirstCopySoonAfterAllHostsWereKilled guards against hosts that each read all chunks from
+// the origin because they do not know of one another yet: after all processes were killed, the
+// origin sent 3.9 copies, and the first complete copy took three times as long as its link needs.
+func TestFirstCopySoonAfterAllHostsWereKilled(t *testing.T) {
+	for _, c := range restartCases() {
 		t.Run(c.String(), func(t *testing.T) {
 			t.Parallel()
 			r := c.run(t)
 			t.Logf("%s: first copy after %.2f, last host after another %.2f, all chunks read after %.2f times what the links need; %.2f copies from the origin, %d connections refused", c, r.first, r.last, r.read, r.copies, r.refused)
-			maxFirst, maxLast := maxFirstRatio, maxLastRatio
-			if u, ok := unreached[c.String()]; ok {
-				t.Logf("does not reach the targets of %.2f and %.2f", maxFirst, maxLast)
-				maxFirst, maxLast = max(maxFirst, u), max(maxLast, u)
+			if r.first > maxCopies || r.copies > maxCopies {
+				t.Errorf("want the first copy after at most %.2f times what the link needs, and %.2f copies", maxCopies, maxCopies)
 			}
-			if r.first > maxFirst || r.last > maxLast || r.copies > maxCopies {
-				t.Errorf("want at most %.2f, %.2f and %.2f copies", maxFirst, maxLast, maxCopies)
+		})
+	}
+}
+
+// TestCopiesCompleteWithinTarget is like TestFirstCopySoonAfterAllHostsWereKilled, with the target for the
+// first and the last copy.
+func TestCopiesCompleteWithinTarget(t *testing.T) {
+	for _, c := range restartCases() {
+		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
+			if r := c.run(t); r.first > maxRatio || r.last > maxRatio {
+				t.Errorf("%s: first copy after %.2f, last host after another %.2f times what the links need, want at most %.2f", c, r.first, r.last, maxRatio)
 			}
 		})
 	}
--- a/decisions/placer/admissionload_test.go
+++ b/decisions/placer/admissionload_test.go
@@ -39,25 +39,27 @@
 	return n
 }
 
+const (
+	// maxLate is the share of the responses that may be late at any load.
+	maxLate = 0.02
+	// minFloor is the share of each route that is served in time.
+	minFloor = 0.3
+	// minOfIdeal is the share of what an entry that knows everything serves in time.
+	minOfIdeal = 0.95
+	// arrivalNoise allows for the random number of arrivals, whose standard deviation is 3 % in a run.
+	arrivalNoise = 0.03
+)
+
 // What is served in time must not fall as the load rises, the most urgent requests must come first,
-// and few responses may be late. The plan asks for at most 0.02 late at any load; at four times the
-// capacity it is 0.04, most of them within two seconds of the start.
+// and few responses may be late. At four times the capacity the routes share it equally, as it does not
+// suffice for the floors.
 func TestServedInTimeDoesNotFallWithLoad(t *testing.T) {
 	most := 0
-	for _, c := range []struct{ load, urgent, floor, late float64 }{
-		{load: 0.5, urgent: 0.99, floor: 0.99, late: 0.02},
-		{load: 1, urgent: 0.88, floor: 0.6, late: 0.025},
-		{load: 1.4, urgent: 0.78, floor: 0.3, late: 0.025},
-		{load: 2, urgent: 0.55, floor: 0.3, late: 0.03},
-		{load: 4, urgent: 0.22, floor: 0.2, late: 0.05},
-	} {
+	for _, c := range []struct{ load, floor float64 }{{0.5, 0.99}, {1, minFloor}, {1.4, minFloor}, {2, minFloor}, {4, 0.25 - 2*arrivalNoise}} {
 		t.Run(fmt.Sprint(c.load), func(t *testing.T) {
 			x := overloaded(c.load).run(t)
-			x.check(t, c.floor, c.late)
-			if share := x.tallies["urgent"].share(); share < c.urgent {
-				t.Errorf("%.2f of the most urgent requests were served in time, want at least %.2f", share, c.urgent)
-			}
-			if n := x.inTime(); float64(n) < 0.97*float64(most) {
+			x.check(t, c.floor, maxLate)
+			if n := x.inTime(); float64(n) < (1-arrivalNoise)*float64(most) {
 				t.Errorf("%d requests were served in time, %d at a lower load", n, most)
 			}
 			most = max(most, x.inTime())
@@ -66,8 +68,7 @@
 }
 
 // At and somewhat over the capacity, what the reserve holds back must cost little of what a single
-// entry serves in time, which knows of everything at once. The plan asks for 0.95 of it; 0.93 to
-// 0.96 are reached (mean of three seeds). The bound guards against a loss beyond that.
+// entry serves in time, which knows of everything at once.
 func TestReserveCostsLittle(t *testing.T) {
 	for _, load := range []float64{1, 1.2, 1.4} {
 		c := overloaded(load)
@@ -76,8 +77,8 @@
 		c.entries, c.unprioritized = 1, true
 		ideal := c.run(t)
 		t.Logf("%.1f: %d in time, %d by a single entry", load, x.inTime(), ideal.inTime())
-		if float64(x.inTime()) < 0.92*float64(ideal.inTime()) {
-			t.Errorf("load %.1f: %d requests were served in time, want 0.92 of %d", load, x.inTime(), ideal.inTime())
+		if float64(x.inTime()) < minOfIdeal*float64(ideal.inTime()) {
+			t.Errorf("load %.1f: %d requests were served in time, want %.2f of %d", load, x.inTime(), minOfIdeal, ideal.inTime())
 		}
 	}
 }
@@ -110,10 +111,7 @@
 			x := overloaded(1.4)
 			x.entries, x.engines, x.skew, x.seconds = c.entries, c.engines, c.skew, 8
 			r := x.run(t)
-			r.check(t, 0.3, 0.03)
-			if share := r.tallies["urgent"].share(); share < 0.78 {
-				t.Errorf("%.2f of the most urgent requests were served in time, want at least 0.78", share)
-			}
+			r.check(t, minFloor, maxLate)
 		})
 	}
 }
@@ -121,30 +119,24 @@
 // An entry that dies with requests in flight, or a failure domain that is cut off, must cost no
 // more than its engines.
 func TestServedByPriorityThroughFaults(t *testing.T) {
-	for name, c := range map[string]struct {
-		fault  func(x *competitionRun)
-		urgent float64
-	}{
-		"entry killed": {urgent: 0.8, fault: func(x *competitionRun) {
+	for name, fault := range map[string]func(x *competitionRun){
+		"entry killed": func(x *competitionRun) {
 			x.dead[3].Store(true)
 			time.AfterFunc(1500*time.Millisecond, x.retainPeers)
-		}},
-		"domain cut off": {urgent: 0.5, fault: func(x *competitionRun) {
+		},
+		"domain cut off": func(x *competitionRun) {
 			for i, p := range x.placers {
 				f := x.fleets[i]
 				f.OutOfService = map[string]bool{"b": true}
 				p.SetFleet(time.Now(), f)
 			}
-		}},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := overloaded(1.2)
-			x.fault = c.fault
+			x.fault = fault
 			r := x.run(t)
-			r.check(t, 0.25, 0.03)
-			if share := r.tallies["urgent"].share(); share < c.urgent {
-				t.Errorf("%.2f of the most urgent requests were served in time, want at least %.2f", share, c.urgent)
-			}
+			r.check(t, minFloor, maxLate)
 		})
 	}
 }
--- a/decisions/placer/pace_test.go
+++ b/decisions/placer/pace_test.go
@@ -244,39 +244,73 @@
 	is.True(math.Abs(lost(with)-lost(without)) < 0.01)
 }
 
-// With engines of 4 and 12 slots and any spread of outputs, at most 1 in 100 responses must be
-// late, whatever the steps and the number of entries, and the slowest first events must not be
-// much later than without slow engines. Of engines with 64 slots and of targets of 100 ms fewer
-// must be late than without the paces: the targets of docs/design/demand.md are not reached there.
-func TestLateAcrossDeployments(t *testing.T) {
-	is := is.New(t)
-	for _, x := range []struct {
-		target, step  time.Duration
-		steps, slots  int
-		targetReached bool
-	}{
-		{400 * time.Millisecond, 9 * time.Millisecond, 5, 4, true}, {400 * time.Millisecond, 9 * time.Millisecond, 5, 12, true}, {2 * time.Second, 50 * time.Millisecond, 5, 12, true},
-		{100 * time.Millisecond, 5 * time.Millisecond, 2, 12, false}, {400 * time.Millisecond, 9 * time.Millisecond, 5, 64, false}, {2 * time.Second, 50 * time.Millisecond, 5, 64, false},
-	} {
-		var allWith, allWithout pacedResults
-		for _, entries := range []int{1, 12, 65, 100} {
-			if !x.targetReached && entries != 65 {
-				continue // the model of many slots takes long
-			}
-			var with, without pacedResults
-			for _, sigma := range []float64{0.7, 1.6} {
-				w := deployment(0.6)
-				w.target, w.spec.StepTime, w.spec.StepsPerEvent, w.slots, w.sigma, w.entries, w.seconds = x.target, x.step, x.steps, x.slots, sigma, entries, 10*x.target.Seconds()
-				w.spec.PrefillTokensPerSecond = w.meanTokens / (x.target.Seconds() / 8.5)
-				with.add(w.run(t, byPace, 1))
-				without.add(w.run(t, byCount, 1))
-			}
-			t.Logf("target %v, %d slots, %3d entries: with pace %v, p99/p50 %.1f", x.target, x.slots, entries, &with, with.tail())
-			t.Logf("target %v, %d slots, %3d entries: without   %v, p99/p50 %.1f", x.target, x.slots, entries, &without, without.tail())
-			allWith.add(&with)
-			allWithout.add(&without)
+// pacedDeployment is a kind of engine with the target latency of its requests.
+type pacedDeployment struct {
+	target, step time.Duration
+	steps, slots int
+	entries      []int
+}
+
+// pacedDeployments are kinds that meet the target for late responses, and pacedLimits kinds that do
+// not, which only one number of entries is modelled for, as they take long.
+var (
+	pacedDeployments = []pacedDeployment{
+		{400 * time.Millisecond, 9 * time.Millisecond, 5, 4, []int{1, 12, 65, 100}},
+		{400 * time.Millisecond, 9 * time.Millisecond, 5, 12, []int{1, 12, 65, 100}},
+		{2 * time.Second, 50 * time.Millisecond, 5, 12, []int{1, 12, 65, 100}},
+	}
+	pacedLimits = []pacedDeployment{
+		{100 * time.Millisecond, 5 * time.Millisecond, 2, 12, []int{65}},
+		{400 * time.Millisecond, 9 * time.Millisecond, 5, 64, []int{65}},
+		{2 * time.Second, 50 * time.Millisecond, 5, 64, []int{65}},
+	}
+)
+
+// String returns the target and the slots.
+func (x pacedDeployment) String() string { return fmt.Sprintf("%v/%dSlots", x.target, x.slots) }
+
+// run sends requests with two spreads of outputs at 0.6 of the capacity, by the policy.
+func (x pacedDeployment) run(t *testing.T, policy pacedPolicy) *pacedResults {
+	t.Helper()
+	var out pacedResults
+	for _, entries := range x.entries {
+		for _, sigma := range []float64{0.7, 1.6} {
+			w := deployment(0.6)
+			w.target, w.spec.StepTime, w.spec.StepsPerEvent, w.slots, w.sigma, w.entries, w.seconds = x.target, x.step, x.steps, x.slots, sigma, entries, 10*x.target.Seconds()
+			w.spec.PrefillTokensPerSecond = w.meanTokens / (x.target.Seconds() / 8.5)
+			out.add(w.run(t, policy, 1))
 		}
-		is.True(allWith.late < allWithout.late)
-		is.True(!x.targetReached || allWith.lateShare() <= 0.01 && allWith.tail() < allWithout.tail())
+	}
+	t.Logf("%s: %v, p99/p50 %.1f", policy, &out, out.tail())
+	return &out
+}
+
+// At most 1 in 100 responses must be late with any spread of outputs, whatever the steps and the number of
+// entries, and fewer than without the paces.
+func TestLateAcrossDeployments(t *testing.T) {
+	for _, x := range pacedDeployments {
+		t.Run(x.String(), func(t *testing.T) {
+			is := is.New(t)
+			with, without := x.run(t, byPace), x.run(t, byCount)
+			is.True(with.lateShare() <= 0.01)
+			is.True(with.late < without.late && with.tail() < without.tail())
+		})
+	}
+	for _, x := range pacedLimits {
+		t.Run(x.String(), func(t *testing.T) { is.New(t).True(x.run(t, byPace).late < x.run(t, byCount).late) })
+	}
+}
+
+// The same target for late responses must hold with short targets and with many slots.
+func TestLateWithShortTargetsAndManySlots(t *testing.T) {
+	for _, x := range pacedLimits {
+		t.Run(x.String(), func(t *testing.T) { is.New(t).True(x.run(t, byPace).lateShare() <= 0.01) })
+	}
+}
+
+// One in a hundred first events may come three times later than half of them.
+func TestTailOfFirstEvents(t *testing.T) {
+	for _, x := range append(pacedDeployments, pacedLimits...) {
+		t.Run(x.String(), func(t *testing.T) { is.New(t).True(x.run(t, byPace).tail() <= 3) })
 	}
 }
