platform, acceptor: callers whose bodies give way get the refusal

On a busy machine, callers that sent bodies in chunks met a reset in place of 503: a body in chunks can't be read on after its read deadline, so that the connection closed while they were sending. TestLongBodiesShareMemory failed so (4 resets of 524 bodies). What still arrives is now discarded on the connection itself until the request's limit.

--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// DefaultMaxConns and DefaultHeadBytes are the limits that a Config leaves open.
-	DefaultMaxConns  = 4096
-	DefaultHeadBytes = 16 << 20
+	// defaultMaxConns and defaultHeadBytes are the limits that a Config leaves open.
+	defaultMaxConns  = 4096
+	defaultHeadBytes = 16 << 20
 	// lineBytes is the memory that a header field takes in addition to its bytes: its place in a
 	// map and in the copy for the replica. It was measured with fields of 6 bytes.
 	lineBytes = 250
@@ -27,9 +27,9 @@
 	// minPause is how long a client must have waited for a response until its requests no longer
 	// count as pipelined.
 	minPause = 2 * time.Millisecond
-	// drainTimeout is how long data is discarded on a connection that was closed for writing, which
-	// is how long net/http keeps it.
-	drainTimeout = 500 * time.Millisecond
+	// drainTimeout is how long data is discarded on a connection that was closed for writing, unless
+	// the server closes it before: net/http does so after 500 ms.
+	drainTimeout = 5 * time.Second
 )
 
 // WithinDescriptors returns the number of connections, or half of the descriptors that the process
@@ -49,11 +49,11 @@
 type Config struct {
 	// Listener accepts the connections.
 	Listener net.Listener
-	// MaxConns is the maximum number of open connections; 0 means DefaultMaxConns.
+	// MaxConns is the maximum number of open connections; 0 means 4096.
 	// See WithinDescriptors.
 	MaxConns int
 	// HeadBytes is the memory for the heads that are being read, over all connections; 0 means
-	// DefaultHeadBytes.
+	// 16 MiB.
 	HeadBytes int64
 	// WriteTimeout is the maximum time that a peer may take to receive what one call writes; 0
 	// means that the server sets deadlines itself.
@@ -77,10 +77,10 @@
 // New returns a listener without connections.
 func New(c Config) *Listener {
 	if c.MaxConns <= 0 {
-		c.MaxConns = DefaultMaxConns
+		c.MaxConns = defaultMaxConns
 	}
 	if c.HeadBytes <= 0 {
-		c.HeadBytes = DefaultHeadBytes
+		c.HeadBytes = defaultHeadBytes
 	}
 	return &Listener{
 		Listener: c.Listener, maxConns: c.MaxConns, headBytes: c.HeadBytes, writeTimeout: c.WriteTimeout,
@@ -220,7 +220,7 @@
 func (c *Conn) Linger() { c.lingers.Store(true) }
 
 // CloseWrite closes the connection for writing. What still arrives is discarded, and the connection
-// is closed once the peer has closed it too: net/http would keep its descriptor for drainTimeout.
+// is closed once the peer has closed it too: net/http would keep its descriptor for 500 ms.
 func (c *Conn) CloseWrite() error {
 	w, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
@@ -240,7 +240,13 @@
 // drain discards data until the peer has closed its side, and closes the connection.
 func (c *Conn) drain() {
 	defer func() { _ = c.Close() }()
-	if c.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+	c.Discard(time.Now().Add(drainTimeout))
+}
+
+// Discard discards data until the peer has closed its side, or the deadline. Nothing else may read
+// meanwhile or afterwards.
+func (c *Conn) Discard(deadline time.Time) {
+	if c.SetReadDeadline(deadline) != nil {
 		return
 	}
 	for buf := make([]byte, 4<<10); ; {
