peerrunner: slow engines are asked once for each staged chunk

Reading back began again with the first chunk whenever time was up. Hosts without a list of members keep spreading their reads of the manifest after 2 s: all of them had the first rank then.

--- a/shells/peerrunner/manifests.go
+++ b/shells/peerrunner/manifests.go
@@ -42,7 +42,7 @@
 // manifestDelay returns how long this host waits for the digest before it reads the manifest.
 func (p *Peer) manifestDelay() time.Duration {
 	wait := p.manifestWaitTime()
-	if !p.members.Listed && time.Since(p.started) < membersWait {
+	if !p.members.Listed {
 		return unlistedManifestDelay(p.config.Self, p.originRegion, wait)
 	}
 	return manifestDelay(manifestRank(p.members.Members, p.config.Self.Name, p.originRegion), wait)
@@ -53,10 +53,10 @@
 // manifest before the digest of the first has spread, however many hosts there are: the number of
 // those whose time has come grows exponentially.
 func unlistedManifestDelay(self filbertstile.Member, originRegion string, wait time.Duration) time.Duration {
+	fraction := (float64(xxhash.Sum64String(self.Name)>>11) + 1) / (1 << 53)
 	if self.Region != originRegion {
-		return max(wait, membersWait)
+		return max(wait, membersWait) + filbertstile.DurationOf(fraction, unlistedSpread)
 	}
-	fraction := (float64(xxhash.Sum64String(self.Name)>>11) + 1) / (1 << 53)
 	return filbertstile.DurationOf(max(0, 1+math.Log(fraction)/math.Log(unlistedHosts)), unlistedManifestTimer)
 }
 
@@ -122,6 +122,8 @@
 	// list yet, and unlistedHosts the number of hosts for which the waits are dimensioned.
 	unlistedManifestTimer = 800 * time.Millisecond
 	unlistedHosts         = 200
+	// unlistedSpread is the time over which such hosts of other regions read the manifest.
+	unlistedSpread = 4 * time.Second
 	// startingSyncInterval replaces syncInterval for membersWait.
 	startingSyncInterval = 50 * time.Millisecond
 	// maxFirstReaders is the number of hosts in the origin's region that read a new
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -124,6 +124,8 @@
 	newestVersion     filbertstile.WeightsVersion
 	roster            roster
 	stagedChunksAdded bool
+	// stagedRead has each stagedChunk for which the engine has answered since the start.
+	stagedRead sync.Map
 }
 
 // New returns a host process. It does nothing before Run is called.
--- a/shells/peerrunner/staged.go
+++ b/shells/peerrunner/staged.go
@@ -18,6 +18,12 @@
 	stagedReadTimeout = time.Second
 )
 
+// stagedChunk identifies a chunk that was read back from the engine.
+type stagedChunk struct {
+	manifest filbertstile.Digest
+	index    int
+}
+
 // addStagedChunks adds the chunks that were staged at the engine before this process
 // started, so that they need not be transferred again.
 func (p *Peer) addStagedChunks(ctx context.Context, w filbertstile.WeightsVersion) {
@@ -42,15 +48,21 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxStagedReads)
 	for i, ref := range m.Chunks {
+		key := stagedChunk{manifest: digest, index: i}
+		if _, read := p.stagedRead.Load(key); read {
+			continue
+		}
 		group.Go(func() error {
 			data, err := p.config.Engine.Staged(ctx, model, i)
 			var missing filbertstile.ErrNotFound
 			if errors.As(err, &missing) {
+				p.stagedRead.Store(key, true)
 				return nil
 			}
 			if err != nil {
 				return err // the engine is asked again with the next update
 			}
+			p.stagedRead.Store(key, true)
 			_ = f.AddChunk(digest, i, ref, data) // the chunk may be of another version or corrupt
 			return nil
 		})
