peerrunner, platform: a version is dropped for a newer one only while most of it is still to be read

A version is dropped for a newer one only if that was heard of within half of the time that the origin's link needs for a copy, by the rates of the configuration, or with it if the rate is not known.

--- a/fleet.go
+++ b/fleet.go
@@ -108,6 +108,15 @@
 	return DurationOf(float64(tokens)/e.PrefillTokensPerSecond, time.Second)
 }
 
+// CopyTime returns the time that a link with the rate needs for a version of the weights; 0 if the rate
+// is not known.
+func (e EngineSpec) CopyTime(bytesPerSecond float64) time.Duration {
+	if bytesPerSecond <= 0 {
+		return 0
+	}
+	return DurationOf(float64(e.Chunks)*float64(e.ChunkBytes)/bytesPerSecond, time.Second)
+}
+
 // PoolSpec describes the replicas of a service.
 type PoolSpec struct {
 	Service string
@@ -120,6 +129,8 @@
 	// origin, and OriginDomain its failure domain.
 	Origin       string
 	OriginDomain string
+	// OriginBytesPerSecond is the rate of the origin's link; 0 if it is not known.
+	OriginBytesPerSecond float64
 }
 
 // Key returns the service's name.
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -118,6 +118,8 @@
 	model string
 	// originRegion is the region of the origin of the weights.
 	originRegion string
+	// originCopyTime is the time that the origin's link needs for a version; 0 if it is not known.
+	originCopyTime time.Duration
 	// learnedAt is when this process learned that operators have chosen a version, on the
 	// sources' clock.
 	learnedAt         map[filbertstile.WeightsVersion]time.Duration
@@ -244,15 +246,16 @@
 		return nil
 	}
 	spec, _ := r.Pools.Get(p.config.Self.Service)
-	region := ""
+	region, copyTime := "", time.Duration(0)
 	for _, s := range r.Pools.All() {
 		if s.Origin != "" {
+			copyTime = spec.Engine.CopyTime(s.OriginBytesPerSecond)
 			p.weightSource.setOrigin(p.config.Origin(s.Origin))
 			region = p.config.Regions[s.OriginDomain]
 		}
 	}
 	p.mu.Lock()
-	p.model, p.originRegion = spec.Engine.Model, region
+	p.model, p.originRegion, p.originCopyTime = spec.Engine.Model, region, copyTime
 	p.mu.Unlock()
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.weightSource, Log: p.config.Log, Metrics: p.config.Metrics,
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -38,27 +38,35 @@
 	p.mu.Lock()
 	at, known := p.learnedAt[w]
 	newerAt, newerKnown := p.newerLearnedAt(w)
+	supersededWithin := p.supersededWithin()
 	p.mu.Unlock()
 	if !known {
 		return false
 	}
-	if newerKnown && newerAt-at <= p.config.RolloutTimeout/supersededDivisor {
-		// The newer version can run in time to replace this one as well, and would come too
-		// late if it were fetched second.
-		return p.holdsMostChunks(d)
+	if newerKnown && newerAt-at <= supersededWithin {
+		// Less than half of this version has been read from the origin when the newer one is heard
+		// of, which replaces it as well, and would come too late if it were fetched second.
+		return p.holdsShare(d, nearlyComplete)
 	}
 	now := p.config.Clock()
 	if now-at < p.config.RolloutTimeout*3/4 {
 		return true
 	}
-	return newerKnown && now-newerAt < p.config.RolloutTimeout-installer.EntryMargin-minUsefulTime && p.holdsMostChunks(d)
+	return newerKnown && now-newerAt < p.config.RolloutTimeout-installer.EntryMargin-minUsefulTime && p.holdsShare(d, nearlyComplete)
 }
 
-// supersededDivisor determines how soon after a version a newer one must be learned of to replace
-// it: within 1/supersededDivisor of the rollout timeout. With a timeout of 8 s, and an origin whose
-// link needs 4.3 s for a copy, the newer one is in time for both up to 1.9 s after the older, and
-// from 2.4 s on both are in time one after the other.
-const supersededDivisor = 4
+// heardTogetherDivisor is the share of the rollout timeout within which versions count as heard of
+// together if the rate of the origin's link is not known.
+const heardTogetherDivisor = 16
+
+// supersededWithin returns how soon after a version a newer one must be heard of to replace it: in half of
+// the time in which the origin's link carries a copy. The caller holds p.mu.
+func (p *Peer) supersededWithin() time.Duration {
+	if p.originCopyTime > 0 {
+		return p.originCopyTime / 2
+	}
+	return p.config.RolloutTimeout / heardTogetherDivisor
+}
 
 // newerLearnedAt returns when this process learned of the first version after w that it knows.
 // The caller holds p.mu.
@@ -75,9 +83,11 @@
 // switch, during which the replica does not serve for about as long.
 const minUsefulTime = 1500 * time.Millisecond
 
-// holdsMostChunks reports whether at least three quarters of the version's chunks are
-// held.
-func (p *Peer) holdsMostChunks(d filbertstile.Digest) bool {
+// nearlyComplete is the share of the chunks of a version from which it is worth completing.
+const nearlyComplete = 0.75
+
+// holdsShare reports whether at least the share of the version's chunks is held.
+func (p *Peer) holdsShare(d filbertstile.Digest, share float64) bool {
 	held, _ := p.fetcher.Load().ChunkStore().Held(d)
 	n := 0
 	for _, ok := range held {
@@ -85,7 +95,7 @@
 			n++
 		}
 	}
-	return n > 0 && n*4 >= len(held)*3
+	return n > 0 && float64(n) >= share*float64(len(held))
 }
 
 // targetVersion returns the newest version that is known to be chosen, and whether
