--- a/decisions/distributor/settle.go
+++ b/decisions/distributor/settle.go
@@ -137,14 +137,15 @@
 
 // maxOriginFetches returns the number of chunks that this host reads from the origin at the
 // same time. Reads share the link, so that the first chunks arrive the later the more there are.
-// Several readers fill the link with one each, and few ones with more, as long as a read takes
-// so little time that the link would idle between two.
+// While hosts may not know of one another, several readers fill the link with one each, and few ones with
+// more, as long as a read takes so little time that the link would idle between two. Readers that know one another
+// each have the next read waiting: with one at a time the link idled so much that a copy of 1.9 s took over 2.4 s.
 func (c *Core) maxOriginFetches(now time.Time, t *transfer) int {
 	l := c.config.Limits
-	if l.SlowOriginRead == 0 {
+	if l.SlowOriginRead == 0 || c.settled(now) {
 		return l.MaxOriginFetches
 	}
-	unknown := c.averageOriginTime == 0 && (!c.settled(now) || len(c.originCandidates) > l.MaxOriginFetches)
+	unknown := c.averageOriginTime == 0
 	if unknown || c.averageOriginTime > l.SlowOriginRead || len(t.topology.owners) >= severalReaders {
 		return 1
 	}
