acceptor: one default for connections, and a delay that is not called a pace

The default number of connections was worked out in two packages, with the same constants and two different reasons. acceptor.DefaultConns replaces both; the figures do not change. Conn.Pace is renamed PipelineDelay, as a pace is elsewhere how slow an engine works. No change of behaviour: go test ./transport/... ./base/configurer passes.

--- a/base/configurer/settings.go
+++ b/base/configurer/settings.go
@@ -59,22 +59,6 @@
 	MaxConns     int        `doc:"Maximum number of connections of callers; 0 means 16 per MiB of MemoryMB, and at least 1024."`
 }
 
-const (
-	// connsPerMB keeps the buffers of connections, 25 KiB each, within half of the memory. Callers
-	// within the documented limits open some hundred connections.
-	connsPerMB = 16
-	// minDefaultConns is the smallest default maximum number of connections.
-	minDefaultConns = 1024
-)
-
-// Conns returns the maximum number of connections of callers.
-func (e *Entry) Conns() int {
-	if e.MaxConns > 0 {
-		return e.MaxConns
-	}
-	return max(minDefaultConns, connsPerMB*e.MemoryMB)
-}
-
 // MemoryBytes returns the part 1/divisor of the memory; 0 if it is not limited.
 func (e *Entry) MemoryBytes(divisor int64) int64 { return int64(e.MemoryMB) << 20 / divisor }
 
--- a/shells/entryrunner/servers.go
+++ b/shells/entryrunner/servers.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"filbertstile.example/filbertstile/base/collector"
+	"filbertstile.example/filbertstile/base/configurer"
 	"filbertstile.example/filbertstile/transport/acceptor"
 	"filbertstile.example/filbertstile/transport/responder"
 )
@@ -23,7 +24,7 @@
 func (e *Entry) servePublic(ctx context.Context, l net.Listener) {
 	s := e.config.Settings
 	_ = responder.Serve(ctx, l, responder.Config{
-		Name: "filbertstile", Handler: e.handlePublic, MaxBodyBytes: s.MaxBodyBytes, MaxConns: acceptor.WithinDescriptors(s.Conns()),
+		Name: "filbertstile", Handler: e.handlePublic, MaxBodyBytes: s.MaxBodyBytes, MaxConns: maxConns(s),
 		Bodies:    collector.New(collector.Config{Name: "requests", LimitBytes: s.MemoryBytes(bodyMemoryDivisor)}),
 		HeadBytes: s.MemoryBytes(headMemoryDivisor),
 	})
@@ -33,8 +34,17 @@
 func (e *Entry) serveAdmin(ctx context.Context, l net.Listener) {
 	s := e.config.Settings
 	_ = responder.Serve(ctx, l, responder.Config{
-		Name: "filbertstile-admin", Handler: e.handleAdmin, MaxConns: acceptor.WithinDescriptors(s.Conns()) / adminShare,
+		Name: "filbertstile-admin", Handler: e.handleAdmin, MaxConns: maxConns(s) / adminShare,
 		Bodies:    collector.New(collector.Config{Name: "requests of operators", LimitBytes: s.MemoryBytes(bodyMemoryDivisor)}),
 		HeadBytes: s.MemoryBytes(headMemoryDivisor * adminShare),
 	})
 }
+
+// maxConns returns the maximum number of connections of callers.
+func maxConns(s *configurer.Entry) int {
+	conns := s.MaxConns
+	if conns == 0 {
+		conns = acceptor.DefaultConns(s.MemoryMB)
+	}
+	return acceptor.WithinDescriptors(conns)
+}
--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -16,14 +16,19 @@
 	// defaultMaxConns and defaultHeadBytes are the limits that a Config leaves open.
 	defaultMaxConns  = 4096
 	defaultHeadBytes = 16 << 20
+	// connsPerMB keeps the buffers and stacks of connections, 16 to 25 KiB each, within half of the
+	// memory. Callers within the documented limits open some hundred connections.
+	connsPerMB = 16
+	// minDefaultConns is the smallest result of DefaultConns.
+	minDefaultConns = 1024
 	// lineBytes is the memory that a header field takes in addition to its bytes: its place in a
 	// map and in the copy for the replica. It was measured with fields of 6 bytes.
 	lineBytes = 250
-	// paceStep and maxPace are the delay of a request for each one before it that was pipelined, and
-	// the longest delay. Clients that pipeline small requests without end would otherwise take the
-	// slots of the replicas: 150 of them left 1 in 300 other requests.
-	paceStep = 50 * time.Millisecond
-	maxPace  = time.Second
+	// pipelineDelayStep and maxPipelineDelay are the delay of a request for each one before it that
+	// was pipelined, and the longest delay. Clients that pipeline small requests without end would
+	// otherwise take the slots of the replicas: 150 of them left 1 in 300 other requests.
+	pipelineDelayStep = 50 * time.Millisecond
+	maxPipelineDelay  = time.Second
 	// minPause is how long a client must have waited for a response until its requests no longer
 	// count as pipelined.
 	minPause = 2 * time.Millisecond
@@ -32,6 +37,10 @@
 	drainTimeout = 5 * time.Second
 )
 
+// DefaultConns returns the maximum number of connections of callers for a process with so much
+// memory, in MiB.
+func DefaultConns(memoryMB int) int { return max(minDefaultConns, connsPerMB*memoryMB) }
+
 // WithinDescriptors returns the number of connections, or half of the descriptors that the process
 // may have if that is less. The others are for connections to replicas and other processes.
 func WithinDescriptors(conns int) int {
@@ -173,9 +182,11 @@
 	c.release()
 }
 
-// Pace returns how long the request whose head has been read should wait, as the client pipelines
-// requests; 0 if it does not.
-func (c *Conn) Pace() time.Duration { return min(time.Duration(c.pipelined)*paceStep, maxPace) }
+// PipelineDelay returns how long the request whose head has been read should wait, as the client
+// pipelines requests; 0 if it does not.
+func (c *Conn) PipelineDelay() time.Duration {
+	return min(time.Duration(c.pipelined)*pipelineDelayStep, maxPipelineDelay)
+}
 
 func (c *Conn) release() {
 	if held := c.held.Swap(0); held > 0 {
--- a/transport/acceptor/acceptor_test.go
+++ b/transport/acceptor/acceptor_test.go
@@ -154,18 +154,18 @@
 	for range 50 { // each after the response to the one before
 		receive()
 		c.HeadRead()
-		is.Equal(c.Pace(), time.Duration(0))
+		is.Equal(c.PipelineDelay(), time.Duration(0))
 		c.AwaitHead()
 	}
 	last := time.Duration(0)
 	for range 50 { // in the buffer of the server
 		c.HeadRead()
-		is.True(c.Pace() > last || c.Pace() == time.Second)
-		last = c.Pace()
+		is.True(c.PipelineDelay() > last || c.PipelineDelay() == time.Second)
+		last = c.PipelineDelay()
 		c.AwaitHead()
 	}
 	time.Sleep(10 * time.Millisecond)
 	receive()
 	c.HeadRead()
-	is.Equal(c.Pace(), time.Duration(0))
+	is.Equal(c.PipelineDelay(), time.Duration(0))
 }
--- a/transport/responder/collect.go
+++ b/transport/responder/collect.go
@@ -30,7 +30,7 @@
 		conn, ok := rc.Conn().(*acceptor.Conn)
 		if ok {
 			conn.HeadRead()
-			time.Sleep(conn.Pace())
+			time.Sleep(conn.PipelineDelay())
 		}
 		cost := acceptor.HeadCost(len(rc.Request.Header.RawHeaders()), rc.Request.Header.Len())
 		if cost > maxKeptHeadCost {
