make, overloader: tests of memory run apart from the others

go test ./... ran the tests of rigs/overloader beside those of platform, which keep all cores busy; a peak of 206 MiB was seen once at a load of 40, and 91 to 112 MiB otherwise. make test now runs them after the others. TestOverloaderRunsApart fails if the package is renamed or listed with the others.

--- a/_scripts/make.go
+++ b/_scripts/make.go
@@ -110,14 +110,44 @@
 		fmt.Println("passed over, see KNOWN-RED.txt:", strings.Join(names, ", "))
 		args = append(args, "-skip", skipPattern(names))
 	}
-	for _, m := range modules() {
-		if err := command(m, "go", append(args, "./...")...); err != nil {
+	shared, err := sharedPackages()
+	if err != nil {
+		return err
+	}
+	if err := command(".", "go", slices.Concat(args, shared)...); err != nil {
+		return err
+	}
+	if err := command(".", "go", slices.Concat(args, []string{apartPackage})...); err != nil {
+		return err
+	}
+	for _, m := range modules()[1:] {
+		if err := command(m, "go", slices.Concat(args, []string{"./..."})...); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// apartPackage is the package whose tests run while no others do: they start processes and check
+// their memory, which is higher on a busy machine.
+const apartPackage = "./rigs/overloader"
+
+// sharedPackages returns the packages of the main module whose tests may run at the same time.
+func sharedPackages() ([]string, error) {
+	list, err := exec.Command("go", "list", "./...").Output()
+	if err != nil {
+		return nil, fmt.Errorf("list packages: %w", err)
+	}
+	return withoutApart(strings.Fields(string(list))), nil
+}
+
+// withoutApart returns the packages other than apartPackage.
+func withoutApart(packages []string) []string {
+	return slices.DeleteFunc(packages, func(p string) bool {
+		return strings.HasSuffix(p, strings.TrimPrefix(apartPackage, "."))
+	})
+}
+
 // passedOver returns the names of the tests that the list of known faults says to pass over:
 // those whose entry begins with the name and has the line "CI: passes over it".
 func passedOver(list string) []string {
--- a/_scripts/make_test.go
+++ b/_scripts/make_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,3 +31,13 @@
 	is := is.New(t)
 	is.Equal(skipPattern([]string{"TestA", "TestB/Seed3"}), "^TestA$|^TestB$/^Seed3$")
 }
+
+// TestOverloaderRunsApart guards against tests of the memory of processes that run beside others, and
+// against packages that no run includes.
+func TestOverloaderRunsApart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(withoutApart([]string{"a/rigs/overloader", "a/rigs/stager", "a/platform"}), []string{"a/rigs/stager", "a/platform"})
+	info, err := os.Stat(filepath.Join("..", apartPackage))
+	is.NoErr(err)
+	is.True(info.IsDir())
+}
--- a/rigs/overloader/overloader_test.go
+++ b/rigs/overloader/overloader_test.go
@@ -122,7 +122,7 @@
   "ObjectAPI": %q, "Domains": [{"Name": "d1", "Region": "r1"}], %s,
   "Limits": {"MemoryMB": %d, "LinkMbps": 1000},
   "Listen": {"Callers": %q, "Ready": %q, "Directory": %q, "Metrics": %d},
-}`, freePort(t), startStore(t, startReplica(t)), bounds, entryMemoryMB, e.callers, e.ready, e.directory, metrics), "platform")
+}`, freePort(t), startPlatform(t), bounds, entryMemoryMB, e.callers, e.ready, e.directory, metrics), "platform")
 	if !answers(t, "http://"+e.ready+"/api/ready") || !answers(t, "http://"+e.callers+"/x") {
 		t.Fatal("the entry is not ready")
 	}
@@ -230,7 +230,7 @@
   "Identity": {"Name": "h1", "IP": "127.0.0.1", "Domain": "d1", "Region": "r1", "Port": %d},
   "ObjectAPI": %q, "Domains": [{"Name": "d1", "Region": "r1"}], %s,
   "Limits": {"MemoryMB": %d, "LinkMbps": 7.3}, "Listen": {"Metrics": %d}, "Engine": %q, "Service": "s",
-}`, messages, startStore(t, startReplica(t)), bounds, hostMemoryMB, metrics, freeAddress(t)), "platform")
+}`, messages, startPlatform(t), bounds, hostMemoryMB, metrics, freeAddress(t)), "platform")
 			} else {
 				settings, backend := startStandins(t)
 				at.process = start(t, "filbertstile-host", fmt.Sprintf(`{
