--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -123,7 +123,7 @@
 	{StoreEraChanged, "StoreEraChanged", "config", logrus.WarnLevel, "The store has come back from an older copy of its data; the objects are listed again.", "Check what was written in the seconds before."},
 	{SourceChanged, "SourceChanged", "config", logrus.InfoLevel, "The process now reads the store itself, or follows the copy of the process in the log line.", noAction},
 	{ConfigurationRead, "ConfigurationRead", "config", logrus.InfoLevel, "A host has the configuration, from the entry in the log line or, without one, from the store.", noAction},
-	{StoreUnavailable, "StoreUnavailable", "configuration", logrus.WarnLevel, "The store is unavailable to most entries. The time in which a chosen version must be in use begins anew when it is back.", "See StoreOutOfReach."},
+	{StoreUnavailable, "StoreUnavailable", "config", logrus.WarnLevel, "The store is unavailable to most entries. The time in which a chosen version must be in use begins anew when it is back.", "See StoreOutOfReach."},
 	{SettingsReloaded, "SettingsReloaded", "process", logrus.InfoLevel, "The settings file was read again after SIGHUP. The log level is in force; the settings that NextStart names have changed, and are in force after the next start.", "Start the process again if NextStart names any."},
 	{HostLost, "HostLost", "requests", logrus.WarnLevel, "A host process is unreachable and gets no work.", "Check the host if it stays unreachable."},
 	{HostFound, "HostFound", "requests", logrus.InfoLevel, "A host process is reachable.", noAction},
--- a/decisions/admitter/group.go
+++ b/decisions/admitter/group.go
@@ -10,10 +10,10 @@
 const (
 	// demandStep is the share by which a demand must change to be announced anew, and
 	// minDemandStep the change in requests per second.
-	demandStep = 0.3
-	// minDemandAge is the time from the first request after which a demand is announced.
-	minDemandAge  = time.Second
+	demandStep    = 0.3
 	minDemandStep = 1.0
+	// minDemandAge is the time from the first request after which a demand is announced.
+	minDemandAge = time.Second
 	// minWeight is the least weight of an entry, as a share of the mean: an entry that has had no
 	// requests may get some.
 	minWeight = 0.1
--- a/decisions/distributor/settle.go
+++ b/decisions/distributor/settle.go
@@ -13,8 +13,9 @@
 	// of the others. They fill its link, and most often there is one, even if only half as many
 	// hosts run as are expected.
 	firstReaders = 6
-	// firstReaderShare is the share that reads if the number of hosts is not known. A region of 5 hosts most often has one of them, and
-	// one of 170 hosts has fewer than the 48 connections that origins accept.
+	// firstReaderShare is the share that reads if the number of hosts is not known. A region of 5 hosts
+	// most often has at least one reader, and one of 150 hosts has about 45, fewer than the 48
+	// connections that origins accept.
 	firstReaderShare = 0.3
 	// fullListHosts is the number of hosts of the origin's region from which on a list
 	// makes so few hosts readers that all of them may read at once.
@@ -136,10 +137,10 @@
 }
 
 // maxOriginFetches returns the number of chunks that this host reads from the origin at the
-// same time. Reads share the link, so that the first chunks arrive the later the more there are.
-// While hosts may not know of one another, several readers fill the link with one each, and few ones with
-// more, as long as a read takes so little time that the link would idle between two. Readers that know one another
-// each have the next read waiting: with one at a time the link idled so much that a copy of 1.9 s took over 2.4 s.
+// same time. Reads share the link, so that more of them delay the first chunks. While hosts may not
+// know of one another, a host reads one chunk at a time if there are several readers, or if reads are
+// slow; otherwise the link would idle between two reads. Hosts that know one another always have the
+// next read waiting: with one at a time the link idled so much that a copy of 1.9 s took over 2.4 s.
 func (c *Core) maxOriginFetches(now time.Time, t *transfer) int {
 	l := c.config.Limits
 	if l.SlowOriginRead == 0 || c.settled(now) {
--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -78,8 +78,8 @@
 }
 
 // cameBack reports whether the request has been refused before and can no longer be in time: the caller
-// has waited longer than the target latency, and as long as a refused caller is asked to. Callers allow
-// less time than the route from the start, some by 15 %, which alone says nothing about earlier attempts.
+// has waited longer than the target latency, and as long as a refused caller is asked to. Callers may allow
+// somewhat less time than the route from the start, which alone says nothing about earlier attempts.
 func (req Request) cameBack() bool { return req.Waited > max(req.TargetLatency, minRetryAfter) }
 
 // setAdmissions starts the admission by priority to the services that need it, and ends it for
--- a/decisions/placer/explain.go
+++ b/decisions/placer/explain.go
@@ -68,7 +68,8 @@
 	Candidates []Candidate
 }
 
-// Explain returns what would happen to the request now. It sends and records nothing.
+// Explain returns what would happen to the request now. It sends and records nothing. A request that only
+// the floor of its route would admit counts as held back.
 func (p *Placer) Explain(now time.Time, req Request) Explanation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/decisions/placer/memory.go
+++ b/decisions/placer/memory.go
@@ -59,8 +59,8 @@
 // shareMemory sets the place of this entry among those of the group that use the replica's memory.
 func (p *Placer) shareMemory(r *replicaState) {
 	r.memoryUsers, r.memoryRank = 1, 0
-	if r.otherGroup {
-		return
+	if spec := p.engine(r.replica.Service); r.otherGroup || spec == nil || spec.MemoryTokens <= 0 {
+		return // a hash for each replica and entry would be wasted
 	}
 	own := HashOf(p.config.Self + "\x00" + r.replica.ID)
 	for name := range p.peerLoads {
--- a/decisions/placer/pace.go
+++ b/decisions/placer/pace.go
@@ -9,19 +9,19 @@
 
 const (
 	// slowEngineCost is added to the score of an engine for each unit by which its pace exceeds
-	// 1, in requests. In a model with 2 or 8 the late and the refused were as many.
+	// 1, in requests. The model has the same shares of late and refused requests with 2 and with 8.
 	slowEngineCost = 4.0
 	// slowDelayShare is the part of delayPerRequest that counts for a slow engine, before its pace
-	// does: few requests go there while others wait. In a model at 1.2 times the capacity, a half
-	// had 8.0 in 100 requests refused and 1.6 late, a quarter 7.5 and 1.9, and none 7.0 and 2.9.
+	// does: few requests go there while others wait. In the model at 1.2 times the capacity, 7.5 in 100
+	// requests are refused and 1.9 late; with a half it is 8.0 and 1.6, and with 0 it is 7.0 and 2.9.
 	slowDelayShare = 0.25
 	// laterPromptsFactor is the ratio of delayPerRequest to the average time that the prompts of
 	// later requests take, on the engines for which it was chosen: most responses must be in
 	// time, not those of average delay.
 	laterPromptsFactor = 2.6
 	// usualDelayRange is the factor by which the delay must be below delayPerRequest to replace
-	// it. A longer one never does: it had requests queued that would have been in time (in a model
-	// of 64 slots and steps of 50 ms, 6.5 in 100 were late instead of 0.3).
+	// it. A longer one never does: requests that could be in time would queue. In the model of 64 slots and
+	// steps of 50 ms, 6.5 in 100 were late with it, and 0.3 without.
 	usualDelayRange = 2
 	// maxSlowInterval is the share of the target latency that the next interval between events
 	// of a slow engine may take if a late request goes there: its streams must not stall.
