--- a/rigs/documenter/documenter.go
+++ b/rigs/documenter/documenter.go
@@ -38,12 +38,20 @@
 	if err != nil {
 		return nil, err
 	}
+	sweep, err := os.ReadFile(filepath.Join(docs, SweepFile))
+	if err != nil {
+		return nil, fmt.Errorf("read figures: %w", err)
+	}
+	section, err := SweepSection(sweep)
+	if err != nil {
+		return nil, err
+	}
 	return []Page{
 		{"LOGS.md", reporter.Markdown()},
 		{"COMMANDS.md", operator.Markdown()},
 		{"SETTINGS.md", settingsPage()},
 		{"FAULTS.md", faulter.Markdown()},
-		{"CAPACITY.md", capacity},
+		{"CAPACITY.md", capacity + section},
 	}, nil
 }
 
--- a/rigs/documenter/documenter_test.go
+++ b/rigs/documenter/documenter_test.go
@@ -22,13 +22,15 @@
 func TestCheckReportsStalePage(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	figures, err := os.ReadFile(filepath.Join(docs, documenter.FiguresFile))
-	is.NoErr(err)
-	is.NoErr(os.WriteFile(filepath.Join(dir, documenter.FiguresFile), figures, 0o600))
+	for _, name := range []string{documenter.FiguresFile, documenter.SweepFile} {
+		figures, err := os.ReadFile(filepath.Join(docs, name))
+		is.NoErr(err)
+		is.NoErr(os.WriteFile(filepath.Join(dir, name), figures, 0o600))
+	}
 	is.NoErr(documenter.Write(dir))
 	is.NoErr(documenter.Check(dir))
 	is.NoErr(os.WriteFile(filepath.Join(dir, "LOGS.md"), []byte("# Log events\n"), 0o600))
-	err = documenter.Check(dir)
+	err := documenter.Check(dir)
 	stale, ok := err.(documenter.ErrStale)
 	is.True(ok)
 	is.Equal(stale.Page, "LOGS.md")
