placer: sums of the expected and the observed time to the first event

Operators could not see how far the estimate by which requests are placed is from what responses take.

--- a/decisions/placer/pace.go
+++ b/decisions/placer/pace.go
@@ -91,6 +91,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if !g.begun {
+		p.observeFirstEvent(now, g)
+	}
 	p.observeEvent(now, g)
 	g.timedFrom, g.begun = now, true
 	if g.Buffered {
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -94,6 +94,7 @@
 	// outputs estimates the outputs of requests.
 	outputs *estimator.Outputs
 	costs   Costs
+	firsts  firstEvents
 	// work is the average work of requests, by service.
 	work map[string]*estimator.Work
 	// tokenDueAt is the time at which the queue is served for a limited replica; zero if no
@@ -213,6 +214,7 @@
 	}
 	if spec := p.engine(req.Service); spec != nil {
 		g.Version = r.version(now)
+		g.expectedFirst = r.timeToFirstEvent(*spec, g.InFlight, req.PromptTokens)
 		if end, ok := req.VersionFloor.end(g.Version); ok {
 			g.StartBy = end.Add(-WithdrawMargin)
 			g.SendBy = g.StartBy.Add(-r.startTime(*spec, req, g.InFlight))
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -94,8 +94,10 @@
 	answered bool
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
-	// placedAt is the time at which the request was placed.
-	placedAt time.Time
+	// placedAt is the time at which the request was placed, and expectedFirst the time that its first
+	// event was expected to take from then on; 0 for plain services.
+	placedAt      time.Time
+	expectedFirst time.Duration
 }
 
 // ErrRejected reports that a request gets no replica.
