placer: a refusal names the resource that was short

Operators saw a text per refusal, such as "queue timeout exceeded", which doesn't say whether slots, the engines' memory, time or the reserve were missing. ErrRejected.Short and Explanation.Short name it: what was in the way at most of the eligible replicas as one was last chosen.

Evidence: TestRefusalNamesWhatIsShort, TestExplainAgreesWithPlacement.

--- a/decisions/placer/admission.go
+++ b/decisions/placer/admission.go
@@ -153,6 +153,7 @@
 // back may be admitted by the floor of its route.
 func (p *Placer) chooseAdmitted(now time.Time, req Request, maxLatency time.Duration) (best *replicaState, anyEligible bool) {
 	if !p.admits(now, req) && !p.takeCredit(req) {
+		p.obstacles = obstacleCounts{ObstacleReserve: 1}
 		return nil, true
 	}
 	if best, anyEligible = p.choose(now, req, maxLatency); best == nil && anyEligible {
--- a/decisions/placer/choosing.go
+++ b/decisions/placer/choosing.go
@@ -52,6 +52,7 @@
 	var cooling *replicaState
 	spec := p.engine(req.Service)
 	delay := p.delayPerRequest(req.Service, spec)
+	p.obstacles = obstacleCounts{}
 	for r := range p.ofGroups(req.Service, otherGroup) {
 		if !p.eligible(now, req, r) {
 			continue
@@ -59,7 +60,8 @@
 		anyEligible = true
 		inFlight := r.inFlight(now)
 		r.usePace(now, delay)
-		if p.obstacle(now, req, r, spec, inFlight, maxLatency) != "" {
+		if o := p.obstacle(now, req, r, spec, inFlight, maxLatency); o != obstacleNone {
+			p.obstacles[o]++
 			continue
 		}
 		if now.Before(r.cooldownUntil) {
@@ -78,22 +80,6 @@
 	return best, anyEligible
 }
 
-// Obstacle is why a replica is not free for a request; empty if it is.
-type Obstacle string
-
-// Obstacles.
-const (
-	ObstacleFull       Obstacle = "all slots are taken"
-	ObstacleColdLimit  Obstacle = "the limit of requests to a cold replica is used up"
-	ObstacleOthers     Obstacle = "its free slots are left to other entries"
-	ObstacleHalfFull   Obstacle = "the request is late, and the replica is more than half full"
-	ObstacleStall      Obstacle = "the request is late, and its prompt would stall the streams of a slow engine"
-	ObstacleSlowEnd    Obstacle = "the engine is slow, and the response would end too late"
-	ObstacleLateStart  Obstacle = "the response would begin after the target latency"
-	ObstacleVersionDue Obstacle = "the response might begin after the version is due to end"
-	ObstacleMemory     Obstacle = "its memory does not hold the request beside those in flight"
-)
-
 // obstacle returns why the eligible replica, whose pace is up to date, is not free for the request.
 func (p *Placer) obstacle(now time.Time, req Request, r *replicaState, spec *filbertstile.EngineSpec, inFlight int, maxLatency time.Duration) Obstacle {
 	// A late response by an idle slow engine is better than none.
@@ -119,7 +105,7 @@
 	case spec != nil && !r.hasMemory(*spec, req):
 		return ObstacleMemory
 	}
-	return ""
+	return obstacleNone
 }
 
 // score returns the score of a free replica, in requests in flight; a lower one is better.
--- a/decisions/placer/explain.go
+++ b/decisions/placer/explain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/admitter"
 )
 
@@ -53,8 +54,9 @@
 	// Replica is the replica that would be chosen. Entries add a small random part to the scores, so
 	// that another one with a similar score may be chosen.
 	Replica string
-	// Reason is the rule that decided.
+	// Reason is the rule that decided, and Short what a rejected request does not get.
 	Reason string
+	Short  filbertstile.Resource
 	// RetryAfter is about the delay that a rejected caller would be told, as text.
 	RetryAfter string
 	// Queued is the number of queued requests that would go first.
@@ -84,7 +86,9 @@
 	out.Queued = p.queuedAhead(req)
 	var best *replicaState
 	anyEligible := true
-	if !held {
+	if held {
+		p.obstacles = obstacleCounts{ObstacleReserve: 1}
+	} else {
 		best, anyEligible = p.choose(now, req, budget)
 		if best == nil && req.ticket != nil && !now.Before(req.Arrived.Add(p.queueTimeout(now, req))) {
 			best, anyEligible = p.chooseLast(now, req)
@@ -105,7 +109,7 @@
 	out.Decision, out.Reason = WouldReject, err.Error()
 	var rejected ErrRejected
 	if errors.As(err, &rejected) {
-		out.Reason, out.RetryAfter = rejected.Reason, rejected.RetryAfter.Round(time.Millisecond).String()
+		out.Reason, out.Short, out.RetryAfter = rejected.Reason, rejected.Short, rejected.RetryAfter.Round(time.Millisecond).String()
 	}
 	return out
 }
@@ -143,7 +147,7 @@
 		case now.Before(r.cooldownUntil):
 			c.Obstacle = "it is in a cooldown after a failure, or as it was full"
 		default:
-			c.Obstacle = string(p.obstacle(now, req, r, spec, inFlight, maxLatency))
+			c.Obstacle = p.obstacle(now, req, r, spec, inFlight, maxLatency).String()
 		}
 		out = append(out, c)
 	}
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -104,6 +104,8 @@
 	admissions map[string]*admission
 	// requestedAt is the time of the latest request.
 	requestedAt time.Time
+	// obstacles counts what was in the way when a replica was last chosen.
+	obstacles obstacleCounts
 }
 
 // New returns a placer without replicas.
--- a/decisions/placer/queue.go
+++ b/decisions/placer/queue.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"filbertstile.example/filbertstile"
 )
 
 // queueTimeout returns how long after its arrival the request may leave the queue and
@@ -108,20 +110,22 @@
 		after = delay
 	}
 	p.notAdmitted(req)
+	short := p.obstacles.short()
 	if !anyEligible {
+		short = p.shortWithoutEligible(req)
 		if end := p.pauseEnd(now, req); !end.IsZero() {
-			reason, anyEligible = "all eligible replicas have asked for a pause", true
+			reason, short, anyEligible = "all eligible replicas have asked for a pause", filbertstile.ResourceReplicaPause, true
 			after = end.Sub(now) + time.Duration(p.rng.Int64N(int64(pauseEndSpread)))
 		}
 		if delay := p.limitDelay(now, req); delay > 0 {
-			reason, anyEligible = "all eligible replicas have named limits", true
+			reason, short, anyEligible = "all eligible replicas have named limits", filbertstile.ResourceReplicaLimit, true
 			after = max(after, delay)
 		}
 	}
 	if limit := time.Until(req.Deadline) / retryAfterDivisor; after > limit {
 		after = limit * time.Duration(75+p.rng.IntN(25)) / 100
 	}
-	return ErrRejected{Step: "place request", Reason: reason, RetryAfter: max(0, after), QueueLength: len(p.queue), AnyEligible: anyEligible}
+	return ErrRejected{Step: "place request", Reason: reason, Short: short, RetryAfter: max(0, after), QueueLength: len(p.queue), AnyEligible: anyEligible}
 }
 
 // enqueue keeps the queue ordered by rank, then by arrival.
--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -104,6 +104,8 @@
 type ErrRejected struct {
 	Step   string
 	Reason string
+	// Short is what the request did not get.
+	Short filbertstile.Resource
 	// RetryAfter is the delay before the caller should retry.
 	RetryAfter time.Duration
 	// QueueLength is the number of queued requests.
