edgerunner, forwarder, platform: metrics of admission, first events, paces and memory

The metrics of an entry did not show how many requests were admitted or refused and why, what the reserve and the floors were, how far the estimate of the first event is from the observed time, the pace of the group's engines, or which of the entry's memories was in use. Requests pay a few atomic counters; series by priority and engine are set when the metrics are read, and end with their engine, so that their number is bounded by the engines of the group and the priorities.

Evidence: TestSeriesFollowEnginesAndPriorities, TestMetricsOfEntry, TestEventsShareMemoryOfBodies (which now also checks that the memory of streams is counted while they are open, and back at 0 afterwards).

--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -75,8 +75,9 @@
 	}
 	e.config.Log.Event(reporter.RequestRefused, reporter.Fields{
 		"Request": req.ID, "Code": rejected.Code, "Detail": rejected.Detail, "HostName": req.HostName, "Path": req.Path,
-		"Config": configVersion, "ConfigAge": age.String(), "RetryAfter": rejected.RetryAfter.String(),
+		"Config": configVersion, "ConfigAge": age.String(), "RetryAfter": rejected.RetryAfter.String(), "Short": shortOf(rejected.Code),
 	})
+	e.CountRefused(shortOf(rejected.Code))
 	e.recordRequestEnd(&forwarder.Call{}, rejected.Code, time.Since(req.Arrived))
 	return nil, err
 }
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -154,6 +154,8 @@
 	// refreshRequested makes refreshLoop update the entry's view.
 	refreshRequested chan struct{}
 	senders          *senderCounter
+	// series are the metrics whose names depend on the engines and the configuration.
+	series *series
 	// replicasKnown is true after the placer has got the first complete list of replicas.
 	replicasKnown atomic.Bool
 
@@ -191,9 +193,10 @@
 	}
 	e.pauses = &pauseWatch{clock: c.Clock}
 	e.registerGauges()
+	e.series = newSeries(c.Metrics)
 	e.division.Store(&grouper.Division{Groups: 1})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Placer: e.placer, Link: c.Link, RetryBudget: c.RetryBudget, BufferBytes: c.BufferBytes, Log: c.Log, VersionFloor: e.versionFloor, OnRequestEnd: e.recordRequestEnd,
+		Placer: e.placer, Link: c.Link, RetryBudget: c.RetryBudget, BufferBytes: c.BufferBytes, Log: c.Log, VersionFloor: e.versionFloor, OnRequestEnd: e.recordRequestEnd, OnRefused: e.CountRefused,
 		Suspector: e.suspector, Prober: c.Prober, OnNews: e.announceNews, Situation: e.situation,
 	})
 	return e
--- a/shells/edgerunner/gauges.go
+++ b/shells/edgerunner/gauges.go
@@ -6,10 +6,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
-// registerGauges adds the numbers of replicas in each announced state and of slow engines, and
-// the expected and the real cost of requests, to the metrics.
+// registerGauges adds the numbers of replicas in each announced state and of slow engines, the
+// expected and the real cost of requests, their first events, and what they use, to the metrics.
 func (e *Edge) registerGauges() {
 	registerCost := func(name string, value func(placer.Costs) int64) {
 		_ = e.config.Metrics.Register(name, metrics.NewFunctionalGauge(func() int64 { return value(e.placer.Costs()) }))
@@ -23,6 +24,18 @@
 	register("Replicas.Limited", func(s placer.State) bool { return s.Limit.Named })
 	register("Replicas.SlowReported", func(s placer.State) bool { return s.Load.Pace > 1 })
 	register("Replicas.SlowSeen", func(s placer.State) bool { return s.UsedPace > max(1, s.Load.Pace) })
+	registerUsage := func(name string, value func(forwarder.Usage) int64) {
+		_ = e.config.Metrics.Register(name, metrics.NewFunctionalGauge(func() int64 { return value(e.forwarder.Usage()) }))
+	}
+	registerUsage("Admission.Admitted", func(u forwarder.Usage) int64 { return u.Admitted })
+	registerUsage("Memory.Responses", func(u forwarder.Usage) int64 { return u.ResponseBytes })
+	registerUsage("Memory.Streams", func(u forwarder.Usage) int64 { return u.StreamBytes })
+	registerFirst := func(name string, value func(count int64, expected, observed time.Duration) int64) {
+		_ = e.config.Metrics.Register(name, metrics.NewFunctionalGauge(func() int64 { return value(e.placer.FirstEvents()) }))
+	}
+	registerFirst("FirstEvents.Count", func(count int64, _, _ time.Duration) int64 { return count })
+	registerFirst("FirstEvents.ExpectedMicroseconds", func(_ int64, expected, _ time.Duration) int64 { return expected.Microseconds() })
+	registerFirst("FirstEvents.ObservedMicroseconds", func(_ int64, _, observed time.Duration) int64 { return observed.Microseconds() })
 	registerCost("Costs.Responses", func(c placer.Costs) int64 { return c.Responses })
 	registerCost("Costs.ExpectedTokens", func(c placer.Costs) int64 { return c.ExpectedTokens })
 	registerCost("Costs.Tokens", func(c placer.Costs) int64 { return c.Tokens })
--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -59,6 +59,8 @@
 	responded bool
 	// events reads the response if it is a stream.
 	events *eventReader
+	// counted is true while the attempt counts as an open stream.
+	counted bool
 	// mustContinue is true until the attempt has gone on with a stream that had begun before it.
 	// If its response is empty, emptyContinuation decides.
 	mustContinue bool
@@ -105,6 +107,10 @@
 	if a.events != nil {
 		a.events.close()
 	}
+	if a.counted {
+		a.counted = false
+		a.x.forwarder.usage.streams.Add(-1)
+	}
 	if holdsMemory {
 		a.x.forwarder.deliveries.memoryFreed()
 	}
@@ -188,7 +194,10 @@
 	if a.mustContinue && (!resp.Streamed || resp.Verdict == Failed) {
 		return errNotContinued
 	}
-	a.events = newEventReader(resp.Body, x.forwarder.buffers)
+	a.events = newEventReader(resp.Body, &x.forwarder.usage)
+	if a.counted = resp.Streamed; a.counted {
+		x.forwarder.usage.streams.Add(1)
+	}
 	return nil
 }
 
--- a/shells/forwarder/eventmemory_test.go
+++ b/shells/forwarder/eventmemory_test.go
@@ -94,8 +94,11 @@
 			for range streams {
 				wg.Go(func() { serve() })
 			}
+			time.Sleep(100 * time.Millisecond)
+			is.True(f.Usage().StreamBytes >= limit/2)
 			wg.Wait()
 			is.True(link.peak <= limit+streams*uncountedBytes)
+			is.Equal(f.Usage().StreamBytes+f.Usage().ResponseBytes, int64(0))
 			time.Sleep(5 * time.Second) // the replica is in cooldown
 			link.whole = true
 			is.Equal(serve().body.Len(), longEventBytes+2)
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -13,12 +13,14 @@
 	maxEventBytes = 256 << 10
 	// smallEventBytes is how much of an event is held without memory of the buffers.
 	smallEventBytes = 16 << 10
+	// eventReadBytes is the size of the buffer for one read of a stream.
+	eventReadBytes = 4 << 10
 )
 
 // eventReader splits a text/event-stream into events.
 type eventReader struct {
 	source  io.Reader
-	buffers *collector.Memory
+	buffers eventMemory
 	// reserved is the number of bytes that were taken from buffers.
 	reserved int64
 	// buf holds data that was read and not yet returned.
@@ -29,9 +31,17 @@
 	readBuf []byte
 }
 
+// eventMemory is memory for long events.
+type eventMemory interface {
+	// Reserve takes n more bytes for a stream that holds some.
+	Reserve(held, n int64) error
+	// Release returns n bytes.
+	Release(n int64)
+}
+
 // newEventReader returns a reader that holds long events in memory of the buffers.
-func newEventReader(source io.Reader, b *collector.Memory) *eventReader {
-	return &eventReader{source: source, buffers: b, readBuf: make([]byte, 4<<10)}
+func newEventReader(source io.Reader, b eventMemory) *eventReader {
+	return &eventReader{source: source, buffers: b, readBuf: make([]byte, eventReadBytes)}
 }
 
 // close frees the memory of the buffers. The reader must not be used afterwards.
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -211,6 +211,9 @@
 	// OnRequestEnd is called at the end of each request. The status is an error code,
 	// "Done" or "CallerLeft".
 	OnRequestEnd func(c *Call, status string, took time.Duration)
+	// OnRefused is called for each request that ends without having run, with what it did not get;
+	// nil if that is not needed.
+	OnRefused func(short filbertstile.Resource)
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
@@ -221,6 +224,7 @@
 	deliveries  *deliveries
 	crashes     *crashChecks
 	durations   durations
+	usage       usage
 	// plannedStop is the planned stop; nil if none has begun. stopBegun ends as it begins, by
 	// stopBegins.
 	plannedStop atomic.Pointer[PlannedStop]
@@ -239,6 +243,9 @@
 	if c.OnNews == nil {
 		c.OnNews = func() {}
 	}
+	if c.OnRefused == nil {
+		c.OnRefused = func(filbertstile.Resource) {}
+	}
 	if c.Situation == nil {
 		c.Situation = func() Situation { return Situation{} }
 	}
@@ -247,6 +254,7 @@
 	f.stopped, f.stop = context.WithCancelCause(context.Background())
 	f.deliveries = newDeliveries(f.stopped.Done())
 	f.buffers = newBuffers(c.BufferBytes, f.deliveries)
+	f.usage.buffers = f.buffers
 	return f
 }
 
@@ -335,6 +343,9 @@
 		return false
 	}
 	x.queueTime += g.Waited
+	if len(x.tried) == 0 {
+		x.forwarder.usage.admitted.Add(1)
+	}
 	if x.blockedMeanwhile(&g) {
 		return false
 	}
--- a/shells/forwarder/outcome.go
+++ b/shells/forwarder/outcome.go
@@ -28,7 +28,7 @@
 		if !rejected.AnyEligible {
 			code = CodeNoReplica
 		}
-		x.failWithQueueLength(code, rejected.Reason, rejected.RetryAfter, rejected.QueueLength)
+		x.end(failure{code: code, detail: rejected.Reason, retryAfter: rejected.RetryAfter, queueLength: rejected.QueueLength, short: rejected.Short})
 	case x.limitReached():
 		x.fail(CodeDeadline, "no free replica before the deadline", 0)
 	case x.stopped():
@@ -40,21 +40,48 @@
 
 // fail ends a request without a complete response.
 func (x *requestState) fail(code, detail string, retryAfter time.Duration) {
-	x.failWithQueueLength(code, detail, retryAfter, 0)
+	x.end(failure{code: code, detail: detail, retryAfter: retryAfter, short: shortOf(code)})
 }
 
-// failWithQueueLength is like fail, and also logs the length of the placer's queue.
-func (x *requestState) failWithQueueLength(code, detail string, retryAfter time.Duration, queueLength int) {
-	e := filbertstile.ErrRequest{Code: code, Run: x.runState(), Step: "forward request", RetryAfter: retryAfter, Detail: detail}
-	event := reporter.RequestRefused
-	if e.Run != filbertstile.NotRun {
-		event = reporter.RequestFailed
+// failure is the end of a request without a complete response.
+type failure struct {
+	code, detail string
+	retryAfter   time.Duration
+	// queueLength is the length of the placer's queue.
+	queueLength int
+	// short is what the request did not get, if it has not run.
+	short filbertstile.Resource
+}
+
+// shortOf returns what a request did not get that has not run and ends with the code.
+func shortOf(code string) filbertstile.Resource {
+	switch code {
+	case CodeRetryBudget:
+		return filbertstile.ResourceRetryBudget
+	case CodeDeadline:
+		return filbertstile.ResourceTime
+	case CodeStopping:
+		return filbertstile.ResourceEntry
+	case CodeOverloaded, CodeNoReplica, CodeBackendFailed:
+		return filbertstile.ResourceReplicas
 	}
-	x.forwarder.config.Log.Event(event, x.addFields(reporter.Fields{
-		"Code": code, "Run": e.Run, "Detail": detail, "RetryAfter": retryAfter.String(), "Queue": queueLength, "Begun": x.responseStarted,
-	}))
-	x.forwarder.config.OnRequestEnd(x.call, code, time.Since(x.call.Arrived))
-	if code == CodeDeadline {
+	return filbertstile.ResourceNone
+}
+
+// end ends the request without a complete response.
+func (x *requestState) end(f failure) {
+	e := filbertstile.ErrRequest{Code: f.code, Run: x.runState(), Step: "forward request", RetryAfter: f.retryAfter, Detail: f.detail}
+	event := reporter.RequestFailed
+	fields := reporter.Fields{
+		"Code": f.code, "Run": e.Run, "Detail": f.detail, "RetryAfter": f.retryAfter.String(), "Queue": f.queueLength, "Begun": x.responseStarted,
+	}
+	if e.Run == filbertstile.NotRun {
+		event, fields["Short"] = reporter.RequestRefused, f.short
+		x.forwarder.config.OnRefused(f.short)
+	}
+	x.forwarder.config.Log.Event(event, x.addFields(fields))
+	x.forwarder.config.OnRequestEnd(x.call, f.code, time.Since(x.call.Arrived))
+	if f.code == CodeDeadline {
 		x.recordDuration(false)
 	}
 	if x.responseStarted {
