--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -138,7 +138,7 @@
 	leavingSince atomic.Int64
 	leavingOnce  sync.Once
 	// pauses knows whether the process has just stood still.
-	pauses *pauseWatch
+	pauses *pauseDetector
 	// inFlight is the number of calls in flight.
 	inFlight atomic.Int64
 	// startedAt is the time of New, on the sources' clock.
@@ -191,7 +191,7 @@
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), news: make(chan struct{}, 1),
 	}
-	e.pauses = &pauseWatch{clock: c.Clock}
+	e.pauses = newPauseDetector(c.Clock, c.Log)
 	e.registerGauges()
 	e.series = newSeries(c.Metrics)
 	e.division.Store(&grouper.Division{Groups: 1})
@@ -233,9 +233,8 @@
 	if e.sharer != nil {
 		wg.Go(func() { e.sharer.Run(ctx) })
 	}
-	pauses, serving := newPauseDetector(e.config.Clock, e.config.Log), false
+	serving := false
 	for sleeper.Sleep(ctx, maintenanceInterval) == nil {
-		pauses.check()
 		e.placer.Tick()
 		e.checkOutage()
 		if now := e.placer.Serving(); now != serving {
--- a/shells/edgerunner/leaving.go
+++ b/shells/edgerunner/leaving.go
@@ -46,8 +46,7 @@
 // just stood still may have come at any time since it last ran.
 func (e *Edge) BeginLeaving() {
 	e.leavingOnce.Do(func() {
-		now := e.config.Clock()
-		ranUntil := max(e.pauses.ranUntil(now), now-e.config.Bounds.StopTimeout/maxPauseShare)
+		ranUntil := max(e.pauses.ranUntil(), e.config.Clock()-e.config.Bounds.StopTimeout/maxPauseShare)
 		e.leavingSince.Store(int64(ranUntil))
 	})
 }
--- a/shells/edgerunner/pauses_test.go
+++ b/shells/edgerunner/pauses_test.go
@@ -12,7 +12,8 @@
 	"filbertstile.example/filbertstile/base/reporter"
 )
 
-// TestPauseIsLogged guards against late news whose cause the log does not show.
+// TestPauseIsLogged guards against late news whose cause the log does not show, and against a planned stop
+// that counts from the signal although a pause may have begun before it.
 func TestPauseIsLogged(t *testing.T) {
 	for _, c := range []struct {
 		name               string
@@ -34,11 +35,19 @@
 				started, suspended := time.Now(), time.Duration(0)
 				clock := func() time.Duration { return time.Since(started) + suspended }
 				d := newPauseDetector(clock, reporter.New(reporter.Config{Logger: logger}))
-				time.Sleep(maintenanceInterval + c.stopped)
+				const begun = 100 * time.Millisecond
+				is.Equal(d.ranUntil(), time.Duration(0))
+				time.Sleep(begun)
+				is.Equal(d.ranUntil(), begun)
+				time.Sleep(pauseCheckInterval + c.stopped)
 				suspended += c.suspended
-				d.check()
-				time.Sleep(maintenanceInterval)
-				d.check()
+				if c.stopped+c.suspended > minPause {
+					is.Equal(d.ranUntil(), begun)
+					time.Sleep(recentPause)
+				}
+				is.Equal(d.ranUntil(), clock())
+				time.Sleep(pauseCheckInterval)
+				is.Equal(d.ranUntil(), clock())
 				is.Equal(strings.Count(out.String(), "ProcessPaused"), min(1, len(c.want)))
 				for field := range strings.SplitSeq(c.want, " ") {
 					is.True(strings.Contains(out.String(), field))
