--- a/decisions/placer/request.go
+++ b/decisions/placer/request.go
@@ -94,14 +94,18 @@
 	answered bool
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
-	// placedAt is the time at which the request was placed.
-	placedAt time.Time
+	// placedAt is the time at which the request was placed, and expectedFirst the time that its first
+	// event was expected to take from then on; 0 for plain services.
+	placedAt      time.Time
+	expectedFirst time.Duration
 }
 
 // ErrRejected reports that a request gets no replica.
 type ErrRejected struct {
 	Step   string
 	Reason string
+	// Short is what the request did not get.
+	Short filbertstile.Resource
 	// RetryAfter is the delay before the caller should retry.
 	RetryAfter time.Duration
 	// QueueLength is the number of queued requests.
