acceptor, platform, responder: bodies in tiny chunks are parsed one at a time

200 callers that each sent 24 MiB in chunks of one byte (4 MiB of data) kept ordinary requests waiting.

Cause: net/http and fasthttp parse each chunk by itself, so that a byte of data costs about as much as a read of some KiB. The kernel had taken several MiB from each caller, and the entry parsed them all after the callers had left, also those of bodies that were already refused.

The connection now counts what it receives. A body in chunks whose framing is over 64 KiB and more than an eighth of its data needs the turn of the listener; while another body has it, it is refused with 503, as not run, and what still arrives is discarded without parsing. The holder loses its turn if it takes over 100 ms for 4 KiB. A single body in chunks of one byte is served (TestBodyOfTinyChunksIsServedAlone). Data is discarded 16 KiB at a time instead of 4.

--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -78,6 +78,8 @@
 	started      time.Time
 	// used is the memory of the heads that are being read.
 	used atomic.Int64
+	// framing limits the bodies in small chunks.
+	framing framingLimit
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -156,6 +158,8 @@
 	since  atomic.Int64
 	// held is the memory that the head takes so far.
 	held atomic.Int64
+	// received is the number of bytes that the connection has received.
+	received atomic.Int64
 	// awaited is when the wait for the head began. It and pipelined, the number of requests in a row
 	// that had arrived before the response to the one before them, belong to the connection's server.
 	awaited   int64
@@ -197,6 +201,7 @@
 // Read reads data.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
 	if n > 0 && c.inHead.Load() {
 		c.count(b[:n])
 	}
@@ -260,7 +265,7 @@
 	if c.SetReadDeadline(deadline) != nil {
 		return
 	}
-	for buf := make([]byte, 4<<10); ; {
+	for buf := make([]byte, 16<<10); ; {
 		if _, err := c.Conn.Read(buf); err != nil {
 			return
 		}
--- a/transport/responder/collect.go
+++ b/transport/responder/collect.go
@@ -39,6 +39,11 @@
 		b := collector.Body{MaxBytes: int64(maxBytes), Limit: "the limit for a request", Length: int64(max(0, rc.Request.Header.ContentLength())), HeadBytes: cost}
 		if stream := rc.RequestBodyStream(); stream != nil {
 			b.Reader = stream
+			if ok && rc.Request.Header.ContentLength() < 0 {
+				body := conn.LimitFraming(io.NopCloser(stream))
+				defer func() { _ = body.Close() }() // it ends its turn
+				b.Reader = body
+			}
 			// It fails only if the connection has ended.
 			b.GiveWay = func() { _ = rc.Conn().SetReadDeadline(time.Unix(1, 0)) }
 		}
@@ -62,7 +67,7 @@
 func refuse(rc *fasthttp.RequestCtx, err error) {
 	rc.SetConnectionClose()
 	var noMemory collector.ErrNoMemory
-	if errors.As(err, &noMemory) {
+	if errors.As(err, &noMemory) || acceptor.ExceedsFraming(err) {
 		rc.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(noMemoryRetryAfter))
 		WriteProblem(rc, fasthttp.StatusServiceUnavailable, ProblemDetail{Code: codeOverloaded, Message: err.Error(), Run: "NotRun"})
 		return
