forwarder: a response without a length of a leaving replica may be cut off

A response that ends with its connection counted as whole if Placer.EndExpected said that connections to the replica may end.

The end of such a response looks like the end of the process. Now a replica that is expected to end is probed like any other, and its response counts as whole only if the replica is seen to run on; otherwise the caller gets 502, or an idempotent request another attempt. The end is planned, so that neither the request nor the replica is blamed: no crash is logged or recorded, and the attempt ends with Outcome=Leaving, without a cooldown.

TestLastAnswerOfLeavingReplicaIsComplete required the whole response from a leaving replica that has ended, which is the fault. TestUnframedAnswerOfLeavingReplica replaces it: whole where the replica lives or the response has a length, an error where not, for bodies and streams, and no evidence against the request in all cases.

--- a/shells/forwarder/attempt.go
+++ b/shells/forwarder/attempt.go
@@ -17,6 +17,8 @@
 	errNotRun          = errors.New("the replica did not run the request")
 	errInvalidResponse = errors.New("invalid response")
 	errReplicaFailed   = errors.New("the response reports a failure of the replica")
+	// errPlannedEnd means that only the end of the connection ends the response.
+	errPlannedEnd = errors.New("the replica was expected to end, and no longer runs after a response without a length")
 )
 
 // Causes with which the forwarder itself ends an attempt.
@@ -199,8 +201,8 @@
 		body, a.freeBody, err = a.x.forwarder.buffers.Read(collector.Body{Reader: a.response.Body, MaxBytes: maxResponseBytes, Limit: "the limit for a response"})
 		return err
 	})
-	if err == nil && a.response.EndsWithConnection && a.x.brokeOff(a, len(body) > 0) {
-		err = io.ErrUnexpectedEOF
+	if err == nil && a.response.EndsWithConnection {
+		err = a.x.unframedEnd(a, len(body) > 0)
 	}
 	if err != nil {
 		return piece{}, fmt.Errorf("read response: %w", err)
@@ -343,6 +345,8 @@
 		outcome, logged = placer.NotRun, "NotRun"
 	case errors.Is(err, errReplicaFailed) || errors.Is(err, errNotContinued) && a.response.Verdict == Failed:
 		outcome, logged = placer.Failed, "Failed"
+	case errors.Is(err, errPlannedEnd):
+		outcome, logged = placer.Abandoned, "Leaving"
 	case errors.Is(err, errUnconfirmedEnd):
 		outcome, logged = placer.Abandoned, "Unconfirmed"
 	case errors.As(err, &noMemory):
--- a/shells/forwarder/crash.go
+++ b/shells/forwarder/crash.go
@@ -73,6 +73,8 @@
 	// lost are the requests whose connections ended before the result was known;
 	// crashChecks.mu protects them.
 	lost []suspector.LostRequest
+	// planned is true if the replica was expected to end. crashChecks.mu protects it.
+	planned bool
 }
 
 func newCrashChecks(c Config) *crashChecks {
@@ -88,21 +90,31 @@
 // has crashed. If the result is not known within the given time, it returns Unknown, and the
 // keys are blamed later.
 func (k *crashChecks) connectionEnded(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest, wait time.Duration) Liveness {
-	return k.await(ctx, r, lost, time.Time{}, wait)
+	return k.await(ctx, r, joining{lost: lost}, wait)
 }
 
-// answerEnded returns whether the replica runs after an answer has ended with its connection.
-func (k *crashChecks) answerEnded(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest) Liveness {
-	return k.await(ctx, r, lost, time.Now(), probeTimeout)
+// answerEnded returns whether the replica runs after an answer has ended with its connection. It was
+// expected to end if planned is true.
+func (k *crashChecks) answerEnded(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest, planned bool) Liveness {
+	return k.await(ctx, r, joining{lost: lost, since: time.Now(), planned: planned}, probeTimeout)
 }
 
-// await returns the result of a check that began no earlier than since, or Unknown if there is
-// none within the given time.
-func (k *crashChecks) await(ctx context.Context, r filbertstile.Replica, lost suspector.LostRequest, since time.Time, wait time.Duration) Liveness {
+// joining is a request that waits for a check.
+type joining struct {
+	lost suspector.LostRequest
+	// since is the earliest time at which the check may have begun.
+	since time.Time
+	// planned is true if the replica was expected to end.
+	planned bool
+}
+
+// await returns the result of a check for the request, or Unknown if there is none within the given
+// time.
+func (k *crashChecks) await(ctx context.Context, r filbertstile.Replica, j joining, wait time.Duration) Liveness {
 	if k.config.Prober == nil {
 		return Unknown
 	}
-	check := k.join(r, lost, since)
+	check := k.join(r, j)
 	if check == nil {
 		return Unknown
 	}
@@ -118,22 +130,22 @@
 }
 
 // join adds a request to the check of the replica, which is started if there is none that began
-// no earlier than since and none that found that the process has ended. It returns nil if the
+// late enough and none that found that the process has ended. It returns nil if the
 // request was sent after the replica had crashed: another process, whose start is not known yet,
 // has its address.
-func (k *crashChecks) join(r filbertstile.Replica, lost suspector.LostRequest, since time.Time) *crashCheck {
+func (k *crashChecks) join(r filbertstile.Replica, j joining) *crashCheck {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, boot := time.Now(), bootOf(r)
 	check := k.checks[boot]
-	if check != nil && !check.mayRepeat(now) && (check.result == Ended || !check.startedAt.Before(since)) {
+	if check != nil && !check.mayRepeat(now) && (check.result == Ended || !check.startedAt.Before(j.since)) {
 		if check.result == Ended {
-			if lost.SentAt.After(check.startedAt) {
+			if j.lost.SentAt.After(check.startedAt) {
 				return nil
 			}
-			k.blame(check, lost)
+			k.blame(check, j.lost)
 		} else {
-			check.add(lost)
+			check.add(j)
 		}
 		return check
 	}
@@ -142,17 +154,18 @@
 			delete(k.checks, key)
 		}
 	}
-	check = &crashCheck{replica: r, boot: boot, startedAt: now, done: make(chan struct{})}
-	check.add(lost)
+	check = &crashCheck{replica: r, boot: boot, startedAt: now, done: make(chan struct{}), planned: true}
+	check.add(j)
 	k.checks[boot] = check
 	go k.run(check)
 	return check
 }
 
 // add adds a request that was lost if the replica has crashed. One without keys is no evidence.
-func (c *crashCheck) add(lost suspector.LostRequest) {
-	if len(lost.Keys) > 0 {
-		c.lost = append(c.lost, lost)
+func (c *crashCheck) add(j joining) {
+	c.planned = c.planned && j.planned
+	if len(j.lost.Keys) > 0 {
+		c.lost = append(c.lost, j.lost)
 	}
 }
 
@@ -176,7 +189,7 @@
 	c.result = result
 	// Requests decide on their retries once done is closed, by what the suspector knows then.
 	defer close(c.done)
-	if result != Ended {
+	if result != Ended || c.planned {
 		return
 	}
 	parts, requests := c.suspects()
--- a/shells/forwarder/ending_test.go
+++ b/shells/forwarder/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -19,18 +20,22 @@
 	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
-// unframedLink returns a complete answer that ends with its connection.
-type unframedLink struct{ leaving bool }
+// answeringLink returns an answer with a length, or one that ends with its connection.
+type answeringLink struct{ leaving, framed, stream bool }
 
-func (l unframedLink) Send(context.Context, forwarder.Attempt) (forwarder.Response, error) {
+func (l answeringLink) Send(context.Context, forwarder.Attempt) (forwarder.Response, error) {
+	answer := "answer"
+	if l.stream {
+		answer = events(1, 2, nil).body
+	}
 	return forwarder.Response{
-		Verdict: forwarder.Ran, Status: 200, EndsWithConnection: true, Announcement: placer.Announcement{Leaving: l.leaving}, Body: &body{Reader: strings.NewReader("answer")},
+		Verdict: forwarder.Ran, Status: 200, Streamed: l.stream, EndsWithConnection: !l.framed, Announcement: placer.Announcement{Leaving: l.leaving}, Body: &body{Reader: strings.NewReader(answer)},
 	}, nil
 }
 
-// withEndedReplica calls f with a function that sends a call with one part to the only
-// replica, whose process has ended, as a probe finds out within the given time.
-func withEndedReplica(t *testing.T, l forwarder.Link, probeTakes time.Duration, f func(is *is.I, s *suspector.Suspector, send func(part uint64) *caller)) {
+// withReplica calls f with a function that sends a call with one part to the only replica, of
+// whose process the prober finds the state.
+func withReplica(t *testing.T, l forwarder.Link, probes *prober, f func(is *is.I, s *suspector.Suspector, send func(part uint64) *caller)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
@@ -42,7 +47,7 @@
 		})
 		s := suspector.New(suspector.Config{Self: "e"})
 		fw := forwarder.New(forwarder.Config{
-			Placer: p, Link: l, Prober: &prober{result: forwarder.Ended, takes: probeTakes}, Suspector: s,
+			Placer: p, Link: l, Prober: probes, Suspector: s,
 			RetryBudget:  forwarder.RetryBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 100},
 			Log:          reporter.New(reporter.Config{Logger: log}),
 			VersionFloor: func(string) placer.VersionFloor { return placer.VersionFloor{} }, OnRequestEnd: func(*forwarder.Call, string, time.Duration) {},
@@ -58,21 +63,52 @@
 	})
 }
 
-// TestLastAnswerOfLeavingReplicaIsComplete guards against an answer that is replaced by a
-// failure because its replica, which leaves, has ended right after it.
-func TestLastAnswerOfLeavingReplicaIsComplete(t *testing.T) {
-	withEndedReplica(t, unframedLink{leaving: true}, time.Millisecond, func(is *is.I, s *suspector.Suspector, send func(uint64) *caller) {
-		is.Equal(send(5).body.String(), "answer")
-		time.Sleep(time.Second)
-		is.Equal(len(s.Evidence(time.Now()).Crashes), 0)
-	})
+// TestUnframedAnswerOfLeavingReplica guards against a part of an answer without a length that is
+// passed on as complete because its replica leaves, against an error in place of a complete one,
+// and against requests and replicas that are blamed for a planned end.
+func TestUnframedAnswerOfLeavingReplica(t *testing.T) {
+	for name, c := range map[string]struct {
+		state  forwarder.Liveness
+		framed bool
+		whole  bool
+	}{
+		"Alive":        {forwarder.Alive, false, true},
+		"Ended":        {forwarder.Ended, false, false},
+		"SilentHost":   {forwarder.Unknown, false, false},
+		"EndedFramed":  {forwarder.Ended, true, true},
+		"SilentFramed": {forwarder.Unknown, true, true},
+	} {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/stream=%t", name, stream), func(t *testing.T) {
+				link := answeringLink{leaving: true, framed: c.framed, stream: stream}
+				withReplica(t, link, &prober{result: c.state, takes: time.Millisecond}, func(is *is.I, s *suspector.Suspector, send func(uint64) *caller) {
+					got := send(5)
+					switch {
+					case c.whole && stream:
+						is.Equal(got.body.String(), events(1, 2, nil).body)
+						is.True(!got.aborted)
+					case c.whole:
+						is.Equal(got.body.String(), "answer")
+					case stream:
+						is.True(got.aborted) // its events have been passed on
+					default:
+						is.True(got.failedWith(filbertstile.Unknown))
+						is.Equal(got.body.Len(), 0)
+					}
+					time.Sleep(time.Second)
+					is.Equal(len(s.Evidence(time.Now()).Crashes), 0)
+					is.Equal(s.Admit(time.Now(), []uint64{5}).Verdict, suspector.Send)
+				})
+			})
+		}
+	}
 }
 
 // TestAnswerOfCrashedFarReplicaIsIncomplete guards against an answer that ends with its
 // connection and is passed on as complete before it is known that its replica has crashed.
 func TestAnswerOfCrashedFarReplicaIsIncomplete(t *testing.T) {
 	for _, takes := range []time.Duration{10 * time.Millisecond, 80 * time.Millisecond} {
-		withEndedReplica(t, unframedLink{}, takes, func(is *is.I, _ *suspector.Suspector, send func(uint64) *caller) {
+		withReplica(t, answeringLink{}, &prober{result: forwarder.Ended, takes: takes}, func(is *is.I, _ *suspector.Suspector, send func(uint64) *caller) {
 			is.True(send(5).failedWith(filbertstile.Unknown))
 		})
 	}
@@ -88,7 +124,7 @@
 // TestLaterRequestIsNotBlamed guards against a request that was sent after a crash and counts as
 // evidence of it, because the fleet still lists the start that ended.
 func TestLaterRequestIsNotBlamed(t *testing.T) {
-	withEndedReplica(t, brokenLink{}, time.Millisecond, func(is *is.I, s *suspector.Suspector, send func(uint64) *caller) {
+	withReplica(t, brokenLink{}, &prober{result: forwarder.Ended, takes: time.Millisecond}, func(is *is.I, s *suspector.Suspector, send func(uint64) *caller) {
 		send(1)
 		time.Sleep(10 * time.Second)
 		send(2)
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -61,8 +61,12 @@
 		}
 		a.startTimer = nil
 		a.recordProgress(e, err, time.Since(awaitedFrom))
-		if errors.Is(err, io.EOF) && a.response.EndsWithConnection && (a.unread.explainsEnd() || a.x.brokeOff(a, a.x.answer.begun())) {
-			err = io.ErrUnexpectedEOF
+		if errors.Is(err, io.EOF) && a.response.EndsWithConnection {
+			if a.unread.explainsEnd() {
+				err = io.ErrUnexpectedEOF
+			} else if broken := a.x.unframedEnd(a, a.x.answer.begun()); broken != nil {
+				err = broken
+			}
 		}
 		if errors.Is(err, io.EOF) && a.mustContinue {
 			err = a.emptyContinuation()
--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"io"
 	"slices"
 	"time"
 
@@ -77,20 +78,27 @@
 	}
 }
 
-// brokeOff reports whether an answer that ended with its connection is incomplete, as it is
-// empty or its replica has crashed.
-func (x *requestState) brokeOff(a *attemptState, begun bool) bool {
-	if !begun || x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID) {
-		return !begun
+// unframedEnd returns an error if an answer that ended with its connection may be incomplete: it is empty, or its replica has crashed. A replica that is expected to end
+// must be seen to run on, as nothing else tells the end of its answer from that of its process.
+func (x *requestState) unframedEnd(a *attemptState, begun bool) error {
+	if !begun {
+		return io.ErrUnexpectedEOF
 	}
+	planned := x.forwarder.config.Placer.EndExpected(time.Now(), a.grant.Replica.ID)
 	lost := suspector.LostRequest{SentAt: a.startedAt}
-	if !x.answer.witnessed && !x.forwarder.config.Placer.MemoryNearlyFull(time.Now(), a.grant.Replica.ID) {
+	if !planned && !x.answer.witnessed && !x.forwarder.config.Placer.MemoryNearlyFull(time.Now(), a.grant.Replica.ID) {
 		lost.Keys = x.keys
 	}
 	// The answer can't be passed on before this is known.
-	result := x.forwarder.crashes.answerEnded(x.ctx, a.grant.Replica, lost)
+	result := x.forwarder.crashes.answerEnded(x.ctx, a.grant.Replica, lost, planned)
 	x.answer.outlived = result == Alive
-	return result == Ended
+	switch {
+	case planned && result != Alive:
+		return errPlannedEnd
+	case result == Ended:
+		return io.ErrUnexpectedEOF
+	}
+	return nil
 }
 
 // keysOf returns what may be suspected of crashing replicas: the parts of the call's prompt
