distributor: slow reads that share the origin's link are not taken over

A trial with debug output shows 130 reads for 96 chunks; 38 were made by other hosts than the readers, 30 of them by hosts that read nothing themselves. The reads of 12 readers, two each, share the link, so that the first end after 1.1 s, and the takeover delay is 1 s. Once taken for failed, a reader stays so.

A host now compares the progress of an owner with that of all owners, and takes none for failed before the first chunk of the region has been read, unless reads time out.

--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -103,6 +103,7 @@
 		for _, t := range c.transfers {
 			// Chunks are missing because hosts did not know of one another.
 			clear(t.ownerProgress)
+			t.regionChunks, t.regionSince = 0, now
 		}
 	}
 	mayReadOrigin := true
@@ -177,7 +178,7 @@
 	t.have = make([]bool, n)
 	t.seenInRegion = make([]bool, n)
 	t.missing = n
-	t.lastProgress = now
+	t.lastProgress, t.regionSince = now, now
 	for _, p := range t.peers {
 		p.holds = resize(p.holds, n)
 	}
@@ -221,6 +222,7 @@
 	}
 	t.seenInRegion[index] = true
 	t.lastProgress = now
+	t.regionChunks++
 	p := t.progressOf(now, c.ownerOf(t, index))
 	p.lastChunk = now
 	p.chunks++
@@ -250,6 +252,7 @@
 func (c *Core) recordOriginFailure(now time.Time) {
 	c.originFailedAt = now
 	for _, t := range c.transfers {
+		t.regionChunks, t.regionSince = 0, now
 		for _, p := range t.ownerProgress {
 			p.failedAt = time.Time{}
 		}
--- a/decisions/distributor/origin.go
+++ b/decisions/distributor/origin.go
@@ -147,11 +147,7 @@
 		return false // the owner may not know that it is
 	}
 	p := t.progressOf(now, owner)
-	delay := c.config.Limits.TakeoverDelay
-	if p.chunks > 0 {
-		// The chunks of a slow owner that makes steady progress must not be taken over.
-		delay = max(delay, min(4*p.lastChunk.Sub(p.since)/time.Duration(p.chunks), c.config.Limits.ChunkTimeout))
-	}
+	delay := c.takeoverDelay(now, t, p)
 	// The owner may have learned later than this host that it is one.
 	idle := min(now.Sub(p.lastChunk), now.Sub(c.originFailedAt), now.Sub(c.firstMembersAt.Add(c.config.Limits.MaxSettleDelay/2)))
 	if idle >= delay && p.failedAt.IsZero() {
@@ -166,6 +162,26 @@
 	return rank >= 0 && now.Sub(p.failedAt) >= time.Duration(rank)*step
 }
 
+// takeoverDelay returns the time without progress after which the owner counts as failed. The chunks
+// of a slow owner that makes steady progress must not be taken over, nor those of one whose reads take
+// long only because all owners share a link: a host that fetches none of them itself sees that from
+// the progress of all owners alone.
+func (c *Core) takeoverDelay(now time.Time, t *transfer, p *ownerProgress) time.Duration {
+	slowest := takeoverGaps * t.usualGap(now)
+	if p.chunks > 0 {
+		slowest = max(slowest, 4*p.lastChunk.Sub(p.since)/time.Duration(p.chunks))
+	}
+	if c.readsOrigin && len(t.topology.owners) > 1 && t.regionChunks == 0 {
+		// The first reads share the link, and all end at about the same time.
+		slowest = c.config.Limits.ChunkTimeout
+	}
+	return max(c.config.Limits.TakeoverDelay, min(slowest, c.config.Limits.ChunkTimeout))
+}
+
+// takeoverGaps is the number of usual gaps between two chunks of an owner after which it counts as
+// failed. An owner has two reads in flight, so that the next chunk may take two of them.
+const takeoverGaps = 4
+
 // takeoverReads is the number of reads from the origin for which the next host in order
 // waits for the one before it to read the chunks of a failed owner.
 const takeoverReads = 3
--- a/decisions/distributor/transfer.go
+++ b/decisions/distributor/transfer.go
@@ -76,6 +76,10 @@
 	peers    map[string]*peerState
 	// ownerProgress is the progress of each owner, by name.
 	ownerProgress map[string]*ownerProgress
+	// regionChunks is the number of chunks that have become available in the region since
+	// regionSince.
+	regionChunks int
+	regionSince  time.Time
 	// lastProgress is when a chunk was last seen in the region for the first time;
 	// initially, when the transfer started or its manifest arrived.
 	lastProgress time.Time
@@ -109,6 +113,14 @@
 	ranks map[int]int
 }
 
+// usualGap returns the usual time between two chunks of an owner; 0 if it is not known.
+func (t *transfer) usualGap(now time.Time) time.Duration {
+	if t.regionChunks == 0 {
+		return 0
+	}
+	return now.Sub(t.regionSince) * time.Duration(len(t.topology.owners)) / time.Duration(t.regionChunks)
+}
+
 // resize returns a copy of the flags with length n.
 func resize(flags []bool, n int) []bool {
 	out := make([]bool, n)
