reporter, docs: from a refused request's ID to the resource that was short

A caller who reports the ID of a refused request led operators to a text in the log, from which they had to guess what was missing.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -131,7 +131,7 @@
 	{StreamResumed, "StreamResumed", "requests", logrus.InfoLevel, "A broken stream was resumed at another replica of the same release.", noAction},
 	{BackendCold, "BackendCold", "requests", logrus.InfoLevel, "A backend server is cold; its concurrency limit is reset to 1.", noAction},
 	{AttemptEnded, "AttemptEnded", "requests", logrus.InfoLevel, "An attempt to run a request on a replica ended without a complete response; the log line says for how long the replica had been silent (Silent), and whether another attempt took its place meanwhile (Outcome Superseded). Repeats of a request have the same Key. Limits and configuration are as in RequestFailed.", noAction},
-	{RequestRefused, "RequestRefused", "requests", logrus.InfoLevel, "A request was rejected and has not run; the log line has the reason.", noAction},
+	{RequestRefused, "RequestRefused", "requests", logrus.InfoLevel, "A request was rejected and has not run; the log line has the reason (Detail), and the resource that was short (Short).", "Look up the resource in docs/OPERATING.md."},
 	{RequestDone, "RequestDone", "requests", logrus.InfoLevel, "A request ended with a complete response.", noAction},
 	{CallerLeft, "CallerLeft", "requests", logrus.InfoLevel, "The caller closed its connection, or its side of it, before the response was complete.", noAction},
 	{ReplicaHeld, "ReplicaHeld", "requests", logrus.InfoLevel, "A replica failed and gets no requests during the cooldown given in the log line.", "Check the replica if this repeats."},
--- a/resource.go
+++ b/resource.go
@@ -3,7 +3,7 @@
 // Resource is what a refused request needed and did not get.
 type Resource string
 
-// Resources. docs/OPERATIONS.md explains them.
+// Resources. docs/OPERATING.md explains them.
 const (
 	// ResourceSlots means that all slots of the eligible replicas are taken, or about to be.
 	ResourceSlots Resource = "Slots"
@@ -21,6 +21,8 @@
 	ResourceReplicaPause Resource = "ReplicaPause"
 	// ResourceReplicas means that no replica is eligible, reachable, or ran the request.
 	ResourceReplicas Resource = "Replicas"
+	// ResourceRate means that the paid rate of the account is used up.
+	ResourceRate Resource = "Rate"
 	// ResourceRetryBudget means that the budget of retries is spent.
 	ResourceRetryBudget Resource = "RetryBudget"
 	// ResourceRequestMemory means that the entry's memory for the bodies of requests is used up.
