dispatcher, router, entryrunner, operator: explain at the product's own interface

filbertstile explain worked for platform entries only; an entry of the product's own interface answered 404. It now answers POST /admin/v1/explain for model routes, with the same command and format: candidates with their scores, queued requests, slots and obstacles, and the rule that decides. Refusals on this interface name what was short in RequestFailed, too.

--- a/decisions/dispatcher/dispatcher.go
+++ b/decisions/dispatcher/dispatcher.go
@@ -63,6 +63,8 @@
 	// minDemandInterval is the minimum time between two requests for quota grants
 	// while an account exceeds its rate.
 	minDemandInterval = 50 * time.Millisecond
+	// maxMisses is the number of queued requests without a replica after which the others wait for the next tick.
+	maxMisses = 8
 	// idleDemandInterval is the time between two requests for quota grants while no
 	// account has any demand. They serve as heartbeats: an owner considers an entry
 	// silent after limiter.LeaseDuration.
@@ -243,19 +245,9 @@
 	rejectWith := func(code string, after time.Duration, detail string) []Command {
 		return reject(r.ID, filbertstile.ErrRequest{Code: code, Step: "admit", Peer: c.config.Self.Name, RetryAfter: after, Detail: detail})
 	}
-	if c.trust == evaluator.Stale {
-		return rejectWith(CodeStale, time.Second, "the configuration of this entry may be stale; retry at another entry")
-	}
-	account, ok := c.view.Config.Accounts.Get(r.Account)
-	if !ok {
-		return rejectWith(CodeUnknownAccount, 0, "no such client account")
-	}
-	service, ok := c.view.Config.Services.Get(r.Service)
-	if !ok {
-		return rejectWith(CodeUnknownService, 0, fmt.Sprintf("no service is named %q", r.Service))
-	}
-	if !account.MayCall(r.Service) {
-		return rejectWith(CodeForbidden, 0, fmt.Sprintf("account %s may not call service %s", account.Name, r.Service))
+	account, service, refusal := c.checkCaller(r)
+	if refusal.Code != "" {
+		return reject(r.ID, refusal)
 	}
 	tier, _ := c.view.Config.Tiers.Get(account.Tier)
 	wait, ok := c.admit(now, account)
@@ -278,6 +270,25 @@
 	return nil
 }
 
+// checkCaller returns the account and the service of the request, or an error with a Code if the account
+// may not call it.
+func (c *Core) checkCaller(r Request) (filbertstile.Account, filbertstile.Service, filbertstile.ErrRequest) {
+	refusal := filbertstile.ErrRequest{Step: "admit", Peer: c.config.Self.Name}
+	account, knownAccount := c.view.Config.Accounts.Get(r.Account)
+	service, knownService := c.view.Config.Services.Get(r.Service)
+	switch {
+	case c.trust == evaluator.Stale:
+		refusal.Code, refusal.RetryAfter, refusal.Detail = CodeStale, time.Second, "the configuration of this entry may be stale; retry at another entry"
+	case !knownAccount:
+		refusal.Code, refusal.Detail = CodeUnknownAccount, "no such client account"
+	case !knownService:
+		refusal.Code, refusal.Detail = CodeUnknownService, fmt.Sprintf("no service is named %q", r.Service)
+	case !account.MayCall(r.Service):
+		refusal.Code, refusal.Detail = CodeForbidden, fmt.Sprintf("account %s may not call service %s", account.Name, r.Service)
+	}
+	return account, service, refusal
+}
+
 // topRank returns the highest rank of all tiers.
 func (c *Core) topRank() int {
 	top := math.MinInt
@@ -299,11 +310,11 @@
 
 // dispatch sends queued requests while replicas have capacity. Tiers share the
 // capacity by weight. It skips requests that no replica can accept now, and returns
-// after 8 of them.
+// after maxMisses of them.
 func (c *Core) dispatch(now time.Time, q *queue) []Command {
 	var out []Command
 	blocked := make(map[*requestState]bool)
-	for misses := 0; misses < 8; {
+	for misses := 0; misses < maxMisses; {
 		req := q.next(blocked)
 		if req == nil {
 			return out
--- a/decisions/placer/explain.go
+++ b/decisions/placer/explain.go
@@ -38,8 +38,10 @@
 	// replica runs at once.
 	InFlight int
 	Slots    int
+	// Waiting is the number of requests that are queued at the replica, as its host reported.
+	Waiting int
 	// PendingTokens is the number of prompt tokens that the replica has yet to read, and Pace how
-	// much slower than its specification it works.
+	// much slower than its specification it works; 0 if that is not known.
 	PendingTokens int
 	Pace          float64
 	// FirstEvent is the expected time until the response begins, as text; empty for plain services.
@@ -136,7 +138,7 @@
 		inFlight := r.inFlight(now)
 		c := Candidate{
 			Replica: r.replica.ID, Address: r.replica.Address, Domain: r.replica.Domain, OwnGroup: !r.otherGroup, Eligible: p.eligible(now, req, r),
-			InFlight: inFlight, Slots: max(1, r.replica.Slots), PendingTokens: r.pendingTokens(), Pace: r.pace(), Score: p.score(req, r, spec, inFlight, 0),
+			InFlight: inFlight, Slots: max(1, r.replica.Slots), Waiting: r.load.Waiting, PendingTokens: r.pendingTokens(), Pace: r.pace(), Score: p.score(req, r, spec, inFlight, 0),
 		}
 		if spec != nil {
 			c.FirstEvent = r.timeToFirstEvent(*spec, inFlight, req.PromptTokens).Round(time.Millisecond).String()
--- a/decisions/router/router.go
+++ b/decisions/router/router.go
@@ -195,6 +195,29 @@
 	}
 }
 
+// Rooms that a replica has for a request.
+const (
+	roomNone = iota
+	// roomQueue means that no slot is free, but there is room in the host's queue.
+	roomQueue
+	roomSlot
+)
+
+// room returns the room that the eligible replica has for the request.
+func (r Replica) room(q Query) int {
+	maxQueued := max(1, r.Load.Limit/queueLimitDivisor)
+	if q.TopTier {
+		maxQueued = max(maxQueued, r.Load.Limit)
+	}
+	switch n := r.requestsAhead(q); {
+	case n < r.Load.Limit:
+		return roomSlot
+	case !r.Load.Cold && n < r.Load.Limit+maxQueued:
+		return roomQueue
+	}
+	return roomNone
+}
+
 // maxOffers is the maximum number of replicas to which a request of the highest tier
 // is sent at once if none is mostly free; the first host that offers a slot runs it.
 const maxOffers = 3
@@ -211,15 +234,10 @@
 		if !Eligible(q, r) || r.inCooldown(q) {
 			continue
 		}
-		d := distance(q, r.Host)
-		maxQueued := max(1, r.Load.Limit/queueLimitDivisor)
-		if q.TopTier {
-			maxQueued = max(maxQueued, r.Load.Limit)
-		}
-		switch n := r.requestsAhead(q); {
-		case n < r.Load.Limit:
+		switch d := distance(q, r.Host); r.room(q) {
+		case roomSlot:
 			free[d] = append(free[d], r)
-		case !r.Load.Cold && n < r.Load.Limit+maxQueued:
+		case roomQueue:
 			queueable = append(queueable, r)
 		}
 	}
--- a/operators/operator/explain.go
+++ b/operators/operator/explain.go
@@ -27,7 +27,7 @@
 func explainCommand() Command {
 	return Command{
 		Name: "explain", Group: groupInspection, Args: "HOST-NAME PATH",
-		Help: "show where an entry would send a request now, and why, without sending it; --admin names the entry's address for metrics",
+		Help: "show where an entry would send a request now, and why, without sending it; on the platform, --admin names the entry's address for metrics; otherwise, HOST-NAME is the service, PATH is /v1/chat/completions, and the key is the caller's token",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagKeyFile, Usage: "file that contains the caller's API key"},
 			&cli.IntFlag{Name: flagPromptTokens, Usage: "length of the prompt in tokens"},
@@ -78,18 +78,21 @@
 	p := x.Placement
 	fmt.Fprintf(s.Out, "route %s, service %s, account %q, priority %d\n", x.Route, x.Service, x.Account, x.Priority)
 	fmt.Fprintf(s.Out, "%s %s: %s\n", p.Decision, p.Replica, p.Reason)
+	if x.Short != "" {
+		fmt.Fprintf(s.Out, "short: %s\n", x.Short)
+	}
 	if p.RetryAfter != "" {
 		fmt.Fprintf(s.Out, "retry after about %s\n", p.RetryAfter)
 	}
 	if p.Reserve > 0 || p.Free > 0 {
 		fmt.Fprintf(s.Out, "%d slots are free, %d are left to more urgent requests; %d requests are ahead in the queue\n", p.Free, p.Reserve, p.Queued)
 	}
-	fmt.Fprintf(s.Out, "%-20s %-12s %9s %8s %6s %9s %7s  %s\n", "REPLICA", "DOMAIN", "IN FLIGHT", "TOKENS", "PACE", "FIRST", "SCORE", "NOT FREE BECAUSE")
+	fmt.Fprintf(s.Out, "%-20s %-12s %9s %6s %8s %6s %9s %7s  %s\n", "REPLICA", "DOMAIN", "IN FLIGHT", "QUEUED", "TOKENS", "PACE", "FIRST", "SCORE", "NOT FREE BECAUSE")
 	for i, c := range p.Candidates {
 		if i == maxShownCandidates {
 			fmt.Fprintf(s.Out, "and %d more; --json shows all\n", len(p.Candidates)-i)
 			break
 		}
-		fmt.Fprintf(s.Out, "%-20s %-12s %6d/%-2d %8d %6.1f %9s %7.1f  %s\n", c.Replica, c.Domain, c.InFlight, c.Slots, c.PendingTokens, c.Pace, c.FirstEvent, c.Score, c.Obstacle)
+		fmt.Fprintf(s.Out, "%-20s %-12s %6d/%-2d %6d %8d %6.1f %9s %7.1f  %s\n", c.Replica, c.Domain, c.InFlight, c.Slots, c.Waiting, c.PendingTokens, c.Pace, c.FirstEvent, c.Score, c.Obstacle)
 	}
 }
--- a/shells/edgerunner/explain.go
+++ b/shells/edgerunner/explain.go
@@ -35,6 +35,8 @@
 	// Detail the reason; both are empty if it would not.
 	Rejected string
 	Detail   string
+	// Short is what a request that would be rejected does not get.
+	Short filbertstile.Resource
 	// Route, Service, Account and Priority are those of the request.
 	Route    string
 	Service  string
@@ -57,10 +59,11 @@
 	call, err := e.admit(req, m, age)
 	var rejected filbertstile.ErrRequest
 	if errors.As(err, &rejected) {
-		out.Rejected, out.Detail = rejected.Code, rejected.Detail
+		out.Rejected, out.Detail, out.Short = rejected.Code, rejected.Detail, shortOf(rejected.Code)
 		return out
 	}
 	out.Route, out.Service, out.Account, out.Priority = call.Route.Name, call.Service, call.Account, call.Priority
 	out.Placement = e.placer.Explain(time.Now(), e.forwarder.PlacerRequest(call))
+	out.Short = out.Placement.Short
 	return out
 }
--- a/shells/entryrunner/admin.go
+++ b/shells/entryrunner/admin.go
@@ -110,6 +110,8 @@
 		e.postChange(ctx, rc, name)
 	case path == "changes":
 		e.getChanges(ctx, rc)
+	case path == "explain" && rc.IsPost():
+		e.handleExplain(rc)
 	case path == "config":
 		responder.WriteJSON(rc, fasthttp.StatusOK, e.node.Holder.View().Config)
 	case path == "status":
--- a/shells/entryrunner/call.go
+++ b/shells/entryrunner/call.go
@@ -181,9 +181,13 @@
 // fail logs the error and passes it on as the last piece of the response.
 func (c *call) fail(err filbertstile.ErrRequest) {
 	c.entry.failures.Inc(1)
-	c.entry.node.Log.Event(reporter.RequestFailed, reporter.Fields{
+	f := reporter.Fields{
 		"Request": c.request.ID, "Account": c.request.Account, "Code": err.Code, "Run": err.Run, "Step": err.Step, "Peer": err.Peer, "Detail": err.Detail,
-	})
+	}
+	if err.Run == filbertstile.NotRun {
+		f["Short"] = shortOf(err.Code)
+	}
+	c.entry.node.Log.Event(reporter.RequestFailed, f)
 	c.emit(piece{err: &err})
 }
 
