placer: entries with the same loads choose different engines

The score has a cost by the place of the entry in the order of a hash of entry and engine, as in the division of slots, so that each entry prefers other engines.

The model gives its entries names and tells them of one another, as the order needs them.

--- a/decisions/placer/choosing.go
+++ b/decisions/placer/choosing.go
@@ -130,7 +130,7 @@
 	score := float64(inFlight) + r.failureRate*failureRateCost + jitter
 	if spec != nil {
 		score += float64(r.pendingTokens()) * pendingTokenCost
-		score += r.paceCost(score, req)
+		score += r.paceCost(score, req) + p.turnCost(req.Service, r)
 	}
 	if p.isLimited(r) {
 		score -= limitPreference
--- a/decisions/placer/division.go
+++ b/decisions/placer/division.go
@@ -15,6 +15,12 @@
 // divideInterval is the time between two divisions of the slots.
 const divideInterval = 250 * time.Millisecond
 
+// maxTurnCost is added to the score of a replica at which all other entries come before this one, in
+// requests, and a part of it at others, where engines report a pace: entries with the same loads then choose
+// different ones. In the model with 7 entries and 45 engines, 3.1 in 100 responses are late without it, 0.5
+// with 8, 0.2 with 12, and 0.5 with 24, which also makes responses begin later if one entry gets all requests.
+const maxTurnCost = 12.0
+
 // Demand is the rate at which requests to a service arrive at an entry.
 type Demand struct {
 	// Service is the hash of the service's name.
@@ -104,3 +110,31 @@
 		}
 	}
 }
+
+// setTurns works out for each replica of the entry's group how many entries come before this one, by a
+// hash that all compute alike, for services whose engines report a pace. divideSlots does so for services
+// with admission by priority. The caller must hold p.mu.
+func (p *Placer) setTurns() {
+	for service := range p.paced {
+		if p.admissions[service] != nil {
+			continue
+		}
+		for r := range p.ofGroups(service, false) {
+			own := xxhash.Sum64String(p.config.Self + "\x00" + r.replica.ID)
+			r.turn = 0
+			for _, name := range p.peerNames {
+				if xxhash.Sum64String(name+"\x00"+r.replica.ID) > own {
+					r.turn++
+				}
+			}
+		}
+	}
+}
+
+// turnCost returns what the turn of the entry at the replica adds to its score.
+func (p *Placer) turnCost(service string, r *replicaState) float64 {
+	if r.turn == 0 || !p.paced[service] || p.admissions[service] != nil {
+		return 0
+	}
+	return maxTurnCost * float64(r.turn) / float64(1+len(p.peerNames))
+}
--- a/decisions/placer/loads.go
+++ b/decisions/placer/loads.go
@@ -135,6 +135,7 @@
 		}
 	}
 	p.setAdmissionPeers(now)
+	p.setTurns()
 	p.sumPeerLoads()
 	p.serveQueue(now)
 }
--- a/decisions/placer/pace_test.go
+++ b/decisions/placer/pace_test.go
@@ -88,7 +88,7 @@
 	}
 	for i := range w.entries {
 		g := groups[i%n]
-		p := placer.New(placer.Config{Region: "a", Seed: seed + uint64(i)})
+		p := placer.New(placer.Config{Self: fmt.Sprint(len(g.placers)), Region: "a", Seed: seed + uint64(i)})
 		x := f
 		x.GroupReplicas, x.GroupEntries = make(map[string]bool), (w.entries+n-1)/n
 		for id := range g.engines {
@@ -98,6 +98,15 @@
 		g.placers, g.own = append(g.placers, p), append(g.own, make(map[string]int))
 	}
 	for _, g := range groups {
+		for i, p := range g.placers {
+			var peers []filbertstile.Member
+			for j := range g.placers {
+				if j != i {
+					peers = append(peers, filbertstile.Member{Name: fmt.Sprint(j)})
+				}
+			}
+			p.RetainPeers(time.Now(), peers)
+		}
 		go g.report(ctx, f, policy)
 		go exchangeLoads(ctx, g.placers)
 	}
@@ -314,3 +323,12 @@
 		t.Run(x.String(), func(t *testing.T) { is.New(t).True(x.run(t, byPace).tail() <= 3) })
 	}
 }
+
+// Entries that share many engines must not choose the same one before they know of one another's
+// placements: without a cost by turn, 3.1 in 100 responses were late.
+func TestEntriesChooseDifferentEngines(t *testing.T) {
+	is := is.New(t)
+	x := pacedDeployments[1]
+	x.entries = []int{7}
+	is.True(x.run(t, byPace).lateShare() <= 0.01)
+}
--- a/decisions/placer/placer.go
+++ b/decisions/placer/placer.go
@@ -149,6 +149,7 @@
 	p.fleet, p.byID, p.byAddress, p.byHash, p.byService = f, byID, byAddress, byHash, byService
 	p.setAdmissions(f)
 	p.setAdmissionPeers(now)
+	p.setTurns()
 	p.retainAnnouncements(now)
 	p.divideLimits(now)
 	p.sumPeerLoads()
@@ -165,7 +166,10 @@
 		return
 	}
 	r.load, r.loadAt, r.localAtLoad = l, now, r.localRequests
-	p.paced[r.replica.Service] = p.paced[r.replica.Service] || l.Pace > 0
+	if l.Pace > 0 && !p.paced[r.replica.Service] {
+		p.paced[r.replica.Service] = true
+		p.setTurns()
+	}
 	p.serveQueue(now)
 }
 
--- a/decisions/placer/score.go
+++ b/decisions/placer/score.go
@@ -167,7 +167,7 @@
 	// has not been worked out.
 	senderRank int
 	// quota is the number of its slots that belong to this entry, and turn the number of entries
-	// of the group that come before this one; see divideSlots.
+	// of the group that come before this one; see divideSlots and setTurns.
 	quota int
 	turn  int
 }
