placer: the turn of an entry does not count at engines of other groups

An engine that has moved to another group kept the turn of before, which added to its score where no engine of the own group was eligible. Turns are worked out for the own group only.

--- a/decisions/placer/division.go
+++ b/decisions/placer/division.go
@@ -133,7 +133,7 @@
 
 // turnCost returns what the turn of the entry at the replica adds to its score.
 func (p *Placer) turnCost(service string, r *replicaState) float64 {
-	if r.turn == 0 || !p.paced[service] || p.admissions[service] != nil {
+	if r.turn == 0 || r.otherGroup || !p.paced[service] || p.admissions[service] != nil {
 		return 0
 	}
 	return maxTurnCost * float64(r.turn) / float64(1+len(p.peerNames))
