--- a/decisions/placer/choosing.go
+++ b/decisions/placer/choosing.go
@@ -51,7 +51,7 @@
 	bestScore := 0.0
 	var cooling *replicaState
 	spec := p.engine(req.Service)
-	delay := p.delayPerRequest(req.Service, spec)
+	delay := p.laterDelay(req.Service, spec)
 	p.obstacles = obstacleCounts{}
 	for r := range p.ofGroups(req.Service, otherGroup) {
 		if !p.eligible(now, req, r) {
@@ -116,7 +116,7 @@
 	score := float64(inFlight) + r.failureRate*failureRateCost + jitter
 	if spec != nil {
 		score += float64(r.pendingTokens()) * pendingTokenCost
-		score += r.paceCost(score, req)
+		score += r.paceCost(score, req) + p.turnCost(req.Service, r)
 	}
 	if p.isLimited(r) {
 		score -= limitPreference
@@ -124,6 +124,9 @@
 	if r.region != p.config.Region {
 		score += otherRegionCost
 	}
+	if p.admissions[req.Service] != nil && r.localRequests >= r.quota {
+		score += beyondQuotaCost
+	}
 	return score
 }
 
--- a/decisions/placer/figures.go
+++ b/decisions/placer/figures.go
@@ -36,7 +36,7 @@
 		if spec == nil {
 			continue
 		}
-		delay := p.delayPerRequest(service, spec)
+		delay := p.laterDelay(service, spec)
 		for _, r := range p.byService[service].own {
 			r.usePace(now, delay)
 			out = append(out, EngineFigures{Replica: r.replica.ID, Pace: r.pace()})
