messenger, overloader: silent connections leave a host descriptors, and a lack of them ends nothing

TestConnectionsLeaveDescriptorsOfHost failed: 400 silent connections to the port for other processes took all 300 descriptors.

Cause: the server of messages had no limit on connections. Reading it showed a worse one: it returned with the first error of Accept, so that a process which was out of descriptors once took no messages until it was restarted (TestServerOutlivesLackOfDescriptors failed before).

Now at most half of the descriptors, or 8,192, are for sessions, beyond which the oldest connection without a request is closed, and an error of Accept is followed by another try after 20 ms. Sessions of peers, which send a request at once, are not closed.

--- a/rigs/overloader/overloader_test.go
+++ b/rigs/overloader/overloader_test.go
@@ -114,6 +114,16 @@
 
 // startEntryWithin is like startEntry, with a maximum number of descriptors.
 func startEntryWithin(t *testing.T, descriptors string) entry {
+	t.Helper()
+	e := startEntryAtOnce(t, descriptors)
+	if !answers(t, "http://"+e.ready+"/api/ready") || !answers(t, "http://"+e.callers+"/x") {
+		t.Fatal("the entry is not ready")
+	}
+	return e
+}
+
+// startEntryAtOnce is like startEntryWithin, but does not wait until the entry is ready.
+func startEntryAtOnce(t *testing.T, descriptors string) entry {
 	t.Helper()
 	metrics := freePort(t)
 	e := entry{callers: freeAddress(t), ready: freeAddress(t), directory: freeAddress(t), metrics: fmt.Sprintf("127.0.0.1:%d", metrics)}
@@ -123,9 +133,6 @@
   "Limits": {"MemoryMB": %d, "LinkMbps": 1000},
   "Listen": {"Callers": %q, "Ready": %q, "Directory": %q, "Metrics": %d},
 }`, freePort(t), startPlatform(t), bounds, entryMemoryMB, e.callers, e.ready, e.directory, metrics), "platform")
-	if !answers(t, "http://"+e.ready+"/api/ready") || !answers(t, "http://"+e.callers+"/x") {
-		t.Fatal("the entry is not ready")
-	}
 	return e
 }
 
--- a/transport/messenger/server.go
+++ b/transport/messenger/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -11,7 +12,17 @@
 	"github.com/panjf2000/ants/v2"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"filbertstile.example/filbertstile/base/sleeper"
 	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/transport/acceptor"
+)
+
+const (
+	// maxSessions is the maximum number of sessions, if the process may have twice as many
+	// descriptors. Beyond it, connections without a request are closed, the oldest first.
+	maxSessions = 8192
+	// acceptRetryDelay is the delay after an error, such as a lack of descriptors.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Handler handles one request. The stream is closed when it returns.
@@ -41,20 +52,25 @@
 	return &Server{pool: pool, handler: c.Handler}, nil
 }
 
-// Serve accepts sessions until the context ends, and returns after all handlers have
-// returned.
+// Serve accepts sessions until the context ends or the listener is closed, and returns after all
+// handlers have returned.
 func (srv *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	defer srv.pool.Release()
 	defer srv.wg.Wait()
+	l = acceptor.New(acceptor.Config{Listener: l, MaxConns: acceptor.WithinDescriptors(maxSessions)})
 	for {
 		conn, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept session: %w", err)
+		default:
+			_ = sleeper.Sleep(ctx, acceptRetryDelay) // then the listener is closed
+			continue
 		}
 		srv.wg.Add(1)
 		go srv.serveSession(ctx, conn)
@@ -78,6 +94,9 @@
 		if err != nil {
 			return
 		}
+		if c, ok := conn.(*acceptor.Conn); ok {
+			c.HeadRead() // it is that of a peer, and stays
+		}
 		srv.wg.Add(1)
 		task := func() {
 			defer srv.wg.Done()
