--- a/shells/forwarder/suspects.go
+++ b/shells/forwarder/suspects.go
@@ -78,8 +78,9 @@
 	}
 }
 
-// unframedEnd returns an error if an answer that ended with its connection may be incomplete: it is empty, or its replica has crashed. A replica that is expected to end
-// must be seen to run on, as nothing else tells the end of its answer from that of its process.
+// unframedEnd returns an error if an answer that ended with its connection may be incomplete: it is
+// empty, or its replica has crashed. A replica that is expected to end must be seen to run on, as
+// nothing else tells the end of its answer from that of its process.
 func (x *requestState) unframedEnd(a *attemptState, begun bool) error {
 	if !begun {
 		return io.ErrUnexpectedEOF
