edgerunner, tracker: an entry that starts compares its configuration with others

Cause: that a configuration never goes back held in each process only. The entry's log names the way: it followed its neighbour ("Follows": "front-izmir-a-1", "Reads": false) and put version 5 in force from its copy, which was the store's list of the new era, while the neighbour had 8 in force. Ruled out by that log: a read of the store by the entry itself, an entry that goes back (5 was its first version), a response of the old era. The same happens to an entry that reads the store itself, alone in its domain or with all of its domain started again, to one that starts after the drill, and to one that stood still from before the change until after the drill: the new era's list confirmed its old keys.

Change: the copy of the configuration keeps what is newer than the list of a new era, and passes it on. Heartbeats tell which version is in force. A later version that the store lacks is fetched from the entry that reported it.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -18,70 +18,71 @@
 // Events, numbered by subsystem: 1xx process, 2xx configuration, 3xx requests, 4xx
 // weights, 5xx rollout, 6xx non-idempotent calls, 7xx limits.
 const (
-	ProcessStarted      Event = 101
-	ProcessReady        Event = 102
-	ProcessLeaving      Event = 103
-	ProcessStopped      Event = 104
-	StepFailed          Event = 105
-	ListOutOfReach      Event = 106
-	PanicRecovered      Event = 107
-	ProcessPaused       Event = 108
-	ChangeApplied       Event = 201
-	ParentLost          Event = 202
-	StoreOutOfReach     Event = 203
-	StoreBack           Event = 204
-	ViewStale           Event = 205
-	ViewTrusted         Event = 206
-	ChangeAccepted      Event = 207
-	ChangeRefused       Event = 208
-	PushIncomplete      Event = 209
-	SnapshotFailed      Event = 210
-	HistoryGone         Event = 211
-	ObjectUnreadable    Event = 212
-	SettingsReloaded    Event = 213
-	StoreEraChanged     Event = 214
-	SourceChanged       Event = 215
-	ConfigurationRead   Event = 216
-	StoreUnavailable    Event = 217
-	HostLost            Event = 301
-	HostFound           Event = 302
-	RequestFailed       Event = 303
-	StreamResumed       Event = 304
-	BackendCold         Event = 305
-	AttemptEnded        Event = 306
-	RequestRefused      Event = 307
-	RequestDone         Event = 308
-	CallerLeft          Event = 309
-	ReplicaHeld         Event = 310
-	ReplicasChanged     Event = 311
-	PeersChanged        Event = 312
-	ReplicaCrashed      Event = 313
-	PromptPartChanged   Event = 314
-	ReplicaLeaving      Event = 316
-	ReplicaPaused       Event = 317
-	RequestSuspected    Event = 318
-	ReplicaLimited      Event = 319
-	HeaderUnreadable    Event = 320
-	BackupRefused       Event = 321
-	TransferStarted     Event = 401
-	TransferDone        Event = 402
-	ChunkRefused        Event = 403
-	PeerSetAside        Event = 404
-	SourceFailed        Event = 405
-	ChunkRestaged       Event = 406
-	VersionNamed        Event = 407
-	SwitchStarted       Event = 501
-	SwitchDone          Event = 502
-	SwitchFailed        Event = 503
-	LeaseTaken          Event = 504
-	LeaseLost           Event = 505
-	PermitRefused       Event = 506
-	LoadDoubted         Event = 507
-	LoadChecked         Event = 508
-	CommitFailed        Event = 601
-	OutcomeUnknown      Event = 602
-	RequestSealed       Event = 603
-	QuotaOwnerUnreached Event = 701
+	ProcessStarted       Event = 101
+	ProcessReady         Event = 102
+	ProcessLeaving       Event = 103
+	ProcessStopped       Event = 104
+	StepFailed           Event = 105
+	ListOutOfReach       Event = 106
+	PanicRecovered       Event = 107
+	ProcessPaused        Event = 108
+	ChangeApplied        Event = 201
+	ParentLost           Event = 202
+	StoreOutOfReach      Event = 203
+	StoreBack            Event = 204
+	ViewStale            Event = 205
+	ViewTrusted          Event = 206
+	ChangeAccepted       Event = 207
+	ChangeRefused        Event = 208
+	PushIncomplete       Event = 209
+	SnapshotFailed       Event = 210
+	HistoryGone          Event = 211
+	ObjectUnreadable     Event = 212
+	SettingsReloaded     Event = 213
+	StoreEraChanged      Event = 214
+	SourceChanged        Event = 215
+	ConfigurationRead    Event = 216
+	StoreUnavailable     Event = 217
+	ConfigurationAdopted Event = 218
+	HostLost             Event = 301
+	HostFound            Event = 302
+	RequestFailed        Event = 303
+	StreamResumed        Event = 304
+	BackendCold          Event = 305
+	AttemptEnded         Event = 306
+	RequestRefused       Event = 307
+	RequestDone          Event = 308
+	CallerLeft           Event = 309
+	ReplicaHeld          Event = 310
+	ReplicasChanged      Event = 311
+	PeersChanged         Event = 312
+	ReplicaCrashed       Event = 313
+	PromptPartChanged    Event = 314
+	ReplicaLeaving       Event = 316
+	ReplicaPaused        Event = 317
+	RequestSuspected     Event = 318
+	ReplicaLimited       Event = 319
+	HeaderUnreadable     Event = 320
+	BackupRefused        Event = 321
+	TransferStarted      Event = 401
+	TransferDone         Event = 402
+	ChunkRefused         Event = 403
+	PeerSetAside         Event = 404
+	SourceFailed         Event = 405
+	ChunkRestaged        Event = 406
+	VersionNamed         Event = 407
+	SwitchStarted        Event = 501
+	SwitchDone           Event = 502
+	SwitchFailed         Event = 503
+	LeaseTaken           Event = 504
+	LeaseLost            Event = 505
+	PermitRefused        Event = 506
+	LoadDoubted          Event = 507
+	LoadChecked          Event = 508
+	CommitFailed         Event = 601
+	OutcomeUnknown       Event = 602
+	RequestSealed        Event = 603
+	QuotaOwnerUnreached  Event = 701
 )
 
 // CatalogueEntry describes an event.
@@ -124,6 +125,7 @@
 	{SourceChanged, "SourceChanged", "config", logrus.InfoLevel, "The process now reads the store itself, or follows the copy of the process in the log line.", noAction},
 	{ConfigurationRead, "ConfigurationRead", "config", logrus.InfoLevel, "A host has the configuration, from the entry in the log line or, without one, from the store.", noAction},
 	{StoreUnavailable, "StoreUnavailable", "config", logrus.WarnLevel, "The store is unavailable to most entries. The time in which a chosen version must be in use begins anew when it is back.", "See StoreOutOfReach."},
+	{ConfigurationAdopted, "ConfigurationAdopted", "config", logrus.WarnLevel, "The store has lost a configuration that the entry in the log line has in force; this entry has it from there.", "Write the configuration again if it is not written soon."},
 	{SettingsReloaded, "SettingsReloaded", "process", logrus.InfoLevel, "The settings file was read again after SIGHUP. The log level is in force; the settings that NextStart names have changed, and are in force after the next start.", "Start the process again if NextStart names any."},
 	{HostLost, "HostLost", "requests", logrus.WarnLevel, "A host process is unreachable and gets no work.", "Check the host if it stays unreachable."},
 	{HostFound, "HostFound", "requests", logrus.InfoLevel, "A host process is reachable.", noAction},
--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -59,6 +59,10 @@
 	// what was written since the store's copy was made is written again only after some
 	// time, and its absence says nothing about what it describes.
 	KeepMissing time.Duration
+	// Older, if not nil, reports whether a listed row describes an earlier state than the one held
+	// under the same key. A row held is then never replaced by an older one, nor lost because the
+	// list of a new era lacks it: others that follow this copy get it, too.
+	Older func(listed, held T) bool
 	// OnEra, if not nil, is called after the copy has moved to a new era of the store. It
 	// must not block.
 	OnEra func(era uint64)
@@ -94,6 +98,8 @@
 	objects map[string]filbertstile.Object
 	// unreadable are the keys of the objects that cannot be decoded.
 	unreadable map[string]bool
+	// keepUntil is when the rows end that the current era lacks.
+	keepUntil time.Time
 	// history holds all changes after the revision historyFrom.
 	history     []Update
 	historyFrom uint64
--- a/outside/tracker/update.go
+++ b/outside/tracker/update.go
@@ -151,8 +151,12 @@
 		next.ConfirmedAt = max(confirmedAt, old.ConfirmedAt)
 	}
 	newEra := old.Listed && u.Era != old.Era
+	if t.config.Older != nil {
+		next.Rows = t.withNewer(next.Rows, rowKeys, objects, newEra)
+	}
 	if newEra && t.config.KeepMissing > 0 {
 		next.Rows = t.withMissing(next.Rows, rowKeys, objects)
+		t.keepUntil = time.Now().Add(t.config.KeepMissing)
 		time.AfterFunc(t.config.KeepMissing, t.dropMissing)
 	}
 	t.view, t.rowKeys, t.objects = next, rowKeys, objects
@@ -171,6 +175,44 @@
 	return nil
 }
 
+// withNewer returns the rows with those of the current copy in place of older ones and, in a new
+// era, of missing ones. It replaces their objects, too. The caller holds t.mu.
+func (t *Tracker[T]) withNewer(rows filbertstile.Table[T], rowKeys map[string]string, objects map[string]filbertstile.Object, newEra bool) filbertstile.Table[T] {
+	for key, rowKey := range t.rowKeys {
+		held, ok := t.view.Rows.Get(rowKey)
+		listed, known := rows.Get(rowKey)
+		if ok && (known && t.config.Older(listed, held) || !known && newEra) {
+			rows, rowKeys[key], objects[key] = rows.With(held), rowKey, t.objects[key]
+		}
+	}
+	return rows
+}
+
+// Adopt adds the objects of another process's copy whose rows are newer than those held, or not
+// held at all. The store may have lost them, so that they are at no revision of the current era: a process
+// that follows this copy gets them only with a complete copy.
+func (t *Tracker[T]) Adopt(objects []filbertstile.Object) {
+	adopted := false
+	t.mu.Lock()
+	for _, o := range objects {
+		row, err := t.config.Decode(o)
+		if err != nil || o.Removed || t.config.Older == nil {
+			continue
+		}
+		held, known := t.view.Rows.Get(row.Key())
+		if known && !t.config.Older(held, row) {
+			continue
+		}
+		t.objects[o.Key], t.rowKeys[o.Key] = o, row.Key()
+		t.view.Rows = t.view.Rows.With(row)
+		adopted = true
+	}
+	t.mu.Unlock()
+	if adopted {
+		t.config.OnChange()
+	}
+}
+
 // withMissing returns the rows together with those of the current copy whose objects are
 // not among the given ones, and adds the keys of these. The caller holds t.mu.
 func (t *Tracker[T]) withMissing(rows filbertstile.Table[T], rowKeys map[string]string, objects map[string]filbertstile.Object) filbertstile.Table[T] {
@@ -185,9 +227,13 @@
 }
 
 // dropMissing removes the rows that withMissing kept and whose objects have not been
-// written again.
+// written again. It does nothing before keepUntil, as the store may have come back once more.
 func (t *Tracker[T]) dropMissing() {
 	t.mu.Lock()
+	if time.Now().Before(t.keepUntil) {
+		t.mu.Unlock()
+		return
+	}
 	for key, rowKey := range t.rowKeys {
 		if _, listed := t.objects[key]; !listed {
 			t.view.Rows = t.view.Rows.Without(rowKey)
@@ -253,6 +299,9 @@
 	oldKey, known := t.rowKeys[o.Key]
 	if !o.Removed {
 		row, err := t.config.Decode(o)
+		if held, ok := t.view.Rows.Get(oldKey); err == nil && known && ok && t.config.Older != nil && t.config.Older(row, held) {
+			return t.objects[o.Key]
+		}
 		if err == nil {
 			if known && oldKey != row.Key() {
 				rows.remove(oldKey)
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -154,6 +154,12 @@
 	// refreshRequested makes refreshLoop update the entry's view.
 	refreshRequested chan struct{}
 	senders          *senderCounter
+	// comparison compares the configuration with those of other entries, and fetchRequested makes
+	// fetchLost get a later one.
+	comparison     *comparison
+	fetchRequested chan struct{}
+	// divided is true after the division has been worked out from the list of the members.
+	divided atomic.Bool
 	// series are the metrics whose names depend on the engines and the configuration.
 	series *series
 	// replicasKnown is true after the placer has got the first complete list of replicas.
@@ -190,6 +196,7 @@
 		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(), senders: newSenderCounter(c.Clock),
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), news: make(chan struct{}, 1),
+		comparison: newComparison(), fetchRequested: make(chan struct{}, 1),
 	}
 	e.pauses = newPauseDetector(c.Clock, c.Log)
 	e.registerGauges()
@@ -230,6 +237,7 @@
 	wg.Go(func() { e.sendLoads(ctx) })
 	wg.Go(func() { e.shareNews(ctx) })
 	wg.Go(func() { e.refreshLoop(ctx) })
+	wg.Go(func() { e.fetchLost(ctx) })
 	if e.sharer != nil {
 		wg.Go(func() { e.sharer.Run(ctx) })
 	}
@@ -268,6 +276,7 @@
 	e.recordPeerHosts(p.GetHeard())
 	e.learnEvidence(p.GetEvidence())
 	e.learnLimits(p.GetName(), p.GetLimits())
+	e.learnInForce(p)
 	newVersion := e.recordReportedVersions(p.GetName(), p.GetWeights())
 	if e.learnManifests(p.GetWeights()) || newVersion {
 		e.pulser.SendNow()
@@ -351,8 +360,11 @@
 
 // current reports whether the store has confirmed this entry's view within maxViewAge.
 func (e *Edge) current() bool {
-	age, known := e.sources.Routing.Age()
-	return known && age < maxViewAge
+	if !e.sources.Routing.View().Listed {
+		return false
+	}
+	_, age := e.currentMatcher()
+	return age < maxViewAge
 }
 
 // Ready reports whether the entry is ready for requests: it has a complete and current
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -63,7 +63,7 @@
 // each knows its place in the order in which they read the store.
 func (e *Edge) compose() []pulser.Message {
 	if !e.sources.Members.View().Listed {
-		return []pulser.Message{{Pulse: e.newPulse(), To: e.contacts()}}
+		return []pulser.Message{{Pulse: e.newStatePulse(), To: e.contacts()}}
 	}
 	d := e.division.Load()
 	weights, evidence, limits, direct := e.weightsToSend(), e.evidence(), e.limits(), e.directHosts()
@@ -74,7 +74,7 @@
 	}
 	newEntryPulse := func() *wire.Pulse {
 		p := newPulse(direct)
-		p.Evidence, p.Limits = evidence, limits
+		p.Evidence, p.Limits, p.InForce = evidence, limits, e.inForce()
 		return p
 	}
 	sameRegion, otherRegions := e.splitByRegion(d.Hosts)
--- a/shells/edgerunner/latenews_test.go
+++ b/shells/edgerunner/latenews_test.go
@@ -146,6 +146,7 @@
 		Metrics: metrics.NewRegistry(), Log: log, Clock: s.clock,
 		Bounds: Bounds{RolloutTimeout: rolloutTimeout, SettleTime: settleTime},
 	})
+	e.divided.Store(true) // there are no other entries
 	e.matcher.Store(matcher.New(filbertstile.Routing{
 		Pools: filbertstile.NewTable(filbertstile.PoolSpec{Service: "s", Engine: &filbertstile.EngineSpec{Model: "m"}}),
 	}))
--- a/shells/edgerunner/refreshing.go
+++ b/shells/edgerunner/refreshing.go
@@ -51,10 +51,7 @@
 // refresh applies the current routing, replicas and peers, and returns the log fields that
 // describe the result; nil if the replicas may not be used yet.
 func (e *Edge) refresh() reporter.Fields {
-	routing, known := e.routing()
-	if known {
-		e.applyRouting(routing)
-	}
+	routing, _ := e.routing()
 	e.LearnVersions()
 	outOfService := make(map[string]bool)
 	for _, m := range e.sources.Marks.View().Rows.All() {
@@ -62,6 +59,10 @@
 	}
 	replicas := e.sources.Replicas.View()
 	d := e.updateDivision(replicas.Rows, routing.Pools)
+	if e.sources.Members.View().Listed && !e.divided.Swap(true) {
+		e.askOthers()
+	}
+	e.currentMatcher()
 	if !e.listsKnown() {
 		return nil
 	}
--- a/shells/edgerunner/sharing.go
+++ b/shells/edgerunner/sharing.go
@@ -1,6 +1,7 @@
 package edgerunner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -81,6 +82,15 @@
 	e.pulser.SendNow()
 }
 
+// sourceName returns the name of the entry that this one follows, or its own if it reads the
+// store.
+func (e *Edge) sourceName() string {
+	if e.sharer == nil {
+		return e.config.Self.Name
+	}
+	return cmp.Or(e.sharer.Source().Follows, e.config.Self.Name)
+}
+
 // isReader reports whether others may follow this entry.
 func (e *Edge) isReader() bool { return e.sharer != nil && e.sharer.Reader() }
 
--- a/shells/sharer/obtain.go
+++ b/shells/sharer/obtain.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/sleeper"
+	"filbertstile.example/filbertstile/base/wire"
+	"filbertstile.example/filbertstile/outside/tracker"
 )
 
 // obtainInterval is the time between two checks of Obtain, and between two attempts.
@@ -29,6 +32,35 @@
 	}
 }
 
+// Fetch returns the complete copy of the objects under the prefix that the peer holds.
+func (s *Sharer) Fetch(ctx context.Context, peer filbertstile.Member, prefix string) (tracker.Update, error) {
+	fail := func(err error) (tracker.Update, error) {
+		return tracker.Update{}, fmt.Errorf("fetch copy of %s from %s: %w", prefix, peer.Name, err)
+	}
+	stream, err := s.config.Client.Open(ctx, peer.Address, &wire.Request{
+		Id: s.config.Client.NextID(), Kind: &wire.Request_Follow{Follow: &wire.Follow{Copies: []*wire.CopyPosition{{Prefix: prefix}}, ReadsCompressed: true}},
+	})
+	if err != nil {
+		return fail(err)
+	}
+	defer stream.Close()
+	for {
+		frame, err := stream.Receive()
+		if err != nil {
+			return fail(err)
+		}
+		for _, c := range frame.GetCopies().GetCopies() {
+			u, err := updateOf(c)
+			if err != nil {
+				return fail(err)
+			}
+			if c.GetPrefix() == prefix && u.Complete {
+				return u, nil
+			}
+		}
+	}
+}
+
 // Obtaining reports whether the copy that Obtain gets is arriving, at this process or at the
 // one that it comes from.
 func (s *Sharer) Obtaining() bool {
