tracker: replicas that have ended stay so when the store comes back from an older copy

Callers' requests went to a replica that leaves, or is gone, more than 2 s after entries had acknowledged that: after a drill of the store whose copy was from before, every running entry took the list of the new era for the latest state. Nothing had to start. An entry that has acknowledged a replica's leaving is bound by it while the store is impaired, too.

Change: in a new era, a replica that the list shows in an earlier state of the same start keeps the state that is held (it leaves, or was removed within 30 s) until its object is written or removed, or for 5 s: replicas that live write again within about two seconds, and the store removes the others after three heartbeats. A replica with another start is a new one. A second new era begins the time anew; before, the first era's timer ended what was kept in the second.

TestSecondNewEraKeepsMissingRows fails without the check of keepUntil. Each of the new steps of replace, taken out alone, fails a case of TestEndedRowsStayEndedInNewEra or TestRowMissingFromListStaysGone.

--- a/outside/tracker/tracker.go
+++ b/outside/tracker/tracker.go
@@ -63,6 +63,12 @@
 	// under the same key. A row held is then never replaced by an older one, nor lost because the
 	// list of a new era lacks it: others that follow this copy get it, too.
 	Older func(listed, held T) bool
+	// Revived, if not nil, reports whether the list of a new era shows a row as it was before it
+	// became the one held, or before that was removed, and that this is no new row under the same
+	// key. What is held, or its absence, then stays for HoldRevived, or until the object is written
+	// or removed in the new era.
+	Revived     func(listed, held T, removed bool) bool
+	HoldRevived time.Duration
 	// OnEra, if not nil, is called after the copy has moved to a new era of the store. It
 	// must not block.
 	OnEra func(era uint64)
@@ -100,6 +106,12 @@
 	unreadable map[string]bool
 	// keepUntil is when the rows end that the current era lacks.
 	keepUntil time.Time
+	// removed are the rows that were removed lately, by the keys of their objects.
+	removed map[string]removedRow[T]
+	// held are the keys of the objects that the current era lists in an earlier state than their
+	// rows show, until heldUntil.
+	held      map[string]bool
+	heldUntil time.Time
 	// history holds all changes after the revision historyFrom.
 	history     []Update
 	historyFrom uint64
@@ -124,7 +136,7 @@
 	}
 	return &Tracker[T]{
 		config: c, rowKeys: make(map[string]string), objects: make(map[string]filbertstile.Object), unreadable: make(map[string]bool),
-		changed: make(chan struct{}), reading: true, readingChanged: make(chan struct{}), maxRetryDelay: maxRetryDelay,
+		removed: make(map[string]removedRow[T]), changed: make(chan struct{}), reading: true, readingChanged: make(chan struct{}), maxRetryDelay: maxRetryDelay,
 	}
 }
 
--- a/outside/tracker/update.go
+++ b/outside/tracker/update.go
@@ -154,6 +154,14 @@
 	if t.config.Older != nil {
 		next.Rows = t.withNewer(next.Rows, rowKeys, objects, newEra)
 	}
+	switch {
+	case t.config.Revived == nil:
+	case newEra:
+		next.Rows = t.withoutRevived(next.Rows, rowKeys)
+	default:
+		t.rememberMissing(objects)
+		next.Rows = t.withHeld(next.Rows, rowKeys, objects)
+	}
 	if newEra && t.config.KeepMissing > 0 {
 		next.Rows = t.withMissing(next.Rows, rowKeys, objects)
 		t.keepUntil = time.Now().Add(t.config.KeepMissing)
@@ -296,6 +304,7 @@
 // be decoded is removed, as it describes nothing that can be used; nor does anything need its
 // value, which may be large. The caller holds t.mu.
 func (t *Tracker[T]) applyObject(rows *rowChanges[T], o filbertstile.Object) filbertstile.Object {
+	delete(t.held, o.Key)
 	oldKey, known := t.rowKeys[o.Key]
 	if !o.Removed {
 		row, err := t.config.Decode(o)
@@ -308,6 +317,7 @@
 			}
 			t.objects[o.Key], t.rowKeys[o.Key] = o, row.Key()
 			delete(t.unreadable, o.Key)
+			delete(t.removed, o.Key)
 			rows.put(row)
 			return o
 		}
@@ -319,6 +329,9 @@
 		delete(t.unreadable, o.Key)
 	}
 	if known {
+		if row, ok := t.view.Rows.Get(oldKey); ok && o.Removed {
+			t.rememberRemoved(o.Key, row)
+		}
 		delete(t.rowKeys, o.Key)
 		rows.remove(oldKey)
 	}
--- a/shells/edgerunner/comparing.go
+++ b/shells/edgerunner/comparing.go
@@ -115,7 +115,7 @@
 func (c *comparison) reportedMarks(v tracker.View[filbertstile.Mark], now time.Duration) (names []string, begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if v.Listed && !(c.marksListed && c.marksEra == v.Era) {
+	if v.Listed && (!c.marksListed || c.marksEra != v.Era) {
 		c.marksListed, c.marksEra, c.marksListedAt, begun = true, v.Era, now, true
 	}
 	if c.marksListed && now-c.marksListedAt >= reportedMarksTime {
