edgerunner: entries that all start in a new era wait for what the store has lost

Callers saw: if all entries started during a drill of the store, a withdrawn key worked again, and requests reached an evacuated failure domain, until the operator had written both again: nobody was left that held something newer than the store. The era alone tells that there was a drill once, not when.

Change: the entries that read the store record in it the latest era in which they have compared what they have in force. An entry that starts reads the record (one call). If it hears nobody that has compared anything, and the record shows an earlier era than the store's, the store has come back since: the entry is not ready, and confirms no keys, until the configuration has been written again or 3 s have passed. Without a record (a new system) and in an era that is recorded nothing waits.

Left: entries that compare, record the era, and all end before the operator has written again.

--- a/interfaces.go
+++ b/interfaces.go
@@ -53,6 +53,16 @@
 	Watch(ctx context.Context, prefix string, after uint64) (Batch, error)
 }
 
+// EraRecord is a record, in the object store, of the latest era of the store in which entries have
+// compared what they have in force. After the store has come back from an older copy of its data,
+// the record shows an earlier era, or the same if the entries have compared it since.
+type EraRecord interface {
+	// Read returns the recorded era, or 0 if there is none.
+	Read(ctx context.Context) (uint64, error)
+	// Write records the era in the name of the writer, unless it or a later one is recorded.
+	Write(ctx context.Context, writer string, era uint64) error
+}
+
 // HostList is the platform's list of live and leaving processes. It lags behind
 // the actual state.
 type HostList interface {
--- a/shells/edgerunner/comparing.go
+++ b/shells/edgerunner/comparing.go
@@ -69,6 +69,11 @@
 	listed   bool
 	era      uint64
 	listedAt time.Duration
+	// listedRevision is the revision of that list, and recorded what is known of earlier comparisons
+	// if hasRecord is true.
+	listedRevision uint64
+	recorded       recordedEra
+	hasRecord      bool
 	// marksEra and marksListedAt are the same for the copy of the marks.
 	marksListed   bool
 	marksEra      uint64
@@ -85,7 +90,9 @@
 	doneIn atomic.Uint64
 }
 
-func newComparison() *comparison { return &comparison{reports: make(map[string]report)} }
+func newComparison(hasRecord bool) *comparison {
+	return &comparison{reports: make(map[string]report), hasRecord: hasRecord}
+}
 
 // record records the report of an entry, and reports whether other failure domains are out of
 // service than in the one before.
@@ -135,12 +142,13 @@
 	return c.doneIn.Load() == era+1 && c.newest.Load() <= version
 }
 
-// begin begins the comparison in the era, and reports whether that is a new one.
-func (c *comparison) begin(era uint64, now time.Duration) bool {
-	if c.listed && c.era == era {
+// begin begins the comparison in the era of the copy, and reports whether that is a new one.
+func (c *comparison) begin(v tracker.View[filbertstile.Routing], now time.Duration) bool {
+	if c.listed && c.era == v.Era {
 		return false
 	}
-	c.listed, c.era, c.listedAt, c.done = true, era, now, false
+	c.listed, c.era, c.listedAt, c.listedRevision, c.done = true, v.Era, now, v.Revision, false
+	c.recorded = recordedEra{read: !c.hasRecord}
 	c.doneIn.Store(0)
 	return true
 }
@@ -166,17 +174,23 @@
 	return name, heardAt, ok
 }
 
-// complete reports whether enough entries have been heard since the copy was listed: one whose
-// report is reliable, or all of the peers that are asked. The caller holds c.mu.
-func (c *comparison) complete(peers func() []filbertstile.Member, peersKnown bool, now time.Duration) bool {
-	if now-c.listedAt >= compareTimeout {
-		return true
-	}
+// heardReliable reports whether a reliable report has been heard since the copy was listed. The
+// caller holds c.mu.
+func (c *comparison) heardReliable() bool {
 	for _, r := range c.reports {
 		if r.reliable && r.heardAt >= c.listedAt && r.era+1 >= c.era {
 			return true
 		}
 	}
+	return false
+}
+
+// heardAll reports whether all of the peers that are asked have been heard since the copy was
+// listed, or need not be waited for. The caller holds c.mu.
+func (c *comparison) heardAll(peers func() []filbertstile.Member, peersKnown bool, now time.Duration) bool {
+	if now-c.listedAt >= compareTimeout {
+		return true
+	}
 	return peersKnown && !slices.ContainsFunc(peers(), func(m filbertstile.Member) bool {
 		r, ok := c.reports[m.Name]
 		return !ok || r.heardAt < c.listedAt
@@ -200,9 +214,12 @@
 func (e *Edge) compare(v tracker.View[filbertstile.Routing], version int64) bool {
 	c, now := e.comparison, e.config.Clock()
 	c.mu.Lock()
-	begun := c.begin(v.Era, now)
+	begun := c.begin(v, now)
 	_, heardAt, newer := c.newer(version, now)
-	if !newer && !c.done && c.complete(e.peersToAsk, e.divided.Load(), now) {
+	sound := func() bool {
+		return c.heardReliable() || c.heardAll(e.peersToAsk, e.divided.Load(), now) && !c.mayHaveLost(now, writtenSince(e.sources.Routing, c.listedRevision))
+	}
+	if !newer && !c.done && sound() {
 		c.done = true
 		c.doneIn.Store(c.era + 1)
 	}
@@ -213,7 +230,9 @@
 		c.confirm(0)
 	}
 	if begun {
+		e.requestRecord()
 		e.askOthers()
+		time.AfterFunc(rewriteTimeout, e.Refresh)
 		time.AfterFunc(compareTimeout, e.Refresh)
 	}
 	if newer && (lost || !inForce && now-heardAt >= fetchDelay) {
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -111,6 +111,9 @@
 	// Clock is the clock of the sources and of planned stops: it keeps running while the host
 	// is suspended, and cannot be set. If it is nil, the runtime's clock is used, which does not.
 	Clock func() time.Duration
+	// EraRecord, if not nil, tells whether the store has come back from an older copy since entries
+	// last compared what they have in force.
+	EraRecord filbertstile.EraRecord
 	// CloseExpiredConns closes the connections to replicas that have been idle for too
 	// long. It is called periodically.
 	CloseExpiredConns func()
@@ -158,6 +161,8 @@
 	// fetchLost get a later one.
 	comparison     *comparison
 	fetchRequested chan struct{}
+	// recordRequested makes keepEraRecord look at the record of the store's eras.
+	recordRequested chan struct{}
 	// divided is true after the division has been worked out from the list of the members.
 	divided atomic.Bool
 	// series are the metrics whose names depend on the engines and the configuration.
@@ -196,7 +201,7 @@
 		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(), senders: newSenderCounter(c.Clock),
 		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), news: make(chan struct{}, 1),
-		comparison: newComparison(), fetchRequested: make(chan struct{}, 1),
+		comparison: newComparison(c.EraRecord != nil), fetchRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 	}
 	e.pauses = newPauseDetector(c.Clock, c.Log)
 	e.registerGauges()
@@ -238,6 +243,9 @@
 	wg.Go(func() { e.shareNews(ctx) })
 	wg.Go(func() { e.refreshLoop(ctx) })
 	wg.Go(func() { e.fetchLost(ctx) })
+	if e.config.EraRecord != nil {
+		wg.Go(func() { e.keepEraRecord(ctx) })
+	}
 	if e.sharer != nil {
 		wg.Go(func() { e.sharer.Run(ctx) })
 	}
@@ -257,6 +265,9 @@
 			e.config.Messages.CloseIdle(idleSessionTimeout)
 		}
 		e.logReadiness()
+		if _, read, write := e.comparison.recordWork(); read || write {
+			e.requestRecord()
+		}
 	}
 	wg.Wait()
 }
