edgerunner: split the comparison from what sends and fetches

The type comparison with its methods is in comparison.go, readiness in readiness.go. No change of behaviour.

Measured: the package's tests pass, some of them with the race detector.

--- a/shells/edgerunner/erarecord.go
+++ b/shells/edgerunner/erarecord.go
@@ -11,47 +11,12 @@
 )
 
 const (
-	// rewriteTimeout is how long entries that have all started in a new era wait for operators to
-	// write again what the store has lost.
-	rewriteTimeout = 3 * time.Second
 	// recordRetryDelay is the delay after a read or write of the record that failed, and
 	// recordTimeout how long either may take.
 	recordRetryDelay = 200 * time.Millisecond
 	recordTimeout    = time.Second
 )
 
-// recordedEra is what an entry knows of the record of the latest era in which entries have compared
-// what they have in force.
-type recordedEra struct {
-	read bool
-	// era is 0 if there is no record.
-	era uint64
-}
-
-// mayHaveLost reports whether the store may lack what no entry knows any more: it has come back from an
-// older copy since entries last compared what they have in force, and operators have not had the
-// time to write it again. The caller holds c.mu.
-func (c *comparison) mayHaveLost(now time.Duration, writtenSince bool) bool {
-	if now-c.listedAt >= rewriteTimeout {
-		return false
-	}
-	return !c.recorded.read || c.recorded.era != 0 && c.recorded.era < c.era && !writtenSince
-}
-
-// setRecorded records that the record has been read or written.
-func (c *comparison) setRecorded(era uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.recorded = recordedEra{read: true, era: era}
-}
-
-// recordWork returns the era to record if the record is out of date, and whether it must be read.
-func (c *comparison) recordWork() (era uint64, read, write bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.era, c.listed && !c.recorded.read, c.done && c.recorded.read && c.recorded.era < c.era
-}
-
 // writtenSince reports whether the configuration of the copy was written after the revision.
 func writtenSince(t *tracker.Tracker[filbertstile.Routing], revision uint64) bool {
 	for _, w := range t.Written() {
