edgerunner: a view of an earlier era begins no comparison

A request may have taken its view of the copy right before a new era begins, and then begun the comparison of the earlier one again, which put off the new one.

Measured: the tests of the comparison pass.

--- a/shells/edgerunner/comparison.go
+++ b/shells/edgerunner/comparison.go
@@ -133,9 +133,10 @@
 	return c.doneIn.Load() == era+1 && c.newest.Load() <= version
 }
 
-// begin begins the comparison in the era of the copy, and reports whether that is a new one.
+// begin begins the comparison in the era of the copy, and reports whether that is a new one. A view of
+// the copy may have been taken before the latest era began.
 func (c *comparison) begin(v tracker.View[filbertstile.Routing], now time.Duration) bool {
-	if c.listed && c.era == v.Era {
+	if c.listed && v.Era <= c.era {
 		return false
 	}
 	c.listed, c.era, c.listedAt, c.listedRevision, c.done = true, v.Era, now, v.Revision, false
