edgerunner: an entry out of touch since the era before vouches for nothing

A report counted as reliable if its sender had compared its configuration in the era before, although it may have been cut off from the store since; it now has to have compared in the same era, or to have been in touch until lately. What the record was found to be in one era no longer counts in the next, if that begins during the read.

--- a/shells/edgerunner/comparing.go
+++ b/shells/edgerunner/comparing.go
@@ -130,7 +130,7 @@
 	now := e.config.Clock()
 	marksChanged := e.comparison.record(p.GetName(), report{
 		version: in.GetConfigVersion(), outOfService: in.GetOutOfService(), firstHeardAt: now, heardAt: now, era: in.GetEra(),
-		reliable: (in.GetCompared() || p.GetCurrent()) && e.senders.messageDelay() == 0,
+		compared: in.GetCompared(), current: p.GetCurrent(), delayed: e.senders.messageDelay() > 0,
 	})
 	starting := e.matcher.Load() == nil
 	e.currentMatcher() // the report may be the one that was missing
--- a/shells/edgerunner/comparing_test.go
+++ b/shells/edgerunner/comparing_test.go
@@ -102,7 +102,7 @@
 		{"OneHasTheSame", func(e *comparingEntry) { e.hear("a", &wire.InForce{ConfigVersion: 5, Era: 2, Compared: true}) }, "", ""},
 		{"OneHasAnOlderOne", func(e *comparingEntry) { e.hear("a", &wire.InForce{ConfigVersion: 4, Era: 2, Compared: true}) }, "", ""},
 		{"OneHasALaterOne", func(e *comparingEntry) { e.hear("a", &wire.InForce{ConfigVersion: 8, Era: 1, Compared: true}) }, CodeNotReady, CodeNotReady},
-		{"OneOfAnEraLongAgo", func(e *comparingEntry) { e.hear("a", &wire.InForce{ConfigVersion: 5, Compared: true}) }, CodeNotReady, ""},
+		{"OneOfTheEraBefore", func(e *comparingEntry) { e.hear("a", &wire.InForce{ConfigVersion: 5, Era: 1, Compared: true}) }, CodeNotReady, ""},
 		{"OneHasJustStarted", func(e *comparingEntry) { e.hear("a", starting) }, CodeNotReady, ""},
 		{"AllHaveJustStarted", func(e *comparingEntry) { e.hear("a", starting); e.hear("b", starting) }, "", ""},
 		{"OneThatAsksHasALaterOne", func(e *comparingEntry) {
--- a/shells/edgerunner/comparison.go
+++ b/shells/edgerunner/comparison.go
@@ -35,11 +35,14 @@
 	// firstHeardAt is the time of the first report of the version, and heardAt that of the latest.
 	firstHeardAt time.Duration
 	heardAt      time.Duration
-	// era is the era in which the entry has compared its configuration.
-	era uint64
-	// reliable is true if the entry has compared its configuration in the era or the store has
-	// confirmed it recently, and the report did not wait to be read.
-	reliable bool
+	// era is the era of the entry's copy of the store, and compared is true if the entry has compared its
+	// configuration in that era.
+	era      uint64
+	compared bool
+	// current is true if the store has confirmed the entry's view recently.
+	current bool
+	// delayed is true if the report may have waited to be read.
+	delayed bool
 }
 
 // recordedEra is what an entry knows of the record of the latest era in which entries have compared
@@ -166,11 +169,11 @@
 	return name, heardAt, ok
 }
 
-// heardReliable reports whether a reliable report has been heard since the copy was listed. The
-// caller holds c.mu.
+// heardReliable reports whether an entry has been heard since the copy was listed that has compared its
+// configuration in the era, or has been in touch with the store until lately. The caller holds c.mu.
 func (c *comparison) heardReliable() bool {
 	for _, r := range c.reports {
-		if r.reliable && r.heardAt >= c.listedAt && r.era+1 >= c.era {
+		if !r.delayed && r.heardAt >= c.listedAt && (r.current || r.compared && r.era >= c.era) {
 			return true
 		}
 	}
@@ -211,11 +214,13 @@
 	return !c.recorded.read || c.recorded.era != 0 && c.recorded.era < c.era && !writtenSince
 }
 
-// setRecorded records that the record has been read or written.
-func (c *comparison) setRecorded(era uint64) {
+// setRecorded records what the record was found to be, or made, in the era.
+func (c *comparison) setRecorded(era, recorded uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recorded = recordedEra{read: true, era: era}
+	if c.era == era {
+		c.recorded = recordedEra{read: true, era: recorded}
+	}
 }
 
 // recordWork returns the era to record if the record is out of date, and whether it must be read.
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -265,7 +265,7 @@
 			e.config.Messages.CloseIdle(idleSessionTimeout)
 		}
 		e.logReadiness()
-		if _, read, write := e.comparison.recordWork(); read || write {
+		if _, read, write := e.comparison.recordWork(); read || write && e.isReader() {
 			e.requestRecord()
 		}
 	}
--- a/shells/edgerunner/erarecord.go
+++ b/shells/edgerunner/erarecord.go
@@ -27,8 +27,8 @@
 	return false
 }
 
-// keepEraRecord reads the record at the start, and writes it after a comparison in a later era if this entry
-// reads the store, until the context ends.
+// keepEraRecord reads the record in each era that is new to the entry and, if the entry reads the store,
+// writes it after a comparison in a later era than the recorded one, until the context ends.
 func (e *Edge) keepEraRecord(ctx context.Context) {
 	for {
 		select {
@@ -56,7 +56,7 @@
 		if err != nil {
 			return err
 		}
-		e.comparison.setRecorded(recorded)
+		e.comparison.setRecorded(era, recorded)
 		e.Refresh()
 		_, _, write = e.comparison.recordWork()
 	}
@@ -66,7 +66,7 @@
 	if err := e.config.EraRecord.Write(ctx, e.config.Self.Name, era); err != nil {
 		return err
 	}
-	e.comparison.setRecorded(era)
+	e.comparison.setRecorded(era, era)
 	return nil
 }
 
