requester: a response whose status excludes a body has an empty one

The worker of the host ended with a panic, nil pointer dereference.

Cause: fasthttp returns no stream for a response without a body, and Stream passed that on as the body to read. It has passed an empty body since, which readers take like any other.

The stand-in of the tests, garbler, writes bytes, as a library's server refuses to send what the tests need.

Measured: TestUnusualStatusOfServiceIsPassedOn (invoker) ended with the panic before, and passes.

--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -309,7 +309,11 @@
 		return err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	return read(Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}, resp.BodyStream())
+	body := resp.BodyStream()
+	if body == nil {
+		body = http.NoBody // the status, such as 204, excludes a body
+	}
+	return read(Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}, body)
 }
 
 // Close closes the idle connections.
