inspector: responses that break the protocol are none, wherever responses are read

Callers of the product's own interface got a response with status 000 as a success, and one with a space in the name of a field as it was; callers on the platform got statuses of 600 and more, and bodies in chunks whose trailers had such names. The store, the engine and the origin were believed in the same way: 000 was a success, and a length, coding or era in whose name a space stood was missing.

Cause: the libraries interpret more than the protocol allows, and their results don't show it. fasthttp returns 200 for a status of 0 and removes spaces before the colon; fasthttp and net/http accept spaces in names, and statuses up to 999. exchanger checked what net/http had parsed for what had been seen so far; requester checked nothing.

Why this works: a library never sees the end of a head that has a broken line, so that no result of it can come from one. A call that may have run is reported as unknown, as after other broken responses; a read may be made again. Ruled out: checks after parsing, as fasthttp hides spaces before the colon, in trailers too, and the merging of folded lines hides where they began.

--- a/outside/exchanger/conn.go
+++ b/outside/exchanger/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filbertstile.example/filbertstile/base/peeker"
+	"filbertstile.example/filbertstile/outside/inspector"
 )
 
 const (
@@ -29,24 +30,28 @@
 	readBufferBytes = 4 << 10
 )
 
-// limiter is the source of a connection's reader. While limited is true, it returns no more
-// than remaining bytes.
+// limiter is the source of a connection's reader. It returns no bytes of a response that the
+// protocol does not allow and, while limited is true, no more than remaining bytes.
 type limiter struct {
 	source    io.Reader
+	response  inspector.Response
 	limited   bool
 	remaining int64
 }
 
 // Read reads from the source, or returns ErrTooLong if no bytes remain.
 func (l *limiter) Read(b []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(b)
-	}
-	if l.remaining <= 0 {
-		return 0, ErrTooLong{Part: "response head", LimitBytes: maxHeadBytes}
+	if l.limited {
+		if l.remaining <= 0 {
+			return 0, ErrTooLong{Part: "response head", LimitBytes: maxHeadBytes}
+		}
+		b = b[:min(int64(len(b)), l.remaining)]
 	}
-	n, err := l.source.Read(b[:min(int64(len(b)), l.remaining)])
+	n, err := l.source.Read(b)
 	l.remaining -= int64(n)
+	if invalid := l.response.Check(b[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
@@ -83,6 +88,7 @@
 // readHead reads the head of the response, and skips informational (1xx) responses. A peer
 // that sends a head without end gets no more than maxHeadBytes read.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limiter.response = inspector.Response{}
 	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 	defer func() { c.limiter.limited = false }()
 	for {
--- a/outside/invoker/invoker_test.go
+++ b/outside/invoker/invoker_test.go
@@ -33,6 +33,39 @@
 	f(is, c)
 }
 
+// TestBrokenResponseOfBackendIsNone guards against a response of which a part is passed on, or that
+// counts as the state of the backend server, although its head breaks the protocol.
+func TestBrokenResponseOfBackendIsNone(t *testing.T) {
+	bodies := map[filbertstile.ServiceKind]string{
+		filbertstile.ServicePlain: "{}",
+		filbertstile.ServiceModel: "data: {\"choices\": [{\"delta\": {\"content\": \"token\"}}]}\n\ndata: [DONE]\n\n",
+	}
+	for kind, body := range bodies {
+		length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+		broken := make(map[string]string)
+		for _, f := range garbler.StatusLines() {
+			broken[f.Name] = f.Text + "\r\n" + length
+		}
+		for _, f := range garbler.FieldLines("X-Field", "x") {
+			broken["Field/"+f.Name] = "HTTP/1.1 200 OK\r\n" + f.Text + "\r\n" + length
+		}
+		for name, text := range broken {
+			t.Run(string(kind)+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				withBackend(t, kind, text, func(is *is.I, c *invoker.Client) {
+					w := &recordingWriter{}
+					is.True(c.Run(t.Context(), filbertstile.BackendRequest{Method: http.MethodPost, Path: "/"}, w) != nil)
+					is.Equal(*w, recordingWriter{})
+					_, err := c.State(t.Context())
+					is.True(err != nil)
+					_, err = c.Load(t.Context(), filbertstile.LoadOrder{Chunks: [][]byte{{1}}})
+					is.True(err != nil)
+				})
+			})
+		}
+	}
+}
+
 // TestUnusualStatusOfServiceIsPassedOn guards against a host that fails at a response without a
 // body, or refuses a status that it does not know.
 func TestUnusualStatusOfServiceIsPassedOn(t *testing.T) {
--- a/outside/requester/lane.go
+++ b/outside/requester/lane.go
@@ -24,7 +24,7 @@
 	calls int
 	// interrupted is true if the end of the context has closed the connection of the call.
 	interrupted bool
-	// conn is the last connection; nil before the first one.
+	// conn is the last connection; nil before the first one, and while the next one is opened.
 	conn *connection
 	// dialed is the number of attempts to open a connection.
 	dialed int
@@ -35,6 +35,7 @@
 	l.mu.Lock()
 	ctx := l.ctx
 	l.dialed++
+	l.conn = nil
 	l.mu.Unlock()
 	conn, err := open(ctx)
 	if err != nil {
@@ -82,6 +83,20 @@
 	}
 }
 
+// cause returns what is wrong with the response if that made the call fail, and otherwise err.
+// fasthttp reports a read that fails before the first byte as the end of the connection.
+func (l *lane) cause(err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return err
+	}
+	if invalid := l.conn.response.Err(); invalid != nil {
+		return invalid
+	}
+	return err
+}
+
 // dials returns the number of attempts to open a connection.
 func (l *lane) dials() int {
 	l.mu.Lock()
--- a/outside/requester/receiving.go
+++ b/outside/requester/receiving.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertstile.example/filbertstile/base/peeker"
+	"filbertstile.example/filbertstile/outside/inspector"
 )
 
 const (
@@ -55,12 +56,15 @@
 	return false
 }
 
-// connection is a connection that knows how much of a response has arrived.
+// connection is a connection that knows how much of a response has arrived, and returns no bytes
+// of one that the protocol does not allow.
 type connection struct {
 	net.Conn
 	peer         string
 	connections  *connections
 	maxExtension time.Duration
+	// response is used by the call in progress only.
+	response inspector.Response
 
 	mu sync.Mutex
 	// received is the number of bytes since the last write, and lastAt when they arrived.
@@ -80,6 +84,7 @@
 	c.received = 0
 	c.mu.Unlock()
 	if begins {
+		c.response = inspector.Response{}
 		// The deadline of the last response may have passed.
 		if err := c.SetReadDeadline(time.Time{}); err != nil || !peeker.Quiet(c.Conn) {
 			return 0, ErrUnusable{Step: "reuse connection", Peer: c.peer}
@@ -99,6 +104,9 @@
 // Read reads bytes of a response.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if invalid := c.response.Check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
 	if n > 0 {
 		if deadline, later := c.record(n); later {
 			_ = c.Conn.SetReadDeadline(deadline) // a closed connection fails the next read
--- a/outside/requester/requester.go
+++ b/outside/requester/requester.go
@@ -265,7 +265,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	c.fillRequest(req, call)
 	if err := l.client.DoDeadline(req, resp, deadline); err != nil {
-		return Response{}, err
+		return Response{}, l.cause(err)
 	}
 	return Response{
 		Status:      resp.StatusCode(),
@@ -306,7 +306,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	c.fillRequest(req, call)
 	if err := l.client.DoDeadline(req, resp, c.deadline(ctx, call)); err != nil {
-		return err
+		return l.cause(err)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 	body := resp.BodyStream()
