entryrunner: an outcome without a status is not replayed

Callers who repeat an order whose response broke off after its head, with the same key as OPERATING.md asks them to, got 200 with an empty body, each time.

Cause: the response had begun, so the outcome was recorded as Ran, without a status or a body.

Change: an outcome without a status is no response. The repetition ends with OutcomeUnknown, which promises nothing, and the order is not sent again: the record still decides that.

Measured: TestOutcomeWithoutResponseIsNotReplayed (stager) got 200 on both repetitions before, and 502 since; the order ran once.

--- a/rigs/stager/brokenhead_test.go
+++ b/rigs/stager/brokenhead_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -24,6 +25,8 @@
 type garblingNetwork struct {
 	filbertstile.Network
 	sound, broken []byte
+	// cuts is true if the connection ends after the head of that response.
+	cuts bool
 
 	mu       sync.Mutex
 	backends map[string]bool
@@ -76,6 +79,11 @@
 	if at := bytes.Index(b[:n], c.network.sound); c.runs && !c.network.garbled && at >= 0 {
 		c.network.garbled = true
 		copy(b[at:], c.network.broken)
+		if c.network.cuts {
+			_ = c.Close()
+			const endOfHead = "\r\n\r\n"
+			return bytes.Index(b[:n], []byte(endOfHead)) + len(endOfHead), err
+		}
 	}
 	return n, err
 }
@@ -162,3 +170,23 @@
 		}
 	}
 }
+
+// TestOutcomeWithoutResponseIsNotReplayed guards against a call that runs at most once whose response
+// was cut short, and whose repetition gets a success without a body.
+func TestOutcomeWithoutResponseIsNotReplayed(t *testing.T) {
+	bubbler.Run(t, func(ctx context.Context, t *testing.T) {
+		is := is.NewRelaxed(t)
+		n := &garblingNetwork{Network: shaper.NewMemory(), sound: []byte(" 200 OK\r\n"), broken: []byte(" 200 OK\r\n"), cuts: true}
+		s := startGarbled(ctx, is, n)
+		defer s.Close()
+		c := newCaller(s, true)
+		for range 3 {
+			r := c.Order(ctx, "royalty-ledger", "key", "body")
+			is.True(r.Status >= 500)
+			is.True(r.Run == filbertstile.Unknown || r.Run == filbertstile.Ran)
+			time.Sleep(time.Second) // the outcome is recorded
+		}
+		is.True(n.garbled)
+		is.Equal(countRuns(s), 1)
+	})
+}
--- a/shells/entryrunner/call.go
+++ b/shells/entryrunner/call.go
@@ -275,9 +275,13 @@
 	c.entry.loop.Post(dispatcher.Refused{ID: c.request.ID, Host: host, Code: codeUnreachable})
 }
 
-// replay responds with a recorded outcome. It ends the call with an error if the body was
-// not stored, or if the caller has already received a part of the response.
+// replay responds with a recorded outcome. It ends the call with an error if the response or
+// its body was not stored, or if the caller has already received a part of the response.
 func (c *call) replay(o recorder.Outcome) {
+	if o.Status == 0 {
+		c.fail(filbertstile.ErrRequest{Code: codeOutcomeUnknown, Run: filbertstile.Unknown, Step: "replay outcome", Detail: "the response to the call was cut short and is not stored; look the call up before you repeat it with a new key"})
+		return
+	}
 	if o.BodyOmitted {
 		c.fail(filbertstile.ErrRequest{Code: codeOutcomeTooLarge, Run: filbertstile.Ran, Step: "replay outcome", Detail: "the call ran, but its response was too large to be stored"})
 		return
