inspector: a line has a maximum length

Cause: inspector keeps the beginning of a line whose end has not arrived. The libraries limit the lines of heads, but fasthttp reads the extensions of a chunk, and other bytes without a line, on without keeping them.

Change: a response with a line of more than 32 KiB, the limit of exchanger for a whole head, is none. fasthttp takes heads of 4 KiB at most, so that nothing is refused that was accepted, but extensions of such a length.

Measured: TestLineWithoutEnd failed before in each of its nine parts.

--- a/outside/inspector/inspector.go
+++ b/outside/inspector/inspector.go
@@ -11,8 +11,13 @@
 	"strings"
 )
 
-// maxQuotedBytes is the maximum length of the part of a line that an ErrLine has.
-const maxQuotedBytes = 64
+const (
+	// maxLineBytes is the maximum length of a line. A peer that sends a line without end, such as
+	// the extensions of a chunk, gets no more than that kept.
+	maxLineBytes = 32 << 10
+	// maxQuotedBytes is the maximum length of the part of a line that an ErrLine has.
+	maxQuotedBytes = 64
+)
 
 // ErrLine reports a line of a response that the protocol does not allow there.
 type ErrLine struct {
@@ -72,6 +77,11 @@
 		}
 		line, rest, complete := bytes.Cut(b, []byte("\n"))
 		b = rest
+		if len(r.partial)+len(line) > maxLineBytes {
+			r.err = newErrLine(append(r.partial, line...), fmt.Sprintf("is longer than %d bytes", maxLineBytes))
+			r.partial = nil
+			break
+		}
 		if !complete || len(r.partial) > 0 {
 			r.partial = append(r.partial, line...)
 			line = r.partial
--- a/outside/inspector/inspector_test.go
+++ b/outside/inspector/inspector_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -88,6 +89,28 @@
 	}
 }
 
+// TestLineWithoutEnd guards against a line that a peer sends without end, and that takes ever more
+// memory where a library keeps nothing of it.
+func TestLineWithoutEnd(t *testing.T) {
+	const chunked, maxBlocks = ok + "Transfer-Encoding: chunked\r\n\r\n", 33
+	block := []byte(strings.Repeat("0", 1<<10))
+	for name, prefix := range map[string]string{
+		"StatusLine": "", "Reason": "HTTP/1.1 200 ", "Name": ok, "Value": ok + "A: ", "Interim": hints, "ChunkSize": chunked,
+		"ChunkExtension": chunked + "1;a=", "ChunkEnd": chunked + "1\r\nx", "Trailer": chunked + "0\r\nA: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r inspector.Response
+			is.NoErr(r.Check([]byte(prefix)))
+			blocks := 0
+			for ; r.Check(block) == nil && blocks < maxBlocks; blocks++ {
+			}
+			is.True(r.Err() != nil)
+			is.True(blocks < maxBlocks)
+		})
+	}
+}
+
 // TestErrorRemains guards against a response that is read on after its error.
 func TestErrorRemains(t *testing.T) {
 	is := is.New(t)
