--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,6 +2,4 @@
 # Plays the case; see claim.txt. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-stand3 ] || exit 2
-# maxFds of a front machine
-ulimit -n 4100 || exit 2
-exec target/review-stand3 crowd "review/13"
+exec target/review-stand3 heads "review/13"
--- a/review/_stand3/endless.go
+++ b/review/_stand3/endless.go
@@ -33,7 +33,8 @@
 	}
 	var endless atomic.Bool
 	var calls atomic.Int64
-	way, block := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("b", 1024)+"\r\n"
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	block := []byte(strings.Repeat("4000\r\n"+strings.Repeat("b", 0x4000)+"\r\n", 64))
 	prefix := "/api/stage-get/"
 	serveEndless := func(w http.ResponseWriter, r *http.Request) bool {
 		if !endless.Load() || !strings.HasPrefix(r.URL.Path, prefix) {
@@ -45,9 +46,8 @@
 			return true
 		}
 		defer func() { _ = conn.Close() }()
-		_, err = io.WriteString(conn, way)
-		for b := bytes.Repeat([]byte(block), 8192); err == nil; {
-			_, err = conn.Write(b)
+		for _, err = io.WriteString(conn, head); err == nil; {
+			_, err = conn.Write(block)
 		}
 		return true
 	}
@@ -107,14 +107,14 @@
 	endless.Store(k.trouble)
 	p := k.start(machine{name: "side-a-1", ip: "127.63.1.2", zone: "zone-a", memoryMB: memoryMB, storeAt: storeAt, engine: engineAt, service: "s"})
 	last := 0.0
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && !p.hasEnded(); time.Sleep(5 * time.Millisecond) {
-		now, peak := p.residentMB()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && !p.hasEnded(); time.Sleep(2 * time.Millisecond) {
+		now, _ := p.residentMB()
 		if now > last*1.2 {
 			k.logf("memory %.0f MB", now)
 			last = now
 		}
 		if now > memoryMB {
-			k.breaks("the process took %.0f MB, the machine has %d MB: it is killed (peak %.0f MB)", now, memoryMB, peak)
+			k.breaks("the process took %.0f MB, the machine has %d MB: it is killed", now, memoryMB)
 			p.signal(syscall.SIGKILL)
 			break
 		}
--- a/review/_stand3/kit.go
+++ b/review/_stand3/kit.go
@@ -122,10 +122,10 @@
 	settings := filepath.Join(k.temp, m.name+".settings")
 	check(os.WriteFile(settings, m.settings(), 0o600))
 	p := &process{name: m.name, ip: m.ip, args: []string{program, "platform"}, env: "FILBERTSTILE_NODE_FILE=" + settings, log: filepath.Join(k.temp, m.name+".log")}
+	k.run(p)
 	k.mu.Lock()
 	k.procs = append(k.procs, p)
 	k.mu.Unlock()
-	k.run(p)
 	return p
 }
 
@@ -168,7 +168,8 @@
 	return p.ended
 }
 
-// residentMB returns the memory of the process in MiB, and the highest so far.
+// residentMB returns the resident memory of the process without the program file, in MiB, and the
+// highest with it so far.
 func (p *process) residentMB() (now, peak float64) {
 	p.mu.Lock()
 	pid := p.cmd.Process.Pid
@@ -185,7 +186,7 @@
 		}
 		kb, _ := strconv.ParseFloat(fields[1], 64)
 		switch fields[0] {
-		case "VmRSS:":
+		case "RssAnon:":
 			now = kb / 1024
 		case "VmHWM:":
 			peak = kb / 1024
--- a/review/_stand3/mem.go
+++ b/review/_stand3/mem.go
@@ -51,18 +51,18 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(5 * time.Millisecond):
+			case <-time.After(2 * time.Millisecond):
 			}
 			if p.hasEnded() {
 				return
 			}
-			now, peak := p.residentMB()
+			now, _ := p.residentMB()
 			if now > last*1.2 || now < last/1.5 {
 				k.logf("memory %.0f MB", now)
 				last = now
 			}
 			if now > memoryMB && !p.hasEnded() {
-				k.breaks("the process took %.0f MB, the machine has %d MB: it is killed (peak %.0f MB)", now, memoryMB, peak)
+				k.breaks("the process took %.0f MB, the machine has %d MB: it is killed", now, memoryMB)
 				p.signal(syscall.SIGKILL)
 				return
 			}
