--- a/review/_stand3/evacuation.go
+++ b/review/_stand3/evacuation.go
@@ -90,6 +90,7 @@
 			req.Host = "a.example"
 			req.Header.Set("X-Request-Id", id)
 			req.Header.Set("X-Deadline-Ms", "1200")
+			k.logf("client sends %s", id)
 			resp, err := client.Do(req)
 			if err != nil {
 				k.logf("client gets for %s: %v", id, err)
--- a/review/_stand3/late.go
+++ b/review/_stand3/late.go
@@ -164,6 +164,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.k.logf("replica %s runs %s on version %d", e.id, r.Header.Get("X-Request-Id"), e.version)
 	h.Set("X-Replica-Signature", e.id+".receipt")
 	h.Set("X-Weight-Versions", strconv.Itoa(e.version))
 	h.Set("Content-Type", "text/event-stream")
@@ -240,6 +241,7 @@
 			for name, value := range map[string]string{"X-Request-Id": id, "X-Model": "m", "X-Token-Usage": "100,20", "X-Prompt-Prefix": "1a:40," + id + ":60", "X-Deadline-Ms": "2000"} {
 				req.Header.Set(name, value)
 			}
+			k.logf("client sends %s", id)
 			resp, err := client.Do(req)
 			sent++
 			if err != nil {
