edgerunner: log comparisons and the record of eras

Cause: the log did not tell why an entry that starts in a new era of the store takes what the store lists for the configuration in force: whether entries had recorded no earlier era, the record was lost with the store's copy, or another entry was heard.

Change: the events EraCompared, with the recorded era, the number of entries heard and the time taken, and EraRecorded.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -44,6 +44,8 @@
 	ConfigurationRead    Event = 216
 	StoreUnavailable     Event = 217
 	ConfigurationAdopted Event = 218
+	EraCompared Event = 219
+	EraRecorded Event = 220
 	HostLost             Event = 301
 	HostFound            Event = 302
 	RequestFailed        Event = 303
@@ -126,6 +128,8 @@
 	{ConfigurationRead, "ConfigurationRead", "config", logrus.InfoLevel, "A host has the configuration, from the entry in the log line or, without one, from the store.", noAction},
 	{StoreUnavailable, "StoreUnavailable", "config", logrus.WarnLevel, "The store is unavailable to most entries. The time in which a chosen version must be in use begins anew when it is back.", "See StoreOutOfReach."},
 	{ConfigurationAdopted, "ConfigurationAdopted", "config", logrus.WarnLevel, "The store has lost a configuration that the entry in the log line has in force; this entry has it from there.", "Write the configuration again if it is not written soon."},
+	{EraCompared, "EraCompared", "config", logrus.InfoLevel, "The entry has compared its configuration with those of other entries, in an era of the store (Era) that is new to it. Recorded is the latest era in which entries had done so, as far as the store shows; Heard is the number of entries that were heard, and Took the time since the entry listed the configuration.", noAction},
+	{EraRecorded, "EraRecorded", "config", logrus.InfoLevel, "The entry has recorded in the store that entries have compared their configurations in the era.", noAction},
 	{SettingsReloaded, "SettingsReloaded", "process", logrus.InfoLevel, "The settings file was read again after SIGHUP. The log level is in force; the settings that NextStart names have changed, and are in force after the next start.", "Start the process again if NextStart names any."},
 	{HostLost, "HostLost", "requests", logrus.WarnLevel, "A host process is unreachable and gets no work.", "Check the host if it stays unreachable."},
 	{HostFound, "HostFound", "requests", logrus.InfoLevel, "A host process is reachable.", noAction},
--- a/shells/edgerunner/comparing.go
+++ b/shells/edgerunner/comparing.go
@@ -42,13 +42,18 @@
 	sound := func() bool {
 		return c.heardReliable() || c.heardAll(e.peersToAsk, e.divided.Load(), now) && !c.mayHaveLost(now, writtenSince(e.sources.Routing, c.listedRevision))
 	}
+	var compared reporter.Fields
 	if !newer && !c.done && sound() {
 		c.done = true
 		c.doneIn.Store(c.era + 1)
+		compared = reporter.Fields{"Config": version, "Era": c.era, "Recorded": c.recorded.String(), "Heard": c.heard(), "Took": (now - c.listedAt).String()}
 	}
 	lost := newer && v.ConfirmedAt > heardAt+lostMargin
 	inForce := c.done && !lost
 	c.mu.Unlock()
+	if compared != nil {
+		e.config.Log.Event(reporter.EraCompared, compared)
+	}
 	if lost {
 		c.confirm(0)
 	}
--- a/shells/edgerunner/comparison.go
+++ b/shells/edgerunner/comparison.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,17 @@
 	era uint64
 }
 
+// String returns the record for log lines.
+func (r recordedEra) String() string {
+	switch {
+	case !r.read:
+		return "Unread"
+	case r.era == 0:
+		return "None"
+	}
+	return strconv.FormatUint(r.era, 10)
+}
+
 // comparison compares the entry's configuration with those that other entries have in force. In an
 // era that is new to the entry, the store alone does not show which configuration that is: it may
 // have come back from a copy that is older than what it had confirmed, until that is written again.
@@ -180,6 +192,17 @@
 	return false
 }
 
+// heard returns the number of entries that have been heard since the copy was listed. The caller holds c.mu.
+func (c *comparison) heard() int {
+	n := 0
+	for _, r := range c.reports {
+		if r.heardAt >= c.listedAt {
+			n++
+		}
+	}
+	return n
+}
+
 // heardAll reports whether all of the peers that are asked have been heard since the copy was
 // listed, or need not be waited for. The caller holds c.mu.
 func (c *comparison) heardAll(peers func() []filbertstile.Member, peersKnown bool, now time.Duration) bool {
--- a/shells/edgerunner/erarecord.go
+++ b/shells/edgerunner/erarecord.go
@@ -67,6 +67,7 @@
 		return err
 	}
 	e.comparison.setRecorded(era, era)
+	e.config.Log.Event(reporter.EraRecorded, reporter.Fields{"Era": era})
 	return nil
 }
 
