filbertstile: an era is a number or none

Cause: 0 stood for none in the record of eras. Entries did not record era 0, and would not have believed a record of it, so that one that starts in era 1 does not notice that the store has come back from a copy.

Change: the type Era is a number or none, and the record has an era or none.

Why it works: a record of era 0 in era 1 shows that the store has come back since entries compared, as one of era 1 does in era 2; the entry waits for the operators.

--- a/interfaces.go
+++ b/interfaces.go
@@ -57,8 +57,8 @@
 // compared what they have in force. After the store has come back from an older copy of its data,
 // the record shows an earlier era, or the same if the entries have compared it since.
 type EraRecord interface {
-	// Read returns the recorded era, or 0 if there is none.
-	Read(ctx context.Context) (uint64, error)
+	// Read returns the recorded era; the zero Era if there is none.
+	Read(ctx context.Context) (Era, error)
 	// Write records the era in the name of the writer, unless it or a later one is recorded.
 	Write(ctx context.Context, writer string, era uint64) error
 }
--- a/shells/edgerunner/comparison.go
+++ b/shells/edgerunner/comparison.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,19 +49,16 @@
 // what they have in force.
 type recordedEra struct {
 	read bool
-	// era is 0 if there is no record.
-	era uint64
+	// era is the zero Era if there is no record.
+	era filbertstile.Era
 }
 
 // String returns the record for log lines.
 func (r recordedEra) String() string {
-	switch {
-	case !r.read:
+	if !r.read {
 		return "Unread"
-	case r.era == 0:
-		return "None"
 	}
-	return strconv.FormatUint(r.era, 10)
+	return r.era.String()
 }
 
 // comparison compares the entry's configuration with those that other entries have in force. In an
@@ -234,11 +230,11 @@
 	if now-c.listedAt >= rewriteTimeout {
 		return false
 	}
-	return !c.recorded.read || c.recorded.era != 0 && c.recorded.era < c.era && !writtenSince
+	return !c.recorded.read || c.recorded.era.Known() && c.recorded.era.Before(c.era) && !writtenSince
 }
 
 // setRecorded records what the record was found to be, or made, in the era.
-func (c *comparison) setRecorded(era, recorded uint64) {
+func (c *comparison) setRecorded(era uint64, recorded filbertstile.Era) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.era == era {
@@ -250,5 +246,5 @@
 func (c *comparison) recordWork() (era uint64, read, write bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.era, c.listed && !c.recorded.read, c.done && c.recorded.read && c.recorded.era < c.era
+	return c.era, c.listed && !c.recorded.read, c.done && c.recorded.read && c.recorded.era.Before(c.era)
 }
--- a/shells/edgerunner/erarecord.go
+++ b/shells/edgerunner/erarecord.go
@@ -60,13 +60,13 @@
 		e.Refresh()
 		_, _, write = e.comparison.recordWork()
 	}
-	if !write || era == 0 || !e.isReader() {
+	if !write || !e.isReader() {
 		return nil
 	}
 	if err := e.config.EraRecord.Write(ctx, e.config.Self.Name, era); err != nil {
 		return err
 	}
-	e.comparison.setRecorded(era, era)
+	e.comparison.setRecorded(era, filbertstile.NewEra(era))
 	e.config.Log.Event(reporter.EraRecorded, reporter.Fields{"Era": era})
 	return nil
 }
--- a/shells/edgerunner/erarecord_test.go
+++ b/shells/edgerunner/erarecord_test.go
@@ -6,19 +6,21 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"filbertstile.example/filbertstile"
 )
 
 // fixedRecord is a record that has an era from the start.
 type fixedRecord struct {
-	era     uint64
+	era     filbertstile.Era
 	err     error
-	written uint64
+	written filbertstile.Era
 }
 
-func (r *fixedRecord) Read(context.Context) (uint64, error) { return r.era, r.err }
+func (r *fixedRecord) Read(context.Context) (filbertstile.Era, error) { return r.era, r.err }
 
 func (r *fixedRecord) Write(_ context.Context, _ string, era uint64) error {
-	r.written = era
+	r.written = filbertstile.NewEra(era)
 	return r.err
 }
 
@@ -33,8 +35,9 @@
 		soon string
 	}{
 		{"NewSystem", fixedRecord{}, ""},
-		{"ComparedInThisEra", fixedRecord{era: 2}, ""},
-		{"ComparedInTheEraBefore", fixedRecord{era: 1}, CodeNotReady},
+		{"ComparedInThisEra", fixedRecord{era: filbertstile.NewEra(2)}, ""},
+		{"ComparedInTheEraBefore", fixedRecord{era: filbertstile.NewEra(1)}, CodeNotReady},
+		{"ComparedInEra0", fixedRecord{era: filbertstile.NewEra(0)}, CodeNotReady},
 		{"RecordCannotBeRead", fixedRecord{err: errors.New("the store does not answer")}, CodeNotReady},
 	} {
 		t.Run(c.name, func(t *testing.T) {
