forwarder: the last event ID of a stream is an ID or none

What callers saw: a stream whose event IDs begin at 0 came without its first event. If the replica failed after that event alone, the next one got no Last-Event-Id, and neither did the replica of a caller who resumed after event 0.

Cause: 0 stood for none, so that event 0 was taken for one that the caller has.

Change: the type EventID is an ID or none. The first event has the ID 0 or 1; any other first ID is a gap, as before.

Why it works: event 0 follows no event, and event 1 follows event 0 as well as no event.

Result: TestStreamWithIDsFrom0 failed before, with the first event missing; it passes, as do the other tests of the package.

--- a/shells/edgerunner/admission.go
+++ b/shells/edgerunner/admission.go
@@ -45,9 +45,8 @@
 	Key string
 	// Timeout is the time for which the caller waits; 0 if it sent none.
 	Timeout time.Duration
-	// LastEventID is the ID of the last stream event that the caller has; 0 if it has
-	// none.
-	LastEventID int64
+	// LastEventID is the ID of the last stream event that the caller has, if any.
+	LastEventID forwarder.EventID
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
 	// OutputTokens is the maximum length of the output in tokens, and OutputHint the length that
--- a/shells/edgerunner/explain.go
+++ b/shells/edgerunner/explain.go
@@ -6,6 +6,7 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/decisions/placer"
+	"filbertstile.example/filbertstile/shells/forwarder"
 )
 
 // ExplainRequest describes a request whose placement is to be explained.
@@ -19,10 +20,10 @@
 	PromptTokens int
 	OutputTokens int
 	OutputHint   int
-	// Timeout is the time for which the caller waits, and LastEventID the last stream event that it
-	// has; 0 if it states none.
-	Timeout     time.Duration
-	LastEventID int64
+	// Timeout is the time for which the caller waits; 0 if it states none.
+	Timeout time.Duration
+	// LastEventID is the ID of the last stream event that the caller has; nil if it has none.
+	LastEventID *int64
 }
 
 // RequestExplanation says where a request would go now, and why.
@@ -52,9 +53,12 @@
 func (e *Edge) Explain(r ExplainRequest) RequestExplanation {
 	out := RequestExplanation{Entry: e.config.Self.Name, Ready: e.Ready(), Leaving: e.Leaving()}
 	req := Request{
-		HostName: r.HostName, Path: r.Path, Key: r.Key, Timeout: r.Timeout, LastEventID: r.LastEventID, PromptTokens: max(0, r.PromptTokens),
+		HostName: r.HostName, Path: r.Path, Key: r.Key, Timeout: r.Timeout, PromptTokens: max(0, r.PromptTokens),
 		OutputTokens: max(0, r.OutputTokens), OutputHint: max(0, r.OutputHint), Arrived: time.Now(),
 	}
+	if r.LastEventID != nil {
+		req.LastEventID = forwarder.NewEventID(*r.LastEventID)
+	}
 	m, age := e.currentMatcher()
 	call, err := e.admit(req, m, age)
 	var rejected filbertstile.ErrRequest
--- a/shells/edgerunner/timelimits_test.go
+++ b/shells/edgerunner/timelimits_test.go
@@ -63,8 +63,8 @@
 	}
 	resp := forwarder.Response{Verdict: forwarder.Ran, Status: 200, WrittenAt: written}
 	if a.Call.Route.Kind == filbertstile.CallStream {
-		first := fmt.Sprintf("id: %d\ndata: x\n\n", a.LastEventID+1)
-		resp.Streamed, resp.Body = true, &timedBody{parts: []string{first, fmt.Sprintf("id: %d\ndata: x\n\n", a.LastEventID+2)}, wait: wait}
+		first := fmt.Sprintf("id: %d\ndata: x\n\n", a.LastEventID.Number()+1)
+		resp.Streamed, resp.Body = true, &timedBody{parts: []string{first, fmt.Sprintf("id: %d\ndata: x\n\n", a.LastEventID.Number()+2)}, wait: wait}
 		return resp, nil
 	}
 	if err := wait(); err != nil {
--- a/shells/forwarder/events.go
+++ b/shells/forwarder/events.go
@@ -142,15 +142,17 @@
 	return true
 }
 
-// eventID returns the event's ID, and whether it has a numeric one.
-func eventID(e []byte) (int64, bool) {
+// eventID returns the event's ID; none if it has no numeric one.
+func eventID(e []byte) EventID {
 	for _, line := range bytes.Split(e, []byte("\n")) {
 		rest, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("id:"))
 		if !ok {
 			continue
 		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
-		return id, err == nil
+		if number, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64); err == nil {
+			return NewEventID(number)
+		}
+		break
 	}
-	return 0, false
+	return EventID{}
 }
--- a/shells/forwarder/forwarder.go
+++ b/shells/forwarder/forwarder.go
@@ -78,9 +78,8 @@
 	// Sending ends once the caller has closed its side of the connection: it may have left, or
 	// wait for the response. It is nil if that is not known.
 	Sending context.Context
-	// LastEventID is the ID of the last stream event that the caller has; 0 if it has
-	// none.
-	LastEventID int64
+	// LastEventID is the ID of the last stream event that the caller has, if any.
+	LastEventID EventID
 	// PromptTokens is the length of the prompt in tokens; 0 for plain services.
 	PromptTokens int
 	// OutputTokens is the maximum length of the output in tokens, and OutputHint the length that
@@ -106,9 +105,9 @@
 	Replica filbertstile.Replica
 	// Deadline is the time until which the replica may work. The attempt may be ended sooner.
 	Deadline time.Time
-	// LastEventID is the ID of the event after which the replica must resume the stream;
-	// 0 if it must begin with the first event.
-	LastEventID int64
+	// LastEventID is the ID of the event after which the replica must resume the stream; it must begin
+	// with the first event if there is none.
+	LastEventID EventID
 	// ExpectedVersion is the only version of the weights that may run the request. The
 	// replica verifies it; 0 if any version may run the request.
 	ExpectedVersion int64
@@ -282,7 +281,7 @@
 	responseStarted bool
 	// lastEventID is the ID of the last stream event that the caller has, and unnumbered is true
 	// if it has events without IDs, after which the stream cannot be resumed.
-	lastEventID int64
+	lastEventID EventID
 	unnumbered  bool
 	// endClaim is the last replica's word that nothing is left of the stream.
 	endClaim endClaim
@@ -374,7 +373,7 @@
 		Service: x.call.Service, Regions: x.call.Regions, Priority: x.call.Priority, RoutePriority: x.call.Route.Priority, Tried: x.tried,
 		Arrived: x.call.Arrived, TargetLatency: x.call.Route.TargetLatency, Deadline: x.call.Limit(), PromptTokens: x.call.PromptTokens,
 		VersionFloor: x.forwarder.config.VersionFloor(x.call.Service), PreferIdle: x.onTrial || x.crashes > 0,
-		Repeatable: x.call.Route.Retryable(), Route: x.call.Route.Name, Waited: x.call.waited(), Resumed: x.lastEventID > 0 || x.responseStarted,
+		Repeatable: x.call.Route.Retryable(), Route: x.call.Route.Name, Waited: x.call.waited(), Resumed: x.lastEventID.Known() || x.responseStarted,
 		Output: estimator.OutputRequest{Route: x.call.Route.Name, Account: x.call.Account, Hint: x.call.OutputHint, Max: x.call.OutputTokens},
 	}
 	req.MemoryTokens = x.call.PromptTokens + x.call.OutputTokens
--- a/shells/forwarder/forwarder_test.go
+++ b/shells/forwarder/forwarder_test.go
@@ -255,10 +255,22 @@
 	is := is.New(t)
 	c, s, _ := serve(t, filbertstile.CallStream, events(1, 3, io.ErrUnexpectedEOF), events(4, 6, nil))
 	is.Equal(c.body.String(), events(1, 6, nil).body)
-	is.Equal(s.sent[1].LastEventID, int64(3))
+	is.Equal(s.sent[1].LastEventID, forwarder.NewEventID(3))
 	is.True(!c.aborted)
 }
 
+// TestStreamWithIDsFrom0 guards against a first event with the ID 0 that does not reach the caller, or
+// that the next replica sends again.
+func TestStreamWithIDsFrom0(t *testing.T) {
+	for last := 0; last <= 3; last++ {
+		is := is.New(t)
+		c, s, _ := serve(t, filbertstile.CallStream, events(0, last, io.ErrUnexpectedEOF), events(last+1, 5, nil))
+		is.Equal(c.body.String(), events(0, 5, nil).body)
+		is.Equal(len(s.sent), 2)
+		is.Equal(s.sent[1].LastEventID, forwarder.NewEventID(int64(last)))
+	}
+}
+
 // TestStreamWithLateFirstEvent guards against a first event that is passed on although its
 // attempt has been given up in the same moment, so that the stream breaks off midway.
 func TestStreamWithLateFirstEvent(t *testing.T) {
@@ -268,7 +280,7 @@
 	c, s, _ := serve(t, filbertstile.CallStream, late, events(1, 3, nil))
 	is.Equal(c.body.String(), events(1, 3, nil).body)
 	is.Equal(len(s.sent), 2)
-	is.Equal(s.sent[1].LastEventID, int64(0)) // the caller has none of the first attempt
+	is.Equal(s.sent[1].LastEventID, forwarder.EventID{}) // the caller has none of the first attempt
 }
 
 // TestStreamPartialEvent guards against a partial event that reaches the caller after a
--- a/shells/forwarder/limit.go
+++ b/shells/forwarder/limit.go
@@ -61,7 +61,7 @@
 // waited returns how long the caller had waited before the request arrived, by the time that it
 // has left of what the route allows; 0 if it resumes a stream, which had begun.
 func (c *Call) waited() time.Duration {
-	if c.CallerDeadline.IsZero() || c.Route.Timeout <= 0 || c.LastEventID > 0 {
+	if c.CallerDeadline.IsZero() || c.Route.Timeout <= 0 || c.LastEventID.Known() {
 		return 0
 	}
 	return max(0, c.Route.Timeout-c.CallerDeadline.Sub(c.Arrived))
--- a/shells/forwarder/orders_test.go
+++ b/shells/forwarder/orders_test.go
@@ -99,7 +99,7 @@
 	parts := []part{{data: "ans", after: r.gaps[0]}, {data: "wer", after: r.gaps[1]}}
 	if out.Streamed {
 		parts = nil
-		for n := a.LastEventID + 1; n <= lastEvent; n++ {
+		for n := a.LastEventID.Number() + 1; n <= lastEvent; n++ {
 			parts = append(parts, part{after: r.gaps[n-1], data: events(int(n), int(n), nil).body})
 		}
 	}
--- a/shells/forwarder/orderworld_test.go
+++ b/shells/forwarder/orderworld_test.go
@@ -207,7 +207,7 @@
 	b.parts = []part{{data: "ans"}, {data: "wer"}}
 	if out.Streamed = a.Call.Route.Kind == filbertstile.CallStream; out.Streamed {
 		b.parts = nil
-		for n := int(a.LastEventID) + 1; n <= orderEvents; n++ {
+		for n := int(a.LastEventID.Number()) + 1; n <= orderEvents; n++ {
 			b.parts = append(b.parts, part{data: events(n, n, nil).body})
 		}
 	}
--- a/shells/forwarder/silence_test.go
+++ b/shells/forwarder/silence_test.go
@@ -55,7 +55,7 @@
 		return []part{{data: "ans"}, {after: r.silence, data: "wer"}}
 	}
 	var out []part
-	for id := a.LastEventID + 1; id <= lastEvent; id++ {
+	for id := a.LastEventID.Number() + 1; id <= lastEvent; id++ {
 		p := part{after: 50 * time.Millisecond, data: events(int(id), int(id), nil).body}
 		if id == r.silentBefore {
 			p.after += r.silence
--- a/shells/forwarder/stream.go
+++ b/shells/forwarder/stream.go
@@ -25,7 +25,7 @@
 // endClaim is a replica's word that nothing is left of a stream after an event.
 type endClaim struct {
 	replica string
-	eventID int64
+	eventID EventID
 }
 
 // emptyContinuation returns what an empty response means that should go on with a stream:
@@ -80,14 +80,14 @@
 		}
 		a.heardAt = time.Now()
 		a.x.eventArrived()
-		id, numbered := eventID(e)
+		id, last := eventID(e), a.x.lastEventID
 		switch {
-		case numbered && id == a.x.lastEventID+1:
+		case id.follows(last):
 			a.mustContinue = false
 			return piece{event: e}, nil
-		case numbered && id > a.x.lastEventID:
+		case id.Known() && id.Number() > last.Number():
 			return piece{}, fmt.Errorf("read event: %w", errEventGap)
-		case numbered || a.mustContinue && isComment(e):
+		case id.Known() || a.mustContinue && isComment(e):
 			a.repeated = true
 		case a.mustContinue:
 			return piece{}, fmt.Errorf("read event: %w", errNotContinued)
@@ -116,7 +116,7 @@
 		x.endStream(a)
 		return true
 	}
-	if id, numbered := eventID(p.event); numbered {
+	if id := eventID(p.event); id.Known() {
 		x.lastEventID = id
 	} else if !isComment(p.event) {
 		x.unnumbered = true
--- a/shells/forwarder/waited_test.go
+++ b/shells/forwarder/waited_test.go
@@ -21,7 +21,7 @@
 		"comes back":       {call: Call{CallerDeadline: now.Add(4 * time.Second)}, want: 2 * time.Second},
 		"longer than that": {call: Call{CallerDeadline: now.Add(9 * time.Second)}},
 		"not known":        {},
-		"resumes":          {call: Call{CallerDeadline: now.Add(4 * time.Second), LastEventID: 3}},
+		"resumes":          {call: Call{CallerDeadline: now.Add(4 * time.Second), LastEventID: NewEventID(3)}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
