--- a/interfaces.go
+++ b/interfaces.go
@@ -28,8 +28,8 @@
 	Objects  []Object
 	// More is true if a list continues after the last object of the batch.
 	More bool
-	// Era is the number of times that the store has come back from an older copy of its
-	// data; 0 if the store does not say. Revisions of different eras cannot be compared.
+	// Era is the number of the store's era; 0 if the store names no eras, and so has only one.
+	// Revisions of different eras cannot be compared.
 	Era uint64
 }
 
