peerrunner: a manifest must fit the configuration

Cause: a response without digests, or with any number of them, was taken for the manifest, and nothing compared it with the number and size of the chunks in the configuration. A version without chunks is complete at once; the replica was ordered to load it, and loaded the staged chunks of the version before. Reading twice shows only errors that lead to other digests.

One that doesn't is read again after a delay that grows to 2 s, and the configuration as well, as operators may have changed the engine.

Why it works: the wrong bit leaves a manifest that does not fit, whatever it leads to, and the next read after the origin's file is sound again does.

--- a/errors.go
+++ b/errors.go
@@ -48,6 +48,21 @@
 	return fmt.Sprintf("%s: peer %q: content has digest %s, want %s", e.Step, e.Peer, e.Got, e.Want)
 }
 
+// ErrManifest reports a manifest that cannot be that of the weights that were asked for.
+type ErrManifest struct {
+	Step string
+	Peer string
+	// Field is the field that does not fit, with the value Got in place of Want.
+	Field string
+	Got   string
+	Want  string
+}
+
+// Error returns a message with the field and both values.
+func (e ErrManifest) Error() string {
+	return fmt.Sprintf("%s: peer %q: the manifest has %s %s, want %s", e.Step, e.Peer, e.Field, e.Got, e.Want)
+}
+
 // ErrConflict reports a conditional update whose condition does not hold.
 type ErrConflict struct {
 	Step string
--- a/fleet.go
+++ b/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -75,9 +76,9 @@
 type EngineSpec struct {
 	Model  string
 	Layers int
-	// Chunks is the number of chunks of each version of the weights.
+	// Chunks is the number of chunks of each version of the weights; 0 if it is not known.
 	Chunks int
-	// ChunkBytes is the size of a chunk in bytes.
+	// ChunkBytes is the size of a chunk in bytes; 0 if it is not known.
 	ChunkBytes int
 	// PrefillTokensPerSecond is the rate at which the engine reads prompt tokens.
 	PrefillTokensPerSecond float64
@@ -117,6 +118,20 @@
 	return DurationOf(float64(e.Chunks)*float64(e.ChunkBytes)/bytesPerSecond, time.Second)
 }
 
+// CheckManifest returns ErrManifest if the manifest cannot be one of the engine's weights. It names
+// neither a step nor a peer.
+func (e EngineSpec) CheckManifest(m Manifest) error {
+	if n := len(m.Chunks); n == 0 || e.Chunks > 0 && n != e.Chunks {
+		return ErrManifest{Field: "number of chunks", Got: strconv.Itoa(n), Want: strconv.Itoa(max(1, e.Chunks))}
+	}
+	for _, c := range m.Chunks {
+		if e.ChunkBytes > 0 && c.Size != e.ChunkBytes {
+			return ErrManifest{Field: "chunk size", Got: strconv.Itoa(c.Size), Want: strconv.Itoa(e.ChunkBytes)}
+		}
+	}
+	return nil
+}
+
 // PoolSpec describes the replicas of a service.
 type PoolSpec struct {
 	Service string
--- a/interfaces.go
+++ b/interfaces.go
@@ -166,7 +166,8 @@
 // Origin serves the manifests and chunks of versions of weights.
 type Origin interface {
 	// Manifest returns the manifest of a version, and the version that it belongs
-	// to. Version 0 requests the newest version.
+	// to. Version 0 requests the newest version. It returns ErrManifest if the response is of another
+	// version or model, or names no version.
 	Manifest(ctx context.Context, w WeightsVersion) (WeightsVersion, Manifest, error)
 	// Chunk returns one chunk of a version.
 	Chunk(ctx context.Context, w WeightsVersion, index int) ([]byte, error)
--- a/shells/fetcher/fetcher.go
+++ b/shells/fetcher/fetcher.go
@@ -68,9 +68,10 @@
 	// link that live requests share, a request waits for the piece that is being sent.
 	PieceBytes int
 	Metrics    metrics.Registry
-	// OnManifest, if not nil, is called for each manifest that arrives, before its
-	// chunks are fetched.
-	OnManifest func(digest filbertstile.Digest, m filbertstile.Manifest)
+	// OnManifest, if not nil, is called for each manifest that arrives from a peer, or from the
+	// origin if that has no name, before its chunks are fetched. The manifest is not used if it
+	// returns an error.
+	OnManifest func(digest filbertstile.Digest, m filbertstile.Manifest, peer string) error
 	// OnCompleted is called when all chunks of a release are held. It must not block.
 	OnCompleted func(distributor.Completed)
 }
@@ -223,14 +224,14 @@
 	if err == nil {
 		m, err = filbertstile.ParseManifest(cmd.Digest, raw)
 	}
+	if err == nil && f.config.OnManifest != nil {
+		err = f.config.OnManifest(cmd.Digest, m, cmd.Peer.Name)
+	}
 	if err != nil {
 		f.config.Log.Event(reporter.SourceFailed, reporter.Fields{"Manifest": cmd.Digest, "Peer": cmd.Peer.Name, "Error": err})
 		f.loop.Post(distributor.ManifestFailed{Digest: cmd.Digest, Peer: cmd.Peer.Name})
 		return
 	}
-	if f.config.OnManifest != nil {
-		f.config.OnManifest(cmd.Digest, m)
-	}
 	held := f.store.AddManifest(cmd.Digest, raw, m)
 	f.loop.Post(distributor.ManifestArrived{Digest: cmd.Digest, Manifest: m, Held: held})
 }
--- a/shells/peerrunner/manifests.go
+++ b/shells/peerrunner/manifests.go
@@ -22,10 +22,10 @@
 	if _, known := p.weightSource.digest(w); known || !p.shouldReadManifest(w) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
-	defer cancel()
-	_, _, err := p.weightSource.readManifest(ctx, w)
-	p.pulser.SendNow()
+	_, read, err := p.readManifest(ctx, w)
+	if read {
+		p.pulser.SendNow()
+	}
 	return err
 }
 
--- /dev/null
+++ b/shells/peerrunner/oddmanifests.go
@@ -0,0 +1,60 @@
+package peerrunner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"filbertstile.example/filbertstile"
+	"filbertstile.example/filbertstile/base/reporter"
+)
+
+const (
+	// minOddManifestDelay and maxOddManifestDelay bound the delay after a manifest that does not fit the
+	// configuration. Its bytes have crossed the origin's link, which other hosts need.
+	minOddManifestDelay = 250 * time.Millisecond
+	maxOddManifestDelay = 2 * time.Second
+	// maxEngineReadDelay is the maximum delay between two reads of the configuration because manifests
+	// do not fit it.
+	maxEngineReadDelay = 8 * time.Second
+)
+
+// readManifest reads the manifest of a version from the origin, or that of the newest version if the
+// version is 0. After a manifest that does not fit the configuration it does nothing until the next
+// read is due, and returns false.
+func (p *Peer) readManifest(ctx context.Context, w filbertstile.WeightsVersion) (version filbertstile.WeightsVersion, read bool, err error) {
+	if !p.oddManifests.due() {
+		return w, false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	version, _, err = p.weightSource.readManifest(ctx, w)
+	var odd filbertstile.ErrManifest
+	if errors.As(err, &odd) {
+		p.oddManifests.fail()
+		p.updateEngine(ctx)
+	} else {
+		p.oddManifests.reset()
+	}
+	return version, err == nil, err
+}
+
+// updateEngine takes over what the latest configuration says of the engine and the origin, which may
+// have changed since the start.
+func (p *Peer) updateEngine(ctx context.Context) {
+	if !p.engineReads.due() {
+		return
+	}
+	p.engineReads.fail()
+	ctx, cancel := context.WithTimeout(ctx, routingCheckTimeout)
+	defer cancel()
+	r, err := p.latestRouting(ctx)
+	if err == nil && !p.hasEngine(r) {
+		err = filbertstile.ErrField{Step: "read configuration", Field: p.config.Self.Service, Problem: "has no engine"}
+	}
+	if err != nil {
+		p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "read configuration of the engine", "Error": err})
+		return
+	}
+	p.applyRouting(r)
+}
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -107,6 +107,11 @@
 	fetcherWants []distributor.Want
 	// rolloutRank is this host's place in the order of switches, as of the last sync.
 	rolloutRank atomic.Pointer[rolloutRank]
+	// oddManifests delays reads of manifests after one that does not fit the configuration, and
+	// engineReads the reads of the configuration that follow.
+	oddManifests, engineReads backoff
+	// originAddress is the address of the origin of the weights.
+	originAddress string
 	// syncRequested makes syncLoop update the fetcher before the next interval.
 	syncRequested chan struct{}
 	fetcher       atomic.Pointer[fetcher.Fetcher]
@@ -137,6 +142,8 @@
 		client:    messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
 		learnedAt: make(map[filbertstile.WeightsVersion]time.Duration), roster: roster{lastListed: make(map[string]time.Time)},
 		syncRequested: make(chan struct{}, 1),
+		oddManifests:  backoff{initial: minOddManifestDelay, limit: maxOddManifestDelay},
+		engineReads:   backoff{initial: maxEngineReadDelay / 8, limit: maxEngineReadDelay},
 	}
 	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Clock: c.Clock, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning})
 	return p
@@ -245,27 +252,16 @@
 	if !ok {
 		return nil
 	}
-	spec, _ := r.Pools.Get(p.config.Self.Service)
-	region, copyTime := "", time.Duration(0)
-	for _, s := range r.Pools.All() {
-		if s.Origin != "" {
-			copyTime = spec.Engine.CopyTime(s.OriginBytesPerSecond)
-			p.weightSource.setOrigin(p.config.Origin(s.Origin))
-			region = p.config.Regions[s.OriginDomain]
-		}
-	}
-	p.mu.Lock()
-	p.model, p.originRegion, p.originCopyTime = spec.Engine.Model, region, copyTime
-	p.mu.Unlock()
+	region := p.applyRouting(r)
 	f, err := fetcher.New(fetcher.Config{
 		Self: p.config.Self, Client: p.client, Source: p.weightSource, Log: p.config.Log, Metrics: p.config.Metrics,
 		Core: distributor.Config{
 			Self: p.config.Self, SourceRegion: region, Limits: distributor.SmallReleaseLimits(), Seed: uint64(p.started.UnixNano()),
 		},
 		MemoryBytes: p.config.MemoryBytes / weightMemoryDivisor, MaxUploads: maxUploads, UploadBytesPerSecond: p.config.LinkBytesPerSecond * uploadShare, PieceBytes: pieceBytes, OnCompleted: func(distributor.Completed) {},
-		OnManifest: func(digest filbertstile.Digest, m filbertstile.Manifest) {
-			p.weightSource.addReceivedManifest(digest, m)
-			p.Refresh() // chunks may be staged at the engine
+		OnManifest: func(digest filbertstile.Digest, m filbertstile.Manifest, peer string) error {
+			defer p.Refresh() // chunks may be staged at the engine
+			return p.weightSource.addReceivedManifest(digest, m, peer)
 		},
 	})
 	if err != nil {
@@ -276,6 +272,28 @@
 	return nil
 }
 
+// applyRouting takes over what the configuration says of the engine and of the origin of its weights, and
+// returns the region of the origin.
+func (p *Peer) applyRouting(r filbertstile.Routing) (originRegion string) {
+	spec, _ := r.Pools.Get(p.config.Self.Service)
+	copyTime := time.Duration(0)
+	for _, s := range r.Pools.All() {
+		if s.Origin != "" {
+			copyTime = spec.Engine.CopyTime(s.OriginBytesPerSecond)
+			if s.Origin != p.originAddress {
+				p.originAddress = s.Origin
+				p.weightSource.setOrigin(p.config.Origin(s.Origin))
+			}
+			originRegion = p.config.Regions[s.OriginDomain]
+		}
+	}
+	p.weightSource.setEngine(*spec.Engine)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.model, p.originRegion, p.originCopyTime = spec.Engine.Model, originRegion, copyTime
+	return originRegion
+}
+
 // syncFetcher updates the fetcher's list of hosts and its list of wanted versions.
 func (p *Peer) syncFetcher(ctx context.Context) error {
 	f := p.fetcher.Load()
@@ -295,10 +313,8 @@
 		if time.Since(p.started) < p.manifestDelay() {
 			return nil
 		}
-		ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
-		defer cancel()
-		newest, _, err := p.weightSource.readManifest(ctx, filbertstile.WeightsVersion{Model: p.model})
-		if err != nil {
+		newest, read, err := p.readManifest(ctx, filbertstile.WeightsVersion{Model: p.model})
+		if !read {
 			return err
 		}
 		p.recordVersion(newest)
--- a/shells/peerrunner/weights.go
+++ b/shells/peerrunner/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -14,6 +15,9 @@
 // replicas run and two that may be in rollout.
 const keptVersions = 3
 
+// originName is the name of the origin in errors.
+const originName = "origin"
+
 // weightSource is the source that the fetcher reads from. It knows the manifests of
 // versions, and reads from the origin what other hosts do not provide.
 type weightSource struct {
@@ -21,6 +25,8 @@
 
 	mu     sync.Mutex
 	origin filbertstile.Origin
+	// engine describes the engine that the weights are for.
+	engine filbertstile.EngineSpec
 	// digests are the digests of the versions' manifests, including those of manifests
 	// that this process does not have.
 	digests map[filbertstile.WeightsVersion]filbertstile.Digest
@@ -57,6 +63,26 @@
 	s.origin = o
 }
 
+// setEngine sets the engine that the weights are for.
+func (s *weightSource) setEngine(engine filbertstile.EngineSpec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = engine
+}
+
+// check returns ErrManifest if the manifest from the peer cannot be one of the engine's weights.
+func (s *weightSource) check(m filbertstile.Manifest, peer string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.engine.CheckManifest(m)
+	var odd filbertstile.ErrManifest
+	if errors.As(err, &odd) {
+		odd.Step, odd.Peer = "check manifest", peer
+		return odd
+	}
+	return err
+}
+
 // originClient returns the client of the origin, or an error until setOrigin is
 // called.
 func (s *weightSource) originClient() (filbertstile.Origin, error) {
@@ -80,13 +106,16 @@
 	if err != nil {
 		return w, "", err
 	}
+	if err := s.check(m, originName); err != nil {
+		return w, "", err
+	}
 	version2, m2, err := o.Manifest(ctx, version)
 	if err != nil {
 		return w, "", err
 	}
 	digest := filbertstile.DigestOf(m.Encode())
 	if digest2 := filbertstile.DigestOf(m2.Encode()); version != version2 || digest != digest2 {
-		return w, "", filbertstile.ErrDigest{Step: "read manifest twice", Peer: "origin", Want: digest, Got: digest2}
+		return w, "", filbertstile.ErrDigest{Step: "read manifest twice", Peer: originName, Want: digest, Got: digest2}
 	}
 	s.addManifest(version, digest, m)
 	return version, digest, nil
@@ -191,7 +220,10 @@
 		return nil, err
 	}
 	if got := filbertstile.DigestOf(m.Encode()); got != digest {
-		return nil, filbertstile.ErrDigest{Step: "read manifest", Peer: "origin", Want: digest, Got: got}
+		return nil, filbertstile.ErrDigest{Step: "read manifest", Peer: originName, Want: digest, Got: got}
+	}
+	if err := s.check(m, originName); err != nil {
+		return nil, err
 	}
 	s.addManifest(w, digest, m)
 	return m.Encode(), nil
@@ -210,16 +242,20 @@
 			return w, nil, nil
 		}
 	}
-	return filbertstile.WeightsVersion{}, nil, filbertstile.ErrNotFound{Step: "find manifest", Peer: "origin", Key: string(digest)}
+	return filbertstile.WeightsVersion{}, nil, filbertstile.ErrNotFound{Step: "find manifest", Peer: originName, Key: string(digest)}
 }
 
 // addReceivedManifest adds a manifest that another host sent, so that its chunks can
-// be read from the origin.
-func (s *weightSource) addReceivedManifest(digest filbertstile.Digest, m filbertstile.Manifest) {
+// be read from the origin. It returns ErrManifest if it cannot be one of the engine's weights.
+func (s *weightSource) addReceivedManifest(digest filbertstile.Digest, m filbertstile.Manifest, peer string) error {
+	if err := s.check(m, peer); err != nil {
+		return err
+	}
 	w, document, err := s.find(digest)
 	if err == nil && document == nil {
 		s.addManifest(w, digest, m)
 	}
+	return nil
 }
 
 // Chunk reads a chunk from the origin.
@@ -232,7 +268,7 @@
 	location, ok := s.chunkLocations[digest]
 	s.mu.Unlock()
 	if !ok {
-		return nil, filbertstile.ErrNotFound{Step: "find chunk", Peer: "origin", Key: string(digest)}
+		return nil, filbertstile.ErrNotFound{Step: "find chunk", Peer: originName, Key: string(digest)}
 	}
 	return o.Chunk(ctx, location.weights, location.index)
 }
