peerrunner: a manifest that the origin's chunks contradict is read again

What callers saw: after a digit of a digest was wrong at the origin for 2 s, no replica ever ran the version, and after a loss of power of all machines no model was served.

Cause: a manifest that was read once was believed for good, by the host that had read it and by all that heard of its digest in heartbeats, where the first one counted.

Evidence: TestSpoiltManifest/WrongDigit before the change: the origin sends the same content for the chunk every 60 ms, each is refused, and the manifest is read no more.

Change: a manifest is in doubt if the origin's content for a chunk doesn't match again and again, if the origin has another one than was heard of, or if another host's doesn't fit the configuration. It is then read again, after delays that grow to 8 s. Manifests have a revision in heartbeats; the higher one counts. A host with all chunks has proven its manifest, and contradicts others. Chunks that both manifests have are kept.

Why it works: a wrong digest fits no content, so that the hosts that read from the origin find out, and what they find spreads as the wrong one did.

Tried before: asking under the lock whether the chunks are complete; it deadlocked in the same test, as the check takes the lock.

--- a/base/reporter/events.go
+++ b/base/reporter/events.go
@@ -44,8 +44,8 @@
 	ConfigurationRead    Event = 216
 	StoreUnavailable     Event = 217
 	ConfigurationAdopted Event = 218
-	EraCompared Event = 219
-	EraRecorded Event = 220
+	EraCompared          Event = 219
+	EraRecorded          Event = 220
 	HostLost             Event = 301
 	HostFound            Event = 302
 	RequestFailed        Event = 303
@@ -73,6 +73,7 @@
 	SourceFailed         Event = 405
 	ChunkRestaged        Event = 406
 	VersionNamed         Event = 407
+	ManifestReplaced     Event = 408
 	SwitchStarted        Event = 501
 	SwitchDone           Event = 502
 	SwitchFailed         Event = 503
@@ -158,6 +159,7 @@
 	{SourceFailed, "SourceFailed", "weights", logrus.WarnLevel, "Neither the weight store nor the origin returned a manifest or a chunk.", "Check the weight store."},
 	{ChunkRestaged, "ChunkRestaged", "weights", logrus.WarnLevel, "A chunk staged at the engine did not match its digest and was staged again.", "Check the replica's host if this repeats."},
 	{VersionNamed, "VersionNamed", "weights", logrus.InfoLevel, "Operators have chosen a version of the weights to run.", noAction},
+	{ManifestReplaced, "ManifestReplaced", "weights", logrus.WarnLevel, "The manifest of a version has turned out to be another one: the origin's chunks did not match the digests in the one before, or another process knows a later one.", "Check the origin if this repeats."},
 	{SwitchStarted, "SwitchStarted", "rollout", logrus.InfoLevel, "A replica stops accepting work in order to load another release.", noAction},
 	{SwitchDone, "SwitchDone", "rollout", logrus.InfoLevel, "The engine confirmed the digest of the release; the replica accepts work.", noAction},
 	{SwitchFailed, "SwitchFailed", "rollout", logrus.ErrorLevel, "The engine did not load the release; the load is ordered again.", "Check the log of the engine."},
--- a/shells/edgerunner/edgerunner.go
+++ b/shells/edgerunner/edgerunner.go
@@ -174,8 +174,8 @@
 	// chosenVersions lists the versions that operators have chosen, by model, in ascending
 	// order.
 	chosenVersions map[string][]chosenVersion
-	// manifestDigests holds the digests of the manifests of versions.
-	manifestDigests map[filbertstile.WeightsVersion]string
+	// manifests are the manifests of versions that hosts have announced.
+	manifests map[filbertstile.WeightsVersion]announcedManifest
 	// loggedReady is the readiness that was last logged.
 	loggedReady bool
 	// versionsListed is true after the versions chosen before the start are known.
@@ -199,7 +199,7 @@
 	c.Placer.Self = c.Self.Name
 	e := &Edge{
 		config: c, placer: placer.New(c.Placer), startedAt: c.Clock(), senders: newSenderCounter(c.Clock),
-		chosenVersions: make(map[string][]chosenVersion), manifestDigests: make(map[filbertstile.WeightsVersion]string), peerHosts: make(map[string]time.Time),
+		chosenVersions: make(map[string][]chosenVersion), manifests: make(map[filbertstile.WeightsVersion]announcedManifest), peerHosts: make(map[string]time.Time),
 		refreshRequested: make(chan struct{}, 1), suspector: suspector.New(suspector.Config{Self: c.Self.Name}), news: make(chan struct{}, 1),
 		comparison: newComparison(c.EraRecord != nil), fetchRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 	}
--- a/shells/edgerunner/heartbeats.go
+++ b/shells/edgerunner/heartbeats.go
@@ -147,12 +147,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var out []*wire.WeightsVersion
-	for w, manifest := range e.manifestDigests {
+	for w, m := range e.manifests {
 		if !runs(w.Model) {
 			continue
 		}
 		if list := e.chosenVersions[w.Model]; len(list) == 0 || w.Version+1 >= list[len(list)-1].version {
-			out = append(out, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: manifest})
+			out = append(out, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: m.digest, ManifestRevision: m.revision})
 		}
 	}
 	for model, list := range e.chosenVersions {
@@ -160,7 +160,7 @@
 			continue
 		}
 		w := filbertstile.WeightsVersion{Model: model, Version: list[len(list)-1].version}
-		if e.manifestDigests[w] == "" {
+		if _, known := e.manifests[w]; !known {
 			out = append(out, &wire.WeightsVersion{Model: w.Model, Version: w.Version})
 		}
 	}
--- a/shells/edgerunner/versions.go
+++ b/shells/edgerunner/versions.go
@@ -197,6 +197,13 @@
 	}
 }
 
+// announcedManifest is the digest of a manifest, and its revision: of two manifests of a version the one
+// with the higher revision counts.
+type announcedManifest struct {
+	digest   string
+	revision uint32
+}
+
 // learnManifests records the digests of manifests, and reports whether one is new. A new
 // digest must be sent at once, as hosts wait for it.
 func (e *Edge) learnManifests(versions []*wire.WeightsVersion) bool {
@@ -205,8 +212,9 @@
 	learned := false
 	for _, w := range versions {
 		key := filbertstile.WeightsVersion{Model: w.GetModel(), Version: w.GetVersion()}
-		if e.manifestDigests[key] == "" && w.GetManifest() != "" {
-			e.manifestDigests[key] = w.GetManifest()
+		known, ok := e.manifests[key]
+		if w.GetManifest() != "" && (!ok || w.GetManifestRevision() > known.revision) {
+			e.manifests[key] = announcedManifest{digest: w.GetManifest(), revision: w.GetManifestRevision()}
 			e.otherGroupsSentAt = time.Time{}
 			learned = true
 		}
--- a/shells/edgerunner/versions_test.go
+++ b/shells/edgerunner/versions_test.go
@@ -79,3 +79,23 @@
 		is.True(sent["m 2 digest"])
 	})
 }
+
+// TestLaterManifestReplacesWrongOne guards against an entry that goes on announcing the first manifest
+// that it has heard of, after hosts have found out that it is wrong.
+func TestLaterManifestReplacesWrongOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newNewsEntry(newNewsStore())
+		learn := func(digest string, revision uint32) bool {
+			return e.learnManifests([]*wire.WeightsVersion{{Model: "m", Version: 2, Manifest: digest, ManifestRevision: revision}})
+		}
+		is.True(learn("wrong", 0))
+		is.True(!learn("sound", 0)) // which of the two is wrong is not known
+		is.True(learn("sound", 1))
+		is.True(!learn("wrong", 0))
+		for _, w := range e.weightsToSend() {
+			is.Equal(w.GetManifest(), "sound")
+			is.Equal(w.GetManifestRevision(), uint32(1))
+		}
+	})
+}
--- a/shells/peerrunner/heartbeats.go
+++ b/shells/peerrunner/heartbeats.go
@@ -16,7 +16,7 @@
 	now := time.Now()
 	for _, w := range hb.GetWeights() {
 		version := filbertstile.WeightsVersion{Model: w.GetModel(), Version: w.GetVersion()}
-		if p.weightSource.addDigest(version, filbertstile.Digest(w.GetManifest())) {
+		if p.weightSource.addDigest(version, filbertstile.Digest(w.GetManifest()), w.GetManifestRevision(), func() bool { return p.holdsVersion(version) }, hb.GetName()) {
 			p.Refresh()
 		}
 		p.recordReportedVersion(version)
@@ -28,16 +28,13 @@
 
 // composeHeartbeats returns the heartbeat to send to the entries.
 func (p *Peer) composeHeartbeats() []pulser.Message {
-	out := &wire.Pulse{}
+	out := &wire.Pulse{Weights: p.weightSource.addedWithin(digestAnnouncePeriod)}
 	if r := p.report.Load(); r != nil {
 		out.Replica = &wire.ReplicaLoad{
 			Address: p.config.EngineAddress, Born: r.Born.UnixMilli(), Running: int32(r.Running), Waiting: int32(r.Waiting),
 			Version: r.Version, Loading: r.Loading || p.draining.Load(), PacePercent: pacePercent(r.Pace),
 		}
 	}
-	for w, digest := range p.weightSource.addedWithin(digestAnnouncePeriod) {
-		out.Weights = append(out.Weights, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: string(digest)})
-	}
 	return []pulser.Message{{Pulse: out, To: p.heartbeatTargets()}}
 }
 
--- a/shells/peerrunner/oddmanifests.go
+++ b/shells/peerrunner/oddmanifests.go
@@ -39,6 +39,20 @@
 	return version, err == nil, err
 }
 
+// checkManifests reads the manifests in doubt again that are due.
+func (p *Peer) checkManifests(ctx context.Context) error {
+	for {
+		w, due := p.weightSource.takeSuspect()
+		if !due {
+			return nil
+		}
+		if _, _, err := p.readManifest(ctx, w); err != nil {
+			return err
+		}
+		p.pulser.SendNow()
+	}
+}
+
 // updateEngine takes over what the latest configuration says of the engine and the origin, which may
 // have changed since the start.
 func (p *Peer) updateEngine(ctx context.Context) {
--- a/shells/peerrunner/oddmanifests_test.go
+++ b/shells/peerrunner/oddmanifests_test.go
@@ -15,6 +15,7 @@
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
 	"filbertstile.example/filbertstile/outside/tracker"
+	"filbertstile.example/filbertstile/transport/pulser"
 )
 
 // testModel is the model of the tests of manifests.
@@ -52,6 +53,7 @@
 	})
 	members := tracker.New(tracker.Config[filbertstile.Member]{Log: log, Clock: p.config.Clock, OnChange: func() {}})
 	p.sources = Sources{Members: members, Contacts: members, Routing: func(context.Context) (filbertstile.Routing, error) { return routing(), nil }}
+	p.pulser = pulser.New(pulser.Config{Conn: newSilentConn(), Log: log})
 	p.applyRouting(routing())
 	return p
 }
@@ -90,7 +92,7 @@
 				is.True(!read)
 				// Nor is it believed if another host sends it.
 				digest := filbertstile.DigestOf(c.manifest.Encode())
-				p.weightSource.addDigest(w, digest)
+				p.weightSource.addDigest(w, digest, 0, func() bool { return false }, "e0")
 				is.True(errors.As(p.weightSource.addReceivedManifest(digest, c.manifest, "h1"), &odd))
 				is.True(!p.weightSource.hasManifest(w))
 				for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -321,6 +321,9 @@
 		w = newest
 	}
 	err := p.ensureManifest(ctx, w)
+	if err == nil {
+		err = p.checkManifests(ctx)
+	}
 	p.weightSource.removeOlder(w.Model, w.Version-keptVersions+1)
 	p.addStagedChunks(ctx, w)
 	if wants := p.versionsToHold(w); !slices.Equal(wants, p.fetcherWants) {
--- a/shells/peerrunner/versions.go
+++ b/shells/peerrunner/versions.go
@@ -19,11 +19,34 @@
 		digest, ok := p.weightSource.digest(version)
 		if ok && (age == 0 || p.holdsAllChunks(digest) || p.worthFetching(version, digest)) {
 			out = append(out, distributor.Want{Release: version.Model, Manifest: digest, HasManifest: p.weightSource.hasManifest(version)})
+			if old := p.replacedToHold(version, digest); old != "" {
+				out = append(out, distributor.Want{Release: version.Model, Manifest: old})
+			}
 		}
 	}
 	return out
 }
 
+// replacedToHold returns the manifest that the version's current one replaces, if its chunks must be kept
+// until the current one has arrived, as most of them belong to both.
+func (p *Peer) replacedToHold(w filbertstile.WeightsVersion, current filbertstile.Digest) filbertstile.Digest {
+	old := p.weightSource.replaced(w)
+	if old == "" {
+		return ""
+	}
+	if store := p.fetcher.Load().ChunkStore(); store.Manifest(current) != nil || store.Manifest(old) == nil {
+		p.weightSource.forgetReplaced(w)
+		return ""
+	}
+	return old
+}
+
+// holdsVersion reports whether all chunks of the version are held.
+func (p *Peer) holdsVersion(w filbertstile.WeightsVersion) bool {
+	_, _, ok := p.chunks(w)
+	return ok
+}
+
 // holdsAllChunks reports whether all chunks of the version are held.
 func (p *Peer) holdsAllChunks(d filbertstile.Digest) bool {
 	_, _, ok := p.fetcher.Load().ChunkStore().AllChunks(d)
--- a/shells/peerrunner/versions_test.go
+++ b/shells/peerrunner/versions_test.go
@@ -50,7 +50,7 @@
 	for _, newest := range []int64{math.MaxInt64, 1, 2} {
 		p := New(Config{Clock: func() time.Duration { return 0 }, Log: log})
 		w := filbertstile.WeightsVersion{Model: "m", Version: newest}
-		p.weightSource.digests[w] = "digest"
+		p.weightSource.believed(w).digest = "digest"
 		done := make(chan []distributor.Want, 1)
 		go func() { done <- p.versionsToHold(w) }()
 		select {
@@ -91,7 +91,7 @@
 			p.fetcher.Store(f)
 			p.originCopyTime = c.copyTime
 			for version, digest := range map[int64]filbertstile.Digest{1: "d1", 2: "d2", 3: "d3"} {
-				p.weightSource.digests[filbertstile.WeightsVersion{Model: "m", Version: version}] = digest
+				p.weightSource.believed(filbertstile.WeightsVersion{Model: "m", Version: version}).digest = digest
 			}
 			p.recordVersion(filbertstile.WeightsVersion{Model: "m", Version: 2})
 			now += c.apart
--- a/shells/peerrunner/weights.go
+++ b/shells/peerrunner/weights.go
@@ -9,6 +9,7 @@
 
 	"filbertstile.example/filbertstile"
 	"filbertstile.example/filbertstile/base/reporter"
+	"filbertstile.example/filbertstile/base/wire"
 )
 
 // keptVersions is the number of versions whose chunks a host keeps: the one that
@@ -27,11 +28,9 @@
 	origin filbertstile.Origin
 	// engine describes the engine that the weights are for.
 	engine filbertstile.EngineSpec
-	// digests are the digests of the versions' manifests, including those of manifests
-	// that this process does not have.
-	digests map[filbertstile.WeightsVersion]filbertstile.Digest
-	// addedAt is when this process got the manifest of a version.
-	addedAt        map[filbertstile.WeightsVersion]time.Time
+	// versions are what is believed of the manifests of versions, including those that this
+	// process does not have.
+	versions       map[filbertstile.WeightsVersion]*believedManifest
 	manifests      map[filbertstile.Digest]manifestRecord
 	chunkLocations map[filbertstile.Digest]chunkLocation
 }
@@ -51,8 +50,7 @@
 
 func newWeightSource(log *reporter.Log) *weightSource {
 	return &weightSource{
-		log: log, digests: make(map[filbertstile.WeightsVersion]filbertstile.Digest),
-		addedAt:   make(map[filbertstile.WeightsVersion]time.Time),
+		log: log, versions: make(map[filbertstile.WeightsVersion]*believedManifest),
 		manifests: make(map[filbertstile.Digest]manifestRecord), chunkLocations: make(map[filbertstile.Digest]chunkLocation),
 	}
 }
@@ -118,41 +116,40 @@
 		return w, "", filbertstile.ErrDigest{Step: "read manifest twice", Peer: originName, Want: digest, Got: digest2}
 	}
 	s.addManifest(version, digest, m)
+	s.endDoubt(version)
 	return version, digest, nil
 }
 
 func (s *weightSource) addManifest(w filbertstile.WeightsVersion, digest filbertstile.Digest, m filbertstile.Manifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.digests[w] = digest
-	s.addedAt[w] = time.Now()
+	v := s.believed(w)
+	switch v.digest {
+	case "":
+		v.digest = digest
+	case digest:
+	default:
+		s.replaceManifest(w, v, digest, v.revision+1, originName)
+	}
+	v.addedAt = time.Now()
 	s.manifests[digest] = manifestRecord{weights: w, manifest: m, document: m.Encode()}
 	for i, c := range m.Chunks {
 		s.chunkLocations[c.Digest] = chunkLocation{weights: w, index: i}
 	}
 }
 
-// addDigest adds the digest of a manifest that another process has read, and reports
-// whether it was unknown.
-func (s *weightSource) addDigest(w filbertstile.WeightsVersion, digest filbertstile.Digest) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.digests[w]; ok || digest == "" {
-		return false
-	}
-	s.digests[w] = digest
-	return true
-}
-
 // removeOlder removes the versions of the model before the given one, so that the
 // tables stay bounded.
 func (s *weightSource) removeOlder(model string, before int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for w, digest := range s.digests {
+	for w := range s.versions {
 		if w.Model == model && w.Version < before {
-			delete(s.digests, w)
-			delete(s.addedAt, w)
+			delete(s.versions, w)
+		}
+	}
+	for digest, r := range s.manifests {
+		if r.weights.Model == model && r.weights.Version < before {
 			delete(s.manifests, digest)
 		}
 	}
@@ -166,8 +163,10 @@
 func (s *weightSource) digest(w filbertstile.WeightsVersion) (filbertstile.Digest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, ok := s.digests[w]
-	return d, ok
+	if v := s.versions[w]; v != nil {
+		return v.digest, true
+	}
+	return "", false
 }
 
 // hasManifest reports whether this process has the manifest itself, and not only its
@@ -175,7 +174,11 @@
 func (s *weightSource) hasManifest(w filbertstile.WeightsVersion) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.manifests[s.digests[w]]
+	v := s.versions[w]
+	if v == nil {
+		return false
+	}
+	_, ok := s.manifests[v.digest]
 	return ok
 }
 
@@ -190,15 +193,15 @@
 	return nil
 }
 
-// addedWithin returns the versions whose manifests this process got within the last d,
-// and their digests.
-func (s *weightSource) addedWithin(d time.Duration) map[filbertstile.WeightsVersion]filbertstile.Digest {
+// addedWithin returns the versions whose manifests this process got, or must announce again, within the
+// last d.
+func (s *weightSource) addedWithin(d time.Duration) []*wire.WeightsVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[filbertstile.WeightsVersion]filbertstile.Digest)
-	for w, digest := range s.digests {
-		if time.Since(s.addedAt[w]) < d {
-			out[w] = digest
+	var out []*wire.WeightsVersion
+	for w, v := range s.versions {
+		if time.Since(v.addedAt) < d {
+			out = append(out, &wire.WeightsVersion{Model: w.Model, Version: w.Version, Manifest: string(v.digest), ManifestRevision: v.revision})
 		}
 	}
 	return out
@@ -220,6 +223,7 @@
 		return nil, err
 	}
 	if got := filbertstile.DigestOf(m.Encode()); got != digest {
+		s.doubt(w)
 		return nil, filbertstile.ErrDigest{Step: "read manifest", Peer: originName, Want: digest, Got: got}
 	}
 	if err := s.check(m, originName); err != nil {
@@ -237,8 +241,8 @@
 	if d, ok := s.manifests[digest]; ok {
 		return d.weights, d.document, nil
 	}
-	for w, d := range s.digests {
-		if d == digest {
+	for w, v := range s.versions {
+		if v.digest == digest {
 			return w, nil, nil
 		}
 	}
@@ -248,10 +252,11 @@
 // addReceivedManifest adds a manifest that another host sent, so that its chunks can
 // be read from the origin. It returns ErrManifest if it cannot be one of the engine's weights.
 func (s *weightSource) addReceivedManifest(digest filbertstile.Digest, m filbertstile.Manifest, peer string) error {
-	if err := s.check(m, peer); err != nil {
-		return err
-	}
 	w, document, err := s.find(digest)
+	if odd := s.check(m, peer); odd != nil {
+		s.doubt(w)
+		return odd
+	}
 	if err == nil && document == nil {
 		s.addManifest(w, digest, m)
 	}
@@ -270,5 +275,9 @@
 	if !ok {
 		return nil, filbertstile.ErrNotFound{Step: "find chunk", Peer: originName, Key: string(digest)}
 	}
-	return o.Chunk(ctx, location.weights, location.index)
+	data, err := o.Chunk(ctx, location.weights, location.index)
+	if err == nil {
+		s.recordChunk(location, digest, data)
+	}
+	return data, err
 }
