distributor: a chunk that never fits is read from the origin less and less often

What could be seen: a host that reads a chunk whose digest in the manifest is wrong read it from the origin every 60 ms, for as long as the manifest was believed: 984 times in a minute, 44% of a link of 7.3 Mbit/s.

Cause: after a corrupt read all reads of the origin wait 50 ms, whatever chunk failed how often.

Change: the delay of a chunk doubles with each corrupt read in a row, up to 2 s. Other chunks are read meanwhile, as before.

Why it works: a content that fits seldom comes after many that don't; the first retry is as soon as before.

--- a/decisions/distributor/distributor.go
+++ b/decisions/distributor/distributor.go
@@ -211,6 +211,7 @@
 	}
 	t.have[e.Index] = true
 	t.missing--
+	delete(t.corruptReads, e.Index)
 	return c.checkCompleted(t)
 }
 
@@ -237,6 +238,9 @@
 	switch {
 	case e.Peer == "":
 		c.recordOriginFailure(now)
+		if e.Failure == FailedCorrupt {
+			t.recordCorruptRead(now, e.Index, c.config.Limits.OriginRetryDelay)
+		}
 	case e.Failure == FailedCorrupt:
 		c.corruptCooldownUntil[e.Peer] = now.Add(c.config.Limits.CorruptPeerCooldown)
 	case e.Failure == FailedBusy:
--- a/decisions/distributor/origin.go
+++ b/decisions/distributor/origin.go
@@ -16,7 +16,7 @@
 	read := func(own bool) {
 		for _, i := range order {
 			isOwn := c.ownerOf(t, i) == c.config.Self.Name
-			if isOwn != own || t.have[i] || t.isFetching(i) || !c.shouldRead(now, t, i) {
+			if isOwn != own || t.have[i] || t.isFetching(i) || t.awaitsRetry(now, i) || !c.shouldRead(now, t, i) {
 				continue
 			}
 			if t.originFetches >= c.maxOriginFetches(now, t) {
@@ -72,7 +72,7 @@
 	missing := make([]int, owners)
 	var candidates []int
 	for i := range t.have {
-		if t.have[i] || t.isFetching(i) || c.heldInRegion(t, i) {
+		if t.have[i] || t.isFetching(i) || t.awaitsRetry(now, i) || c.heldInRegion(t, i) {
 			continue
 		}
 		missing[i%owners]++
--- a/decisions/distributor/transfer.go
+++ b/decisions/distributor/transfer.go
@@ -47,6 +47,17 @@
 	failedAt time.Time
 }
 
+// corruptReads are reads of a chunk from the origin, in a row, that did not match its digest.
+type corruptReads struct {
+	// delay is the delay after the last one, and retryAt when it ends.
+	delay   time.Duration
+	retryAt time.Time
+}
+
+// maxCorruptReadDelay is the maximum delay before a chunk that did not match its digest is read from the
+// origin again.
+const maxCorruptReadDelay = 2 * time.Second
+
 // transfer is the transfer of the weights of one manifest to this host.
 type transfer struct {
 	digest filbertstile.Digest
@@ -89,8 +100,10 @@
 	// another region and from the origin.
 	importFetches int
 	originFetches int
-	done          bool
-	topology      topology
+	// corruptReads are the chunks whose last reads from the origin did not match their digests, by index.
+	corruptReads map[int]corruptReads
+	done         bool
+	topology     topology
 }
 
 // topology is the host's place among the members, for one transfer. It is computed
@@ -113,6 +126,18 @@
 	ranks map[int]int
 }
 
+// recordCorruptRead delays the next read of a chunk from the origin, at first by the initial delay. A
+// chunk that never matches its digest must not take the link from the others.
+func (t *transfer) recordCorruptRead(now time.Time, index int, initial time.Duration) {
+	delay := min(max(initial, 2*t.corruptReads[index].delay), maxCorruptReadDelay)
+	t.corruptReads[index] = corruptReads{delay: delay, retryAt: now.Add(delay)}
+}
+
+// awaitsRetry reports whether the delay after a corrupt read of the chunk from the origin has not ended.
+func (t *transfer) awaitsRetry(now time.Time, index int) bool {
+	return now.Before(t.corruptReads[index].retryAt)
+}
+
 // usualGap returns the usual time between two chunks of an owner; 0 if it is not known.
 func (t *transfer) usualGap(now time.Time) time.Duration {
 	if t.regionChunks == 0 {
--- a/decisions/distributor/wants.go
+++ b/decisions/distributor/wants.go
@@ -61,7 +61,7 @@
 func newTransfer(now time.Time, w Want) *transfer {
 	return &transfer{
 		digest: w.Manifest, started: now, lastProgress: now,
-		fetching: make(map[int]fetch), peers: make(map[string]*peerState), ownerProgress: make(map[string]*ownerProgress),
+		fetching: make(map[int]fetch), peers: make(map[string]*peerState), ownerProgress: make(map[string]*ownerProgress), corruptReads: make(map[int]corruptReads),
 	}
 }
 
