peerrunner: an origin that has moved is found

After operators move the origin of the weights, hosts that run already get no new version.

Cause: a host reads the address of the origin once, at its start.

Change: after reads from the origin have failed for 8 s the configuration is read again, then after delays that double up to 2 minutes, as all hosts do so while an origin is down.

Why it works: the latest configuration has the address, and a new one clears the failures.

Result: TestMovedOriginIsFound failed with a findOrigin that reads nothing (no read of the configuration in 10 minutes); with it there are 5 to 10, and the origin is found.

--- a/shells/peerrunner/oddmanifests.go
+++ b/shells/peerrunner/oddmanifests.go
@@ -14,9 +14,14 @@
 	// configuration. Its bytes have crossed the origin's link, which other hosts need.
 	minOddManifestDelay = 250 * time.Millisecond
 	maxOddManifestDelay = 2 * time.Second
-	// maxEngineReadDelay is the maximum delay between two reads of the configuration because manifests
-	// do not fit it.
+	// minEngineReadDelay and maxEngineReadDelay bound the delay between two reads of the configuration
+	// because manifests do not fit it.
+	minEngineReadDelay = time.Second
 	maxEngineReadDelay = 8 * time.Second
+	// originPatience is how long all reads from the origin fail before the configuration is read again,
+	// and maxOriginReadDelay the maximum delay between two such reads of it. All hosts may make them.
+	originPatience     = 8 * time.Second
+	maxOriginReadDelay = 2 * time.Minute
 )
 
 // readManifest reads the manifest of a version from the origin, or that of the newest version if the
@@ -32,7 +37,7 @@
 	var odd filbertstile.ErrManifest
 	if errors.As(err, &odd) {
 		p.oddManifests.fail()
-		p.updateEngine(ctx)
+		p.updateEngine(ctx, &p.engineReads)
 	} else {
 		p.oddManifests.reset()
 	}
@@ -53,13 +58,24 @@
 	}
 }
 
+// findOrigin reads the configuration again after reads from the origin have failed for long: operators may
+// have moved it.
+func (p *Peer) findOrigin(ctx context.Context) {
+	switch failing := p.weightSource.failingFor(); {
+	case failing == 0:
+		p.originReads.reset()
+	case failing >= originPatience:
+		p.updateEngine(ctx, &p.originReads)
+	}
+}
+
 // updateEngine takes over what the latest configuration says of the engine and the origin, which may
-// have changed since the start.
-func (p *Peer) updateEngine(ctx context.Context) {
-	if !p.engineReads.due() {
+// have changed since the start. It does nothing until the delay of the reads has ended.
+func (p *Peer) updateEngine(ctx context.Context, reads *backoff) {
+	if !reads.due() {
 		return
 	}
-	p.engineReads.fail()
+	reads.fail()
 	ctx, cancel := context.WithTimeout(ctx, routingCheckTimeout)
 	defer cancel()
 	r, err := p.latestRouting(ctx)
--- a/shells/peerrunner/oddmanifests_test.go
+++ b/shells/peerrunner/oddmanifests_test.go
@@ -26,13 +26,28 @@
 	filbertstile.Origin
 	manifest filbertstile.Manifest
 	reads    int
+	// gone is true if it does not answer.
+	gone bool
 }
 
+// errGone reports that nothing answers.
+var errGone = errors.New("connection refused")
+
 func (o *fakeOrigin) Manifest(_ context.Context, w filbertstile.WeightsVersion) (filbertstile.WeightsVersion, filbertstile.Manifest, error) {
 	o.reads++
+	if o.gone {
+		return w, filbertstile.Manifest{}, errGone
+	}
 	return w, o.manifest, nil
 }
 
+func (o *fakeOrigin) Chunk(context.Context, filbertstile.WeightsVersion, int) ([]byte, error) {
+	if o.gone {
+		return nil, errGone
+	}
+	return nil, nil
+}
+
 // newManifest returns a manifest with chunks of the given size, whose contents differ if their sizes do.
 func newManifest(chunks, size int) filbertstile.Manifest {
 	var m filbertstile.Manifest
@@ -42,7 +57,8 @@
 	return m
 }
 
-// newManifestHost returns a host without others whose configuration is the result of routing.
+// newManifestHost returns a host without others whose configuration is the result of routing, and whose
+// origin is o, whatever its address.
 func newManifestHost(o filbertstile.Origin, routing func() filbertstile.Routing) *Peer {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -127,3 +143,52 @@
 		is.True(read)
 	})
 }
+
+// TestMovedOriginIsFound guards against a host that asks for good the address at which the origin was
+// when the host started.
+func TestMovedOriginIsFound(t *testing.T) {
+	for name, hasManifest := range map[string]bool{"ForManifest": false, "ForChunk": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				old, moved, address, configReads := &fakeOrigin{manifest: newManifest(4, 8)}, &fakeOrigin{manifest: newManifest(4, 8)}, "old:1", 0
+				p := newManifestHost(nil, func() filbertstile.Routing {
+					configReads++
+					r := routingWithChunks(4, 8)
+					r.Pools = r.Pools.With(filbertstile.PoolSpec{Service: "o", Origin: address})
+					return r
+				})
+				p.config.Origin = func(address string) filbertstile.Origin {
+					return map[string]filbertstile.Origin{"old:1": old, "new:1": moved}[address]
+				}
+				p.originAddress = ""
+				p.updateEngine(t.Context(), &backoff{})
+				w := filbertstile.WeightsVersion{Model: testModel, Version: 2}
+				if hasManifest {
+					_, read, _ := p.readManifest(t.Context(), w)
+					is.True(read)
+				}
+				read := func() error {
+					p.findOrigin(t.Context())
+					if hasManifest {
+						_, err := p.weightSource.Chunk(t.Context(), old.manifest.Chunks[0].Digest)
+						return err
+					}
+					_, _, err := p.readManifest(t.Context(), w)
+					return err
+				}
+				old.gone, configReads = true, 0
+				for end := time.Now().Add(10 * time.Minute); time.Now().Before(end); time.Sleep(syncInterval) {
+					is.True(read() != nil)
+				}
+				is.True(configReads >= 5 && configReads <= 10) // after 8, 16, 32, 64 s, and every 2 minutes from then on
+				address = "new:1"
+				for end := time.Now().Add(maxOriginReadDelay + time.Second); read() != nil; time.Sleep(syncInterval) {
+					if time.Now().After(end) {
+						t.Fatal("the origin is not found")
+					}
+				}
+			})
+		})
+	}
+}
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -108,8 +108,9 @@
 	// rolloutRank is this host's place in the order of switches, as of the last sync.
 	rolloutRank atomic.Pointer[rolloutRank]
 	// oddManifests delays reads of manifests after one that does not fit the configuration, and
-	// engineReads the reads of the configuration that follow.
-	oddManifests, engineReads backoff
+	// engineReads the reads of the configuration that follow. originReads delays those because the origin
+	// is not reached.
+	oddManifests, engineReads, originReads backoff
 	// originAddress is the address of the origin of the weights.
 	originAddress string
 	// syncRequested makes syncLoop update the fetcher before the next interval.
@@ -143,7 +144,8 @@
 		learnedAt: make(map[filbertstile.WeightsVersion]time.Duration), roster: roster{lastListed: make(map[string]time.Time)},
 		syncRequested: make(chan struct{}, 1),
 		oddManifests:  backoff{initial: minOddManifestDelay, limit: maxOddManifestDelay},
-		engineReads:   backoff{initial: maxEngineReadDelay / 8, limit: maxEngineReadDelay},
+		engineReads:   backoff{initial: minEngineReadDelay, limit: maxEngineReadDelay},
+		originReads:   backoff{initial: originPatience, limit: maxOriginReadDelay},
 	}
 	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Clock: c.Clock, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning})
 	return p
@@ -306,6 +308,7 @@
 		p.rolloutRank.Store(rankAmong(members.Members, p.config.Self))
 		f.SetMembers(members)
 	}
+	p.findOrigin(ctx)
 	w, ok := p.targetVersion()
 	if !ok {
 		// No version is known to be chosen, so the newest one of the origin is used. Most
--- a/shells/peerrunner/weights.go
+++ b/shells/peerrunner/weights.go
@@ -26,6 +26,9 @@
 
 	mu     sync.Mutex
 	origin filbertstile.Origin
+	// failingSince is when the first of the reads from the origin failed that have failed since the last
+	// successful one; zero if that was the last one.
+	failingSince time.Time
 	// engine describes the engine that the weights are for.
 	engine filbertstile.EngineSpec
 	// versions are what is believed of the manifests of versions, including those that this
@@ -58,7 +61,33 @@
 func (s *weightSource) setOrigin(o filbertstile.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origin = o
+	s.origin, s.failingSince = o, time.Time{}
+}
+
+// recordRead records whether a read from the origin has failed. One that this process has cancelled has
+// not.
+func (s *weightSource) recordRead(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.failingSince = time.Time{}
+	case s.failingSince.IsZero():
+		s.failingSince = time.Now()
+	}
+}
+
+// failingFor returns how long all reads from the origin have failed; 0 if the last one succeeded.
+func (s *weightSource) failingFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failingSince.IsZero() {
+		return 0
+	}
+	return time.Since(s.failingSince)
 }
 
 // setEngine sets the engine that the weights are for.
@@ -101,6 +130,7 @@
 		return w, "", err
 	}
 	version, m, err := o.Manifest(ctx, w)
+	s.recordRead(ctx, err)
 	if err != nil {
 		return w, "", err
 	}
@@ -219,6 +249,7 @@
 		return nil, err
 	}
 	_, m, err := o.Manifest(ctx, w)
+	s.recordRead(ctx, err)
 	if err != nil {
 		return nil, err
 	}
@@ -276,6 +307,7 @@
 		return nil, filbertstile.ErrNotFound{Step: "find chunk", Peer: originName, Key: string(digest)}
 	}
 	data, err := o.Chunk(ctx, location.weights, location.index)
+	s.recordRead(ctx, err)
 	if err == nil {
 		s.recordChunk(location, digest, data)
 	}
