peerrunner: a version that the origin no longer has gives way to the newest

Cause: the origin's 410 for the older version was taken for a failure, and the version asked for without end.

Change: 410 is the error ErrVersionGone. The host then reads the newest manifest, as one does that knows of no version, and holds that version if it is newer.

Why it works: the origin says 410 only of a version two back, so that a newer one was named.

--- a/errors.go
+++ b/errors.go
@@ -48,6 +48,18 @@
 	return fmt.Sprintf("%s: peer %q: content has digest %s, want %s", e.Step, e.Peer, e.Got, e.Want)
 }
 
+// ErrVersionGone reports a version of weights that the origin no longer has, as newer ones were chosen.
+type ErrVersionGone struct {
+	Step    string
+	Peer    string
+	Weights WeightsVersion
+}
+
+// Error returns a message with the model and the version.
+func (e ErrVersionGone) Error() string {
+	return fmt.Sprintf("%s: peer %q: version %d of %s is gone", e.Step, e.Peer, e.Weights.Version, e.Weights.Model)
+}
+
 // ErrManifest reports a manifest that cannot be that of the weights that were asked for.
 type ErrManifest struct {
 	Step string
--- a/interfaces.go
+++ b/interfaces.go
@@ -167,8 +167,9 @@
 type Origin interface {
 	// Manifest returns the manifest of a version, and the version that it belongs
 	// to. Version 0 requests the newest version. It returns ErrManifest if the response is of another
-	// version or model, or names no version.
+	// version or model, or names no version, and ErrVersionGone if the origin no longer has the
+	// version.
 	Manifest(ctx context.Context, w WeightsVersion) (WeightsVersion, Manifest, error)
-	// Chunk returns one chunk of a version.
+	// Chunk returns one chunk of a version, or ErrVersionGone.
 	Chunk(ctx context.Context, w WeightsVersion, index int) ([]byte, error)
 }
--- a/shells/peerrunner/oddmanifests.go
+++ b/shells/peerrunner/oddmanifests.go
@@ -25,8 +25,8 @@
 )
 
 // readManifest reads the manifest of a version from the origin, or that of the newest version if the
-// version is 0. After a manifest that does not fit the configuration it does nothing until the next
-// read is due, and returns false.
+// version is 0 or the origin no longer has it. After a manifest that does not fit the configuration it
+// does nothing until the next read is due, and returns false.
 func (p *Peer) readManifest(ctx context.Context, w filbertstile.WeightsVersion) (version filbertstile.WeightsVersion, read bool, err error) {
 	if !p.oddManifests.due() {
 		return w, false, nil
@@ -34,6 +34,10 @@
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
 	version, _, err = p.weightSource.readManifest(ctx, w)
+	var gone filbertstile.ErrVersionGone
+	if errors.As(err, &gone) {
+		version, err = p.readNewer(ctx, w, err)
+	}
 	var odd filbertstile.ErrManifest
 	if errors.As(err, &odd) {
 		p.oddManifests.fail()
@@ -44,6 +48,21 @@
 	return version, err == nil, err
 }
 
+// readNewer reads the manifest of the newest version after the origin has said that w is gone, and makes
+// that the version to hold. The store may name an older version than before: a write of an operator may
+// be executed late.
+func (p *Peer) readNewer(ctx context.Context, w filbertstile.WeightsVersion, gone error) (filbertstile.WeightsVersion, error) {
+	newest, _, err := p.weightSource.readManifest(ctx, filbertstile.WeightsVersion{Model: w.Model})
+	if err != nil {
+		return w, err
+	}
+	if newest.Version <= w.Version {
+		return w, gone
+	}
+	p.recordVersion(newest)
+	return newest, nil
+}
+
 // checkManifests reads the manifests in doubt again that are due.
 func (p *Peer) checkManifests(ctx context.Context) error {
 	for {
--- a/shells/peerrunner/weights.go
+++ b/shells/peerrunner/weights.go
@@ -308,8 +308,12 @@
 	}
 	data, err := o.Chunk(ctx, location.weights, location.index)
 	s.recordRead(ctx, err)
-	if err == nil {
+	var gone filbertstile.ErrVersionGone
+	switch {
+	case err == nil:
 		s.recordChunk(location, digest, data)
+	case errors.As(err, &gone):
+		s.doubt(location.weights)
 	}
 	return data, err
 }
