edgerunner: the era is recorded as soon as entries have compared

Cause: an entry looked every 0.4 s whether an era was to be recorded. A copy of the store that was made 0.34 s after the entries were ready had no record, and such a drill looks like a new system.

Change: the entry looks when it has compared, and when it begins to read the store for others.

Why it works: both conditions of the write hold then; the look every 0.4 s stays for retries.

--- a/shells/edgerunner/comparing.go
+++ b/shells/edgerunner/comparing.go
@@ -53,6 +53,7 @@
 	c.mu.Unlock()
 	if compared != nil {
 		e.config.Log.Event(reporter.EraCompared, compared)
+		e.requestRecord()
 	}
 	if lost {
 		c.confirm(0)
--- a/shells/edgerunner/sharing.go
+++ b/shells/edgerunner/sharing.go
@@ -74,12 +74,13 @@
 }
 
 // readerChanged tells the other entries at once that this one reads the store, or no
-// longer does.
+// longer does. Only one that does records the era.
 func (e *Edge) readerChanged() {
 	e.mu.Lock()
 	e.otherGroupsSentAt = time.Time{}
 	e.mu.Unlock()
 	e.pulser.SendNow()
+	e.requestRecord()
 }
 
 // sourceName returns the name of the entry that this one follows, or its own if it reads the
