peerrunner: doubt ends with a version that is gone; names

A manifest in doubt whose version the origin no longer has was asked for every 8 s for as long as the host kept the version, and a configuration with another model would have been taken over in part.

Change: the doubt ends once the newest manifest is read, and the host refuses a configuration with another model. The file of the reads of manifests and its delays are named after them.

Result: the tests of the package pass.

--- a/shells/peerrunner/believedmanifest.go
+++ b/shells/peerrunner/believedmanifest.go
@@ -41,7 +41,8 @@
 // misfit is what the origin has sent for a chunk in place of the content with its digest.
 type misfit struct {
 	got filbertstile.Digest
-	// same is the number of times in a row that it was this content, and all that it was any other.
+	// same is the number of times in a row that it was this content, and all that of any wrong content
+	// since the last right one.
 	same, all int
 }
 
--- a/shells/peerrunner/oddmanifests.go
+++ b/shells/peerrunner/manifestreads.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// minOddManifestDelay and maxOddManifestDelay bound the delay after a manifest that does not fit the
+	// minManifestRetryDelay and maxManifestRetryDelay bound the delay after a manifest that does not fit the
 	// configuration. Its bytes have crossed the origin's link, which other hosts need.
-	minOddManifestDelay = 250 * time.Millisecond
-	maxOddManifestDelay = 2 * time.Second
+	minManifestRetryDelay = 250 * time.Millisecond
+	maxManifestRetryDelay = 2 * time.Second
 	// minEngineReadDelay and maxEngineReadDelay bound the delay between two reads of the configuration
 	// because manifests do not fit it.
 	minEngineReadDelay = time.Second
@@ -28,7 +28,7 @@
 // version is 0 or the origin no longer has it. After a manifest that does not fit the configuration it
 // does nothing until the next read is due, and returns false.
 func (p *Peer) readManifest(ctx context.Context, w filbertstile.WeightsVersion) (version filbertstile.WeightsVersion, read bool, err error) {
-	if !p.oddManifests.due() {
+	if !p.manifestRetries.due() {
 		return w, false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
@@ -40,10 +40,10 @@
 	}
 	var odd filbertstile.ErrManifest
 	if errors.As(err, &odd) {
-		p.oddManifests.fail()
+		p.manifestRetries.fail()
 		p.updateEngine(ctx, &p.engineReads)
 	} else {
-		p.oddManifests.reset()
+		p.manifestRetries.reset()
 	}
 	return version, err == nil, err
 }
@@ -59,6 +59,7 @@
 	if newest.Version <= w.Version {
 		return w, gone
 	}
+	p.weightSource.endDoubt(w)
 	p.recordVersion(newest)
 	return newest, nil
 }
@@ -98,8 +99,8 @@
 	ctx, cancel := context.WithTimeout(ctx, routingCheckTimeout)
 	defer cancel()
 	r, err := p.latestRouting(ctx)
-	if err == nil && !p.hasEngine(r) {
-		err = filbertstile.ErrField{Step: "read configuration", Field: p.config.Self.Service, Problem: "has no engine"}
+	if spec, _ := r.Pools.Get(p.config.Self.Service); err == nil && (spec.Engine == nil || spec.Engine.Model != p.model) {
+		err = filbertstile.ErrField{Step: "read configuration", Field: p.config.Self.Service, Problem: "has no engine with the model " + p.model}
 	}
 	if err != nil {
 		p.config.Log.Event(reporter.StepFailed, reporter.Fields{"Step": "read configuration of the engine", "Error": err})
--- a/shells/peerrunner/oddmanifests_test.go
+++ b/shells/peerrunner/manifestreads_test.go
@@ -116,7 +116,7 @@
 				}
 				is.True(o.reads <= 9) // after 0, 0.25, 0.75, 1.75 s, and every 2 s from then on
 				o.manifest = newManifest(4, 8)
-				time.Sleep(maxOddManifestDelay)
+				time.Sleep(maxManifestRetryDelay)
 				_, read, err = p.readManifest(t.Context(), w)
 				is.NoErr(err)
 				is.True(read)
@@ -137,7 +137,7 @@
 		_, read, err := p.readManifest(t.Context(), w)
 		is.True(err != nil && !read)
 		chunks = 6
-		for end := time.Now().Add(2 * maxOddManifestDelay); !read && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for end := time.Now().Add(2 * maxManifestRetryDelay); !read && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 			_, read, _ = p.readManifest(t.Context(), w)
 		}
 		is.True(read)
@@ -152,17 +152,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				old, moved, address, configReads := &fakeOrigin{manifest: newManifest(4, 8)}, &fakeOrigin{manifest: newManifest(4, 8)}, "old:1", 0
-				p := newManifestHost(nil, func() filbertstile.Routing {
+				routing := func() filbertstile.Routing {
 					configReads++
 					r := routingWithChunks(4, 8)
 					r.Pools = r.Pools.With(filbertstile.PoolSpec{Service: "o", Origin: address})
 					return r
-				})
+				}
+				p := newManifestHost(nil, routing)
 				p.config.Origin = func(address string) filbertstile.Origin {
 					return map[string]filbertstile.Origin{"old:1": old, "new:1": moved}[address]
 				}
 				p.originAddress = ""
-				p.updateEngine(t.Context(), &backoff{})
+				p.applyRouting(routing())
 				w := filbertstile.WeightsVersion{Model: testModel, Version: 2}
 				if hasManifest {
 					_, read, _ := p.readManifest(t.Context(), w)
--- a/shells/peerrunner/peerrunner.go
+++ b/shells/peerrunner/peerrunner.go
@@ -107,10 +107,10 @@
 	fetcherWants []distributor.Want
 	// rolloutRank is this host's place in the order of switches, as of the last sync.
 	rolloutRank atomic.Pointer[rolloutRank]
-	// oddManifests delays reads of manifests after one that does not fit the configuration, and
+	// manifestRetries delays reads of manifests after one that does not fit the configuration, and
 	// engineReads the reads of the configuration that follow. originReads delays those because the origin
 	// is not reached.
-	oddManifests, engineReads, originReads backoff
+	manifestRetries, engineReads, originReads backoff
 	// originAddress is the address of the origin of the weights.
 	originAddress string
 	// syncRequested makes syncLoop update the fetcher before the next interval.
@@ -142,10 +142,10 @@
 		config: c, weightSource: newWeightSource(c.Log), started: time.Now(),
 		client:    messenger.NewClient(messenger.ClientConfig{Network: c.Network, Sender: c.Self.Name}),
 		learnedAt: make(map[filbertstile.WeightsVersion]time.Duration), roster: roster{lastListed: make(map[string]time.Time)},
-		syncRequested: make(chan struct{}, 1),
-		oddManifests:  backoff{initial: minOddManifestDelay, limit: maxOddManifestDelay},
-		engineReads:   backoff{initial: minEngineReadDelay, limit: maxEngineReadDelay},
-		originReads:   backoff{initial: originPatience, limit: maxOriginReadDelay},
+		syncRequested:   make(chan struct{}, 1),
+		manifestRetries: backoff{initial: minManifestRetryDelay, limit: maxManifestRetryDelay},
+		engineReads:     backoff{initial: minEngineReadDelay, limit: maxEngineReadDelay},
+		originReads:     backoff{initial: originPatience, limit: maxOriginReadDelay},
 	}
 	p.installer = installer.New(installer.Config{Engine: c.Engine, Log: c.Log, Clock: c.Clock, Wanted: p.wantedVersions, Chunks: p.chunks, OnReport: p.handleReport, MayCancelRunning: p.mayCancelRunning})
 	return p
